--- /dev/null
+++ b/accord/ballot.go
@@ -0,0 +1,171 @@
+// Elections: a pre-vote that disturbs nobody, then a vote that is on disk
+// before it is told. A member that hears a live leader, or that has only just
+// started, gives no vote, which is what makes the leader's read grant sound;
+// a successor named by the leader itself is excused from that.
+package accord
+
+import (
+	"time"
+
+	"coppercourse/mark"
+	"coppercourse/word"
+)
+
+func (c *Core) campaign(pre, named bool) {
+	c.rest()
+	c.role, c.pre, c.votes = stand, pre, map[mark.ID]bool{c.self.ID: true}
+	c.leader, c.leadAt = "", ""
+	next := c.vow.Term + 1
+	if !pre {
+		c.swear(Vow{Term: next, For: c.self.ID})
+	}
+	t, _ := c.term(c.last())
+	for _, m := range c.roll {
+		if m.Vote && m.ID != c.self.ID {
+			c.say(m.Addr, word.Ballot, ballot{c.name, c.self.ID, m.ID, next, c.last(), t, pre, named})
+		}
+	}
+}
+
+func (c *Core) onBallot(from mark.Addr, b ballot) {
+	if b.Name != c.name || b.To != c.self.ID || c.name == "" {
+		return
+	}
+	if c.role == lead {
+		if _, ok := c.roll.Find(b.ID); !ok && c.Firm() {
+			c.say(from, word.Gone, gone{c.name, b.ID, c.commit})
+			return
+		}
+	}
+	calm := c.now.Mono.Sub(c.heard) >= c.pace.Least && c.now.Mono.Sub(c.boot) >= c.pace.Least && c.role != lead
+	t, _ := c.term(c.last())
+	newer := b.LastT > t || b.LastT == t && b.Last >= c.last()
+	if b.Pre {
+		yes := calm && newer && b.Term > c.vow.Term
+		c.say(from, word.Vote, vote{c.name, c.self.ID, b.Term, true, yes})
+		if !yes && b.Term <= c.vow.Term {
+			c.say(from, word.Vote, vote{c.name, c.self.ID, c.vow.Term, false, false})
+		}
+		return
+	}
+	if !calm && !b.Heir {
+		return
+	}
+	if b.Term > c.vow.Term {
+		c.yield(b.Term)
+	}
+	yes := b.Term == c.vow.Term && newer && (c.vow.For == "" || c.vow.For == b.ID) && c.role != lead
+	if yes && c.vow.For == "" {
+		c.swear(Vow{Term: b.Term, For: b.ID})
+		c.rest()
+	}
+	c.say(from, word.Vote, vote{c.name, c.self.ID, c.vow.Term, false, yes})
+}
+
+func (c *Core) onVote(_ mark.Addr, v vote) {
+	if v.Name != c.name {
+		return
+	}
+	if !v.Pre && v.Term > c.vow.Term {
+		c.yield(v.Term)
+		return
+	}
+	want := c.vow.Term
+	if c.pre {
+		want++
+	}
+	if c.role != stand || v.Pre != c.pre || v.Term != want || !v.Yes {
+		return
+	}
+	c.votes[v.ID] = true
+	n := 0
+	for _, m := range c.roll {
+		if m.Vote && c.votes[m.ID] {
+			n++
+		}
+	}
+	if n <= c.roll.Votes()/2 {
+		return
+	}
+	if c.pre {
+		c.campaign(false, false)
+		return
+	}
+	c.crown()
+}
+
+// yield takes a higher term and gives up whatever this member was.
+func (c *Core) yield(t mark.Term) {
+	c.swear(Vow{Term: t})
+	c.leader, c.leadAt = "", ""
+	c.settle()
+	c.rest()
+}
+
+func (c *Core) crown() {
+	c.role, c.leader, c.leadAt = lead, c.self.ID, c.self.Addr
+	c.heir, c.pulse = "", 0
+	c.mates = map[mark.ID]*track{}
+	for _, m := range c.roll {
+		c.mate(m.ID)
+	}
+	c.append(Entry{Roll: c.roll})
+	c.first = c.last()
+}
+
+func (c *Core) mate(id mark.ID) *track {
+	t, ok := c.mates[id]
+	if !ok {
+		t = &track{next: c.last() + 1, heard: c.now.Mono, round: -1 << 62}
+		c.mates[id] = t
+	}
+	return t
+}
+
+// round is the start of the newest round that a majority has answered.
+func (c *Core) round() mark.Stamp {
+	return nth(c, func(m Member) mark.Stamp {
+		if m.ID == c.self.ID {
+			return c.now.Mono
+		}
+		return c.mate(m.ID).round
+	})
+}
+
+// Firm says whether answers may be given as the leader: a majority confirmed
+// it within the shortest election wait, and an entry of its term is committed.
+func (c *Core) Firm() bool {
+	return c.role == lead && c.heir == "" && c.commit >= c.first &&
+		c.now.Mono.Sub(c.round()) < c.pace.Least*9/10
+}
+
+// Grace is how much longer this leader may let others act on its word.
+func (c *Core) Grace() time.Duration {
+	if c.role != lead {
+		return 0
+	}
+	return max(0, c.round().Add(c.pace.Hold).Sub(c.now.Mono))
+}
+
+// HandOver names a successor: the voter that is furthest on and heard of last.
+func (c *Core) HandOver(now mark.Now) bool {
+	c.now = now
+	if c.role != lead || c.heir != "" {
+		return false
+	}
+	var best *track
+	for _, m := range c.roll {
+		t := c.mate(m.ID)
+		if m.Vote && m.ID != c.self.ID && now.Mono.Sub(t.heard) < c.pace.Least && (best == nil || t.match > best.match) {
+			best, c.heir = t, m.ID
+		}
+	}
+	c.heirBy = now.Mono.Add(c.pace.Least)
+	return c.heir != ""
+}
+
+func (c *Core) onHeir(_ mark.Addr, h heir) {
+	if h.Name == c.name && h.To == c.self.ID && h.Term == c.vow.Term && c.role == follow && !c.stuck() {
+		c.campaign(false, true)
+	}
+}
--- /dev/null
+++ b/accord/core.go
@@ -0,0 +1,320 @@
+// The member itself: what it holds, how it starts from its disk records, what
+// it does as time passes, and the two lists it gathers in a step (what to send
+// and what to write). Sends that rest on something written wait until the
+// shell tells that the write is synced.
+package accord
+
+import (
+	"encoding/json"
+	"math/rand"
+	"sort"
+
+	"coppercourse/mark"
+	"coppercourse/word"
+)
+
+type role string
+
+const (
+	empty  role = "empty"
+	learn  role = "learner"
+	follow role = "follower"
+	stand  role = "candidate"
+	lead   role = "leader"
+	out    role = "out"
+)
+
+type held struct {
+	seq  uint64
+	term mark.Term
+	send word.Send
+}
+
+type track struct {
+	next, match mark.Index
+	round       mark.Stamp
+	heard       mark.Stamp
+	off         mark.Wall
+	sent        mark.Stamp
+}
+
+// Core is one member. It is owned by one goroutine and does no I/O.
+type Core struct {
+	pace Pace
+	rnd  *rand.Rand
+	self Member
+
+	name   string
+	vow    Vow
+	role   role
+	why    string
+	snap   Snap
+	log    []Entry
+	roll   Roll
+	rollAt mark.Index
+	commit mark.Index
+	synced mark.Index
+
+	wrote, done uint64
+	vowSeq      uint64
+	marks       []struct {
+		seq uint64
+		at  mark.Index
+	}
+	held  []held
+	stall mark.Stamp
+
+	now     mark.Now
+	tick    mark.Tick
+	tickAt  mark.Stamp
+	boot    mark.Stamp
+	heard   mark.Stamp
+	wait    mark.Stamp
+	leader  mark.ID
+	leadAt  mark.Addr
+	votes   map[mark.ID]bool
+	pre     bool
+	mates   map[mark.ID]*track
+	first   mark.Index
+	pulse   mark.Stamp
+	heir    mark.ID
+	heirBy  mark.Stamp
+	pledge  *Charter
+	pledged mark.Stamp
+	offers  map[mark.ID]bool
+	seen    []Seen
+	asked   mark.Stamp
+
+	sends  []word.Send
+	writes []Record
+	whole  bool
+}
+
+// New starts a member from the records of its disk. mint is the identity to
+// take if the folder is empty.
+func New(now mark.Now, pace Pace, rnd *rand.Rand, me Member, recs [][]byte, fresh mark.ID) *Core {
+	c := &Core{pace: pace, rnd: rnd, self: me, role: empty, now: now, boot: now.Mono, tickAt: now.Mono,
+		heard: now.Mono, mates: map[mark.ID]*track{}, offers: map[mark.ID]bool{}}
+	c.self.ID = ""
+	for _, b := range recs {
+		var r Record
+		if json.Unmarshal(b, &r) == nil {
+			c.load(r)
+		}
+	}
+	if c.self.ID == "" {
+		c.mint(fresh)
+	}
+	c.synced, c.pledged = c.last(), now.Mono
+	if n := len(c.log); n > 0 && c.log[n-1].Term > c.vow.Term {
+		c.vow = Vow{Term: c.log[n-1].Term}
+	}
+	c.settle()
+	c.rest()
+	return c
+}
+
+func (c *Core) mint(id mark.ID) {
+	c.self.ID, c.pledge, c.offers = id, nil, map[mark.ID]bool{}
+	c.write(Record{Self: &Self{ID: id}})
+}
+
+func (c *Core) load(r Record) {
+	if r.Self != nil {
+		c.self.ID, c.pledge = r.Self.ID, nil
+	}
+	if r.Pledge != nil {
+		c.pledge = r.Pledge
+	}
+	if r.Charter != nil {
+		c.name, c.roll, c.snap.Roll, c.pledge = r.Charter.Name, r.Charter.Roll, r.Charter.Roll, nil
+	}
+	if r.Vow != nil {
+		c.vow = *r.Vow
+	}
+	if r.Snap != nil {
+		c.snap, c.log, c.commit = *r.Snap, nil, r.Snap.Index
+	}
+	if len(r.Entries) > 0 {
+		c.put(r.Entries)
+	}
+	c.reroll()
+}
+
+// put lays entries over the log from their first index on.
+func (c *Core) put(list []Entry) {
+	i := list[0].Index
+	if i <= c.snap.Index {
+		return
+	}
+	c.log = append(c.log[:i-c.snap.Index-1:i-c.snap.Index-1], list...)
+	c.reroll()
+}
+
+func (c *Core) reroll() {
+	c.roll, c.rollAt = c.snap.Roll, c.snap.Index
+	for _, e := range c.log {
+		if e.Roll != nil {
+			c.roll, c.rollAt = e.Roll, e.Index
+		}
+	}
+}
+
+// settle finds the role that the roll gives when this member does not lead.
+func (c *Core) settle() {
+	if c.role == out {
+		return
+	}
+	m, ok := c.roll.Find(c.self.ID)
+	switch {
+	case c.name == "":
+		c.role = empty
+	case ok && m.Vote:
+		c.role = follow
+	default:
+		c.role = learn
+	}
+}
+
+func (c *Core) rest() {
+	c.wait = c.now.Mono.Add(c.pace.Least + c.span(c.pace.Least))
+}
+
+func (c *Core) last() mark.Index { return c.snap.Index + mark.Index(len(c.log)) }
+
+func (c *Core) term(i mark.Index) (mark.Term, bool) {
+	switch {
+	case i == c.snap.Index:
+		return c.snap.Term, true
+	case i < c.snap.Index || i > c.last():
+		return 0, false
+	}
+	return c.log[i-c.snap.Index-1].Term, true
+}
+
+func (c *Core) write(r Record) {
+	if len(c.writes) == 0 {
+		c.wrote++
+		if c.wrote == c.done+1 {
+			c.stall = c.now.Mono
+		}
+	}
+	c.writes = append(c.writes, r)
+}
+
+func (c *Core) swear(v Vow) {
+	c.vow = v
+	c.write(Record{Vow: &v})
+	c.vowSeq = c.wrote
+}
+
+// say sends once the vow is on disk; after sends once all written so far is.
+func (c *Core) say(to mark.Addr, kind string, body any) { c.hold(c.vowSeq, to, kind, body) }
+
+func (c *Core) hold(seq uint64, to mark.Addr, kind string, body any) {
+	s := word.Make(c.self.Addr, to, kind, body)
+	if seq <= c.done {
+		c.sends = append(c.sends, s)
+		return
+	}
+	c.held = append(c.held, held{seq, c.vow.Term, s})
+}
+
+// Synced tells that all batches up to seq are on disk.
+func (c *Core) Synced(now mark.Now, seq uint64) {
+	c.now, c.done, c.stall = now, max(c.done, seq), now.Mono
+	for len(c.marks) > 0 && c.marks[0].seq <= c.done {
+		c.synced = max(c.synced, c.marks[0].at)
+		c.marks = c.marks[1:]
+	}
+	kept := c.held[:0]
+	for _, h := range c.held {
+		if h.seq > c.done {
+			kept = append(kept, h)
+		} else if h.term == c.vow.Term {
+			c.sends = append(c.sends, h.send)
+		}
+	}
+	c.held = kept
+	if c.role == lead {
+		c.advance()
+	}
+}
+
+// Out drains what the step gathered: sends, one batch of records with its
+// number, and whether the batch replaces the file.
+func (c *Core) Out() (sends []word.Send, batch [][]byte, seq uint64, whole bool) {
+	if c.role == lead {
+		c.flush()
+	}
+	for _, r := range c.writes {
+		b, err := json.Marshal(r)
+		if err != nil {
+			panic(err)
+		}
+		batch = append(batch, b)
+	}
+	sends, seq, whole = c.sends, c.wrote, c.whole
+	c.sends, c.writes, c.whole = nil, nil, false
+	return
+}
+
+// stuck is true when the disk has not answered for as long as a duty may wait.
+func (c *Core) stuck() bool {
+	return c.wrote > c.done && c.now.Mono.Sub(c.stall) > c.pace.Stall
+}
+
+// Tick lets time pass.
+func (c *Core) Tick(now mark.Now) {
+	c.now = now
+	if c.role == lead {
+		c.duty()
+		return
+	}
+	if c.role == empty {
+		c.gather()
+	}
+	if c.role == learn && now.Mono.Sub(c.heard) > c.pace.Stall {
+		c.knock()
+	}
+	if (c.role == follow || c.role == stand) && now.Mono >= c.wait && !c.stuck() {
+		c.campaign(true, false)
+	}
+}
+
+// Clock is the cluster's own time as this member knows it.
+func (c *Core) Clock() mark.Tick { return c.tick.Add(c.now.Mono.Sub(c.tickAt)) }
+
+// Wind moves the clock forward to at least t.
+func (c *Core) Wind(t mark.Tick) {
+	if t > c.Clock() {
+		c.tick, c.tickAt = t, c.now.Mono
+	}
+}
+
+// Offs gives how far each voter's wall clock is from the cluster's clock.
+func (c *Core) Offs() []mark.Wall {
+	list := []mark.Wall{c.off()}
+	for id, t := range c.mates {
+		if m, ok := c.roll.Find(id); ok && m.Vote && id != c.self.ID && c.now.Mono.Sub(t.heard) < c.pace.Stall {
+			list = append(list, t.off)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
+	return list
+}
+
+func (c *Core) off() mark.Wall { return c.now.Wall - mark.Wall(c.Clock()) }
+
+func (c *Core) ID() mark.ID              { return c.self.ID }
+func (c *Core) Name() string             { return c.name }
+func (c *Core) Role() string             { return string(c.role) }
+func (c *Core) Term() mark.Term          { return c.vow.Term }
+func (c *Core) Leader() mark.Addr        { return c.leadAt }
+func (c *Core) Leads() bool              { return c.role == lead }
+func (c *Core) Why() string              { return c.why }
+func (c *Core) Roll() Roll               { return c.roll }
+func (c *Core) RollAt() mark.Index       { return c.rollAt }
+func (c *Core) Commit() mark.Index       { return c.commit }
+func (c *Core) State() Snap              { return c.snap }
+func (c *Core) Entry(i mark.Index) Entry { return c.log[i-c.snap.Index-1] }
--- /dev/null
+++ b/accord/kinds.go
@@ -0,0 +1,167 @@
+// Package accord is the replicated log of the helms: elections with a pre-vote,
+// entries that count only once synced, snapshots, a roll of members changed by
+// one vote at a time, and a duty that its holder hands over by name. This file
+// has the shapes that cross the wire and the disk.
+package accord
+
+import (
+	"encoding/json"
+	"time"
+
+	"coppercourse/mark"
+)
+
+// Member is one helm on the roll. Without a vote it only learns.
+type Member struct {
+	ID   mark.ID       `json:"id"`
+	Addr mark.Addr     `json:"addr"`
+	Loc  mark.Locality `json:"loc"`
+	Vote bool          `json:"vote"`
+}
+
+// Roll is the list of members, in force from the moment it is in the log.
+type Roll []Member
+
+func (r Roll) Find(id mark.ID) (Member, bool) {
+	for _, m := range r {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+func (r Roll) Votes() (n int) {
+	for _, m := range r {
+		if m.Vote {
+			n++
+		}
+	}
+	return n
+}
+
+// Entry is one line of the log.
+type Entry struct {
+	Term  mark.Term       `json:"term"`
+	Index mark.Index      `json:"index"`
+	Fact  json.RawMessage `json:"fact,omitempty"`
+	Roll  Roll            `json:"roll,omitempty"`
+}
+
+// Snap is the state as of one entry.
+type Snap struct {
+	Index mark.Index      `json:"index"`
+	Term  mark.Term       `json:"term"`
+	Roll  Roll            `json:"roll"`
+	State json.RawMessage `json:"state"`
+}
+
+// Record is what one disk record holds; each field stands for itself.
+type Record struct {
+	Self    *Self    `json:"self,omitempty"`
+	Pledge  *Charter `json:"pledge,omitempty"`
+	Charter *Charter `json:"charter,omitempty"`
+	Vow     *Vow     `json:"vow,omitempty"`
+	Entries []Entry  `json:"entries,omitempty"`
+	Snap    *Snap    `json:"snap,omitempty"`
+}
+
+// Self is minted with an empty folder and never used again after its loss.
+type Self struct {
+	ID mark.ID `json:"id"`
+}
+
+// Charter is the founding record: a cluster's name and its first roll.
+type Charter struct {
+	Name string `json:"name"`
+	Roll Roll   `json:"roll"`
+}
+
+// Vow is a term and whom this member voted for in it.
+type Vow struct {
+	Term mark.Term `json:"term"`
+	For  mark.ID   `json:"for"`
+}
+
+type ballot struct {
+	Name  string     `json:"name"`
+	ID    mark.ID    `json:"id"`
+	To    mark.ID    `json:"to"`
+	Term  mark.Term  `json:"term"`
+	Last  mark.Index `json:"last"`
+	LastT mark.Term  `json:"last_term"`
+	Pre   bool       `json:"pre"`
+	Heir  bool       `json:"heir"`
+}
+
+type vote struct {
+	Name string    `json:"name"`
+	ID   mark.ID   `json:"id"`
+	Term mark.Term `json:"term"`
+	Pre  bool      `json:"pre"`
+	Yes  bool      `json:"yes"`
+}
+
+type push struct {
+	Name    string     `json:"name"`
+	ID      mark.ID    `json:"id"`
+	To      mark.ID    `json:"to"`
+	Term    mark.Term  `json:"term"`
+	Prev    mark.Index `json:"prev"`
+	PrevT   mark.Term  `json:"prev_term"`
+	Entries []Entry    `json:"entries,omitempty"`
+	Commit  mark.Index `json:"commit"`
+	Round   mark.Stamp `json:"round"`
+	Tick    mark.Tick  `json:"tick"`
+}
+
+type taken struct {
+	Name  string     `json:"name"`
+	ID    mark.ID    `json:"id"`
+	Term  mark.Term  `json:"term"`
+	OK    bool       `json:"ok"`
+	Match mark.Index `json:"match"`
+	Round mark.Stamp `json:"round"`
+	Off   mark.Wall  `json:"off"`
+}
+
+type snap struct {
+	push
+	Snap Snap `json:"snap"`
+}
+
+type heir struct {
+	Name string    `json:"name"`
+	To   mark.ID   `json:"to"`
+	Term mark.Term `json:"term"`
+}
+
+type join struct {
+	Name string `json:"name"`
+	Who  Member `json:"who"`
+}
+
+type gone struct {
+	Name string     `json:"name"`
+	ID   mark.ID    `json:"id"`
+	At   mark.Index `json:"at"`
+}
+
+type found struct {
+	Charter Charter `json:"charter"`
+	ID      mark.ID `json:"id"`
+	Step    string  `json:"step"` // offer, pledge, done
+}
+
+// Pace holds the timings; Check in package blueprint ties them together.
+type Pace struct {
+	Beat  time.Duration // between rounds of the leader
+	Least time.Duration // shortest election wait; the longest is twice that
+	Stall time.Duration // a disk or majority silent for so long ends the duty
+	Dead  time.Duration // a voter silent for so long may be replaced
+	Hold  time.Duration // authority past the start of the last majority round
+}
+
+// Defaults are ours.
+var Defaults = Pace{Beat: 100 * time.Millisecond, Least: 500 * time.Millisecond,
+	Stall: time.Second, Dead: 5 * time.Second, Hold: 2 * time.Second}
--- /dev/null
+++ b/accord/push.go
@@ -0,0 +1,271 @@
+// The log's way from the leader to the others: rounds, entries, snapshots, and
+// the commit that a majority of synced copies makes.
+package accord
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"coppercourse/mark"
+	"coppercourse/word"
+)
+
+const most = 256
+
+func (c *Core) span(d time.Duration) time.Duration { return time.Duration(c.rnd.Int63n(int64(d))) }
+
+// nth gives the value that a majority of voters has reached.
+func nth[T cmp.Ordered](c *Core, f func(Member) T) T {
+	var list []T
+	for _, m := range c.roll {
+		if m.Vote {
+			list = append(list, f(m))
+		}
+	}
+	slices.Sort(list)
+	return list[(len(list)-1)/2]
+}
+
+func (c *Core) append(e Entry) mark.Index {
+	e.Term, e.Index = c.vow.Term, c.last()+1
+	c.put([]Entry{e})
+	c.write(Record{Entries: []Entry{e}})
+	c.marked()
+	return e.Index
+}
+
+func (c *Core) marked() {
+	c.marks = append(c.marks, struct {
+		seq uint64
+		at  mark.Index
+	}{c.wrote, c.last()})
+}
+
+// Propose puts a fact into the log; false when this member may not.
+func (c *Core) Propose(fact json.RawMessage) (mark.Index, bool) {
+	if c.role != lead || c.heir != "" || len(c.log) > 20000 {
+		return 0, false
+	}
+	return c.append(Entry{Fact: fact}), true
+}
+
+// flush sends each member what it has not been sent.
+func (c *Core) flush() {
+	if c.heir != "" && c.mate(c.heir).match == c.last() {
+		m, _ := c.roll.Find(c.heir)
+		c.say(m.Addr, word.Heir, heir{c.name, c.heir, c.vow.Term})
+		c.retire()
+		return
+	}
+	due := c.now.Mono.Sub(c.pulse) >= c.pace.Beat
+	if due {
+		c.pulse = c.now.Mono
+	}
+	for _, m := range c.roll {
+		if m.ID == c.self.ID {
+			continue
+		}
+		t := c.mate(m.ID)
+		if due && t.match+1 < t.next && c.now.Mono.Sub(t.sent) > 2*c.pace.Beat {
+			t.next = t.match + 1
+		}
+		if due || t.next <= c.last() {
+			c.feed(m, t)
+		}
+	}
+}
+
+func (c *Core) feed(m Member, t *track) {
+	p := push{Name: c.name, ID: c.self.ID, To: m.ID, Term: c.vow.Term, Prev: t.next - 1, Commit: c.commit,
+		Round: c.now.Mono, Tick: c.Clock()}
+	if t.next <= c.snap.Index {
+		if c.now.Mono.Sub(t.sent) > 5*c.pace.Beat {
+			t.sent, p.Prev, p.PrevT = c.now.Mono, c.snap.Index, c.snap.Term
+			c.say(m.Addr, word.Snap, snap{p, c.snap})
+		}
+		return
+	}
+	p.PrevT, _ = c.term(p.Prev)
+	if t.next <= c.last() {
+		rest := c.log[t.next-c.snap.Index-1:]
+		p.Entries = rest[:min(len(rest), most)]
+		t.next += mark.Index(len(p.Entries))
+		t.sent = c.now.Mono
+	}
+	c.say(m.Addr, word.Append, p)
+}
+
+func (c *Core) onPush(from mark.Addr, p push) {
+	if !c.meet(from, p) {
+		return
+	}
+	a := taken{Name: c.name, ID: c.self.ID, Term: c.vow.Term, Round: p.Round, Off: c.off()}
+	t, ok := c.term(p.Prev)
+	if p.Prev < c.snap.Index {
+		skip := min(int(c.snap.Index-p.Prev), len(p.Entries))
+		p.Entries, p.Prev = p.Entries[skip:], p.Prev+mark.Index(skip)
+		ok, t, p.PrevT = true, c.snap.Term, c.snap.Term
+	}
+	if !ok || t != p.PrevT {
+		a.Match = min(c.last(), p.Prev-1)
+		c.say(from, word.Append2, a)
+		return
+	}
+	tip := p.Prev + mark.Index(len(p.Entries))
+	for i, e := range p.Entries {
+		if t, ok := c.term(e.Index); !ok || t != e.Term {
+			c.synced = min(c.synced, e.Index-1)
+			for j := range c.marks {
+				c.marks[j].at = min(c.marks[j].at, e.Index-1)
+			}
+			c.put(p.Entries[i:])
+			c.write(Record{Entries: p.Entries[i:]})
+			c.marked()
+			c.settle()
+			break
+		}
+	}
+	c.commit = max(c.commit, min(p.Commit, tip))
+	a.OK, a.Match = true, min(tip, c.synced)
+	c.say(from, word.Append2, a)
+	if tip > c.synced {
+		a.Match = tip
+		c.hold(c.wrote, from, word.Append2, a)
+	}
+}
+
+// meet is what a push and a snapshot have in common: is it for me, is it from
+// the leader of now, and if so it is heard.
+func (c *Core) meet(from mark.Addr, p push) bool {
+	if p.To != c.self.ID || c.role == out || c.name != "" && p.Name != c.name {
+		return false
+	}
+	if c.name == "" {
+		k := Charter{Name: p.Name}
+		if c.pledge != nil && c.pledge.Name == p.Name {
+			k = *c.pledge
+		}
+		c.adopt(k)
+	}
+	if p.Term < c.vow.Term {
+		c.say(from, word.Append2, taken{Name: c.name, ID: c.self.ID, Term: c.vow.Term})
+		return false
+	}
+	if p.Term > c.vow.Term {
+		c.yield(p.Term)
+	}
+	c.settle()
+	c.leader, c.leadAt, c.heard = p.ID, from, c.now.Mono
+	c.Wind(p.Tick)
+	c.rest()
+	return true
+}
+
+func (c *Core) onSnap(from mark.Addr, s snap) {
+	if !c.meet(from, s.push) {
+		return
+	}
+	if s.Snap.Index > c.commit {
+		c.snap, c.log, c.marks = s.Snap, nil, nil
+		c.commit, c.synced = s.Snap.Index, 0
+		c.reroll()
+		c.settle()
+		c.rewrite()
+		c.marked()
+	}
+	c.hold(c.wrote, from, word.Append2, taken{Name: c.name, ID: c.self.ID, Term: c.vow.Term, OK: true,
+		Match: s.Snap.Index, Round: s.Round, Off: c.off()})
+}
+
+func (c *Core) onTaken(_ mark.Addr, a taken) {
+	if a.Name != c.name {
+		return
+	}
+	if a.Term > c.vow.Term {
+		c.yield(a.Term)
+		return
+	}
+	if _, ok := c.roll.Find(a.ID); !ok || c.role != lead || a.Term != c.vow.Term {
+		return
+	}
+	t := c.mate(a.ID)
+	t.heard, t.round, t.off = c.now.Mono, max(t.round, a.Round), a.Off
+	if !a.OK {
+		t.next = max(t.match, a.Match) + 1
+		return
+	}
+	t.match = max(t.match, a.Match)
+	t.next = max(t.next, t.match+1)
+	c.advance()
+}
+
+func (c *Core) advance() {
+	to := nth(c, func(m Member) mark.Index {
+		if m.ID == c.self.ID {
+			return c.synced
+		}
+		return c.mate(m.ID).match
+	})
+	if t, ok := c.term(to); ok && t == c.vow.Term && to > c.commit {
+		c.commit = to
+	}
+}
+
+// Compact takes a state as of index i in place of the log up to it.
+func (c *Core) Compact(i mark.Index, state json.RawMessage) {
+	if i <= c.snap.Index || i > c.commit {
+		return
+	}
+	t, _ := c.term(i)
+	roll := c.snap.Roll
+	for _, e := range c.log[:i-c.snap.Index] {
+		if e.Roll != nil {
+			roll = e.Roll
+		}
+	}
+	c.log = slices.Clone(c.log[i-c.snap.Index:])
+	c.snap = Snap{Index: i, Term: t, Roll: roll, State: state}
+	c.rewrite()
+	c.marked()
+}
+
+// rewrite gathers the records that stand for everything.
+func (c *Core) rewrite() {
+	c.writes = nil
+	v, s := c.vow, c.snap
+	c.write(Record{Self: &Self{ID: c.self.ID}})
+	c.write(Record{Charter: &Charter{Name: c.name, Roll: s.Roll}})
+	c.write(Record{Vow: &v})
+	c.write(Record{Snap: &s})
+	if len(c.log) > 0 {
+		c.write(Record{Entries: c.log})
+	}
+	c.whole = true
+}
+
+// duty is what the leader does as time passes.
+func (c *Core) duty() {
+	if c.heir != "" && c.now.Mono >= c.heirBy {
+		c.retire()
+		return
+	}
+	if c.now.Mono.Sub(c.round()) > c.pace.Stall && c.now.Mono.Sub(c.mate(c.self.ID).heard) > c.pace.Stall {
+		c.retire()
+		return
+	}
+	if c.stuck() && c.heir == "" && !c.HandOver(c.now) {
+		c.retire()
+		return
+	}
+	c.tend()
+}
+
+func (c *Core) retire() {
+	c.heir, c.leader, c.leadAt = "", "", ""
+	c.role = follow
+	c.settle()
+	c.rest()
+	c.wait = c.wait.Add(c.pace.Least)
+}
--- /dev/null
+++ b/cmd/coppercourse/daemons.go
@@ -0,0 +1,187 @@
+// The three daemons: settings read and checked, the machine made, its pages
+// laid out, and all of it served until a warning comes.
+package main
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"math/rand"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+
+	"coppercourse/door"
+	"coppercourse/fault"
+	"coppercourse/gate"
+	"coppercourse/helm"
+	"coppercourse/lore"
+	"coppercourse/place"
+	"coppercourse/ward"
+)
+
+type flags struct {
+	file, listen, address, source, locality, data, shard, log string
+	seeds                                                     []string
+	check                                                     bool
+}
+
+var roles = map[string]string{
+	"helm": "Run a control and scheduler daemon (on a machine with a disk).",
+	"gate": "Run a door for callers and operators.",
+	"ward": "Run the daemon beside a worker.",
+}
+
+var starts = map[string]func(context.Context, logr.Logger, place.Settings) error{"helm": runHelm, "gate": runGate, "ward": runWard}
+
+func daemons(app *kingpin.Application, runs map[string]func() error) {
+	for _, role := range []string{"helm", "gate", "ward"} {
+		c := app.Command(role, roles[role])
+		f := &flags{}
+		c.Flag("settings", "Settings file (JSON); flags go before it.").StringVar(&f.file)
+		c.Flag("listen", "IP:port to listen on. Default 127.0.0.1:7400.").StringVar(&f.listen)
+		c.Flag("address", "IP:port by which others reach this daemon. Default: listen.").StringVar(&f.address)
+		c.Flag("source", "IP from which this daemon calls others.").StringVar(&f.source)
+		c.Flag("locality", "The zone this daemon is in.").StringVar(&f.locality)
+		c.Flag("seed", "IP:port of another daemon, any role; give it up to three times.").StringsVar(&f.seeds)
+		c.Flag("log", "info or debug. Default info.").StringVar(&f.log)
+		c.Flag("check", "Check the settings and end.").BoolVar(&f.check)
+		if role == "helm" {
+			c.Flag("data", "Folder for everything this daemon keeps.").StringVar(&f.data)
+		}
+		if role == "ward" {
+			c.Flag("shard", "The name of the worker beside this daemon.").StringVar(&f.shard)
+		}
+		runs[role] = func() error { return begin(role, f) }
+	}
+}
+
+func (f *flags) settings(role string) (place.Settings, error) {
+	s, heap := place.Defaults(), &fault.Heap{}
+	if f.file != "" {
+		b, err := os.ReadFile(f.file)
+		if err != nil {
+			return s, fault.Wrap(fault.BadSetting, err, "settings file")
+		}
+		place.Read(b, &s, heap)
+	}
+	for _, p := range []struct {
+		to   *string
+		from string
+	}{{&s.Listen, f.listen}, {&s.Address, f.address}, {&s.Source, f.source}, {&s.Locality, f.locality},
+		{&s.Data, f.data}, {&s.Shard, f.shard}, {&s.Log, f.log}} {
+		if p.from != "" {
+			*p.to = p.from
+		}
+	}
+	if f.seeds != nil {
+		s.Seeds = f.seeds
+	}
+	s.Check(role, heap)
+	return s, heap.Err()
+}
+
+func begin(role string, f *flags) error {
+	s, err := f.settings(role)
+	if err != nil {
+		return err
+	}
+	if f.check {
+		fmt.Println("settings are fine")
+		return nil
+	}
+	level := 0
+	if s.Log == "debug" {
+		level = 1
+	}
+	log := funcr.NewJSON(func(line string) { fmt.Fprintln(os.Stderr, line) }, funcr.Options{LogTimestamp: true, Verbosity: level}).
+		WithName(role).WithValues("address", s.Address)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return starts[role](ctx, log, s)
+}
+
+func chance() *rand.Rand {
+	var b [8]byte
+	crand.Read(b[:])
+	return rand.New(rand.NewSource(int64(binary.LittleEndian.Uint64(b[:]))))
+}
+
+func runHelm(ctx context.Context, log logr.Logger, s place.Settings) error {
+	file, recs, spoilt, err := lore.Open(s.Data)
+	if err != nil {
+		return err
+	}
+	if spoilt != "" {
+		log.Error(nil, "the data file is damaged; put aside, starting as a new member", "kept", spoilt)
+	}
+	post := door.NewPost(context.Background(), s.Source)
+	o := door.NewOwner(post, file)
+	m := helm.New(door.Now(), chance(), helm.Place{Addr: s.Addr(), Loc: s.Loc(), Seeds: s.Near(), Issue: version,
+		Core: s.Pace.Core(), Truth: s.Pace.Truth()}, recs)
+	o.Carry(m)
+	var ready atomic.Bool
+	said := ""
+	o.Show = func() any {
+		v := m.Status()
+		if now := fmt.Sprint(v.Part, v.Term, v.Leader, v.Why, v.Wait == "", len(v.Roll)); now != said {
+			said = now
+			log.Info("state", "part", v.Part, "term", v.Term, "leader", v.Leader, "reason", v.Why, "initial_wait", v.Wait, "members", len(v.Roll))
+		}
+		return v
+	}
+	o.After = func() { ready.Store(m.Ready()) }
+	p := &door.Pages{Owner: o, Post: post, Trail: m.Trail, Ready: ready.Load}
+	return door.Serve(ctx, log, s.Listen, p, p.Router())
+}
+
+func runGate(ctx context.Context, log logr.Logger, s place.Settings) error {
+	post := door.NewPost(context.Background(), s.Source)
+	o := door.NewOwner(post, nil)
+	m := gate.New(door.Now(), chance(), gate.Place{Addr: s.Addr(), Loc: s.Loc(), Seeds: s.Near(), Issue: version})
+	o.Carry(m)
+	var ready atomic.Bool
+	said := ""
+	o.Show = func() any {
+		v := m.Status()
+		if now := fmt.Sprint(v.Ready, v.Leader, v.Edition); now != said {
+			said = now
+			log.Info("state", "ready", v.Ready, "leader", v.Leader, "table_edition", v.Edition)
+		}
+		return v
+	}
+	entry := &door.Entry{}
+	o.After = func() {
+		ready.Store(m.Ready())
+		entry.Publish(m.Table())
+	}
+	p := &door.Pages{Owner: o, Post: post, Trail: m.Trail, Ready: ready.Load}
+	return door.Serve(ctx, log, s.Listen, p, entry.Routes(p))
+}
+
+func runWard(ctx context.Context, log logr.Logger, s place.Settings) error {
+	post := door.NewPost(context.Background(), s.Source)
+	o := door.NewOwner(post, nil)
+	m := ward.New(door.Now(), chance(), ward.Place{Addr: s.Addr(), Loc: s.Loc(), Shard: s.ShardName(), Seeds: s.Near(),
+		Issue: version, Truth: s.Pace.Truth()})
+	o.Carry(m)
+	said := ""
+	o.Show = func() any {
+		v := m.Status()
+		if now := fmt.Sprint(v.Account.State, v.Account.Term, v.Account.ID, v.Account.Leaving); now != said {
+			said = now
+			log.Info("state", "soundness", v.Account.State, "term", v.Account.Term, "instance", v.Account.ID, "leaving", v.Account.Leaving)
+		}
+		return v
+	}
+	p := &door.Pages{Owner: o, Post: post, Trail: m.Trail, Ready: func() bool { return true }}
+	r := p.Router()
+	r.HandleFunc("/v1/poll", p.Ask("poll")).Methods("POST")
+	return door.Serve(ctx, log, s.Listen, p, r)
+}
--- /dev/null
+++ b/cmd/trial/main.go
@@ -0,0 +1,23 @@
+// The trial program: proof only. `sweep` runs the simulator over many seeds,
+// `fleet` runs real processes. Daemons start no process; this one does.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+func main() {
+	app := kingpin.New("trial", "Proves coppercourse under failure: a seeded simulator and a fleet of real processes.")
+	app.HelpFlag.Short('h')
+	runs := map[string]func() error{}
+	sweep(app, runs)
+	name := kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := runs[name](); err != nil {
+		fmt.Fprintln(os.Stderr, "trial: "+strings.ReplaceAll(err.Error(), "\n", "\ntrial: "))
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/trial/sweep.go
@@ -0,0 +1,112 @@
+// The sweep: simulated runs over a range of seeds, several at a time, each with
+// its own faults; every broken rule is printed with the seed that shows it.
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"coppercourse/trial"
+)
+
+type sweeper struct {
+	plan        trial.Plan
+	seeds       int
+	faults      string
+	verbose     bool
+	mu          sync.Mutex
+	bad, untold int
+	legs        int
+	after       []float64
+}
+
+func sweep(app *kingpin.Application, runs map[string]func() error) {
+	s := &sweeper{}
+	c := app.Command("sweep", "Run the simulator over many seeds.")
+	c.Flag("first", "First seed.").Default("1").Int64Var(&s.plan.Seed)
+	c.Flag("seeds", "How many seeds.").Default("200").IntVar(&s.seeds)
+	c.Flag("town", "kingston or romania.").Default("kingston").EnumVar(&s.plan.Town, "kingston", "romania")
+	c.Flag("faults", "Faults to draw from, by comma; all by default.").Default(strings.Join(trial.FaultNames(), ",")).StringVar(&s.faults)
+	c.Flag("count", "Faults in a run.").Default("8").IntVar(&s.plan.Count)
+	c.Flag("calm", "Traffic before the faults.").Default("10s").DurationVar(&s.plan.Calm)
+	c.Flag("storm", "How long faults come.").Default("30s").DurationVar(&s.plan.Storm)
+	c.Flag("after", "Traffic after they are healed.").Default("24s").DurationVar(&s.plan.After)
+	c.Flag("settle", "Time for everything to end.").Default("90s").DurationVar(&s.plan.Settle)
+	c.Flag("last", "One more fault at the very end of the traffic.").BoolVar(&s.plan.Last)
+	c.Flag("verbose", "Print each run, and the troubles of those that break a rule.").Short('v').BoolVar(&s.verbose)
+	runs["sweep"] = s.run
+}
+
+func (s *sweeper) run() error {
+	s.plan.Faults = strings.Split(s.faults, ",")
+	for _, f := range s.plan.Faults {
+		if trial.Faults[f] == nil {
+			return fmt.Errorf("no fault is called %q; there are %s", f, strings.Join(trial.FaultNames(), ", "))
+		}
+	}
+	seeds := make(chan int64)
+	var all sync.WaitGroup
+	for range runtime.NumCPU() {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for seed := range seeds {
+				s.one(seed)
+			}
+		}()
+	}
+	from := time.Now()
+	for i := range s.seeds {
+		seeds <- s.plan.Seed + int64(i)
+	}
+	close(seeds)
+	all.Wait()
+	fmt.Printf("%d seeds of %s, %d legs run, %d seeds broke a rule, %d re-runs after an end nobody could be told of; took %s\n",
+		s.seeds, s.plan.Town, s.legs, s.bad, s.untold, time.Since(from).Round(time.Second))
+	fmt.Printf("jobs done a second from 12 s after healing, beside before the faults: %s\n", trial.Spread(s.after))
+	if s.bad > 0 {
+		return fmt.Errorf("%d of %d seeds broke a rule", s.bad, s.seeds)
+	}
+	return nil
+}
+
+func (s *sweeper) one(seed int64) {
+	p := s.plan
+	p.Seed = seed
+	defer func() {
+		if e := recover(); e != nil {
+			panic(fmt.Sprintf("seed %d: %v", seed, e))
+		}
+	}()
+	r := trial.Build(p).Go()
+	v := r.Verdict()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.untold += v.Untold
+	s.legs += v.Legs
+	s.after = append(s.after, v.Ratio)
+	if s.verbose || len(v.Breaks) > 0 {
+		fmt.Printf("seed %d: ratio %.2f, %s\n", seed, v.Ratio, trial.Summary(&r.Hist))
+	}
+	if len(v.Breaks) == 0 {
+		return
+	}
+	s.bad++
+	for i, b := range v.Breaks {
+		if i < 6 {
+			fmt.Printf("  %s\n", b)
+		}
+	}
+	if s.verbose {
+		for _, h := range r.Hist.List {
+			if h.What == trial.Trouble {
+				fmt.Printf("    %8.3f s %s\n", float64(h.At)/1e9, h.Text)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/door/entry.go
@@ -0,0 +1,102 @@
+// The gate's own pages: jobs, the table, and what operators look at. Requests
+// are read and checked here, against the table as last published, before they
+// become an event for the gate's owner.
+package door
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/gorilla/mux"
+
+	"coppercourse/blueprint"
+	"coppercourse/fault"
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/word"
+)
+
+// Entry checks requests on their way in.
+type Entry struct {
+	held atomic.Pointer[held]
+}
+
+type held struct {
+	table blueprint.Table
+	fresh bool
+	names map[mark.Queue]bool
+}
+
+// Publish puts a table in place of the last, for all requests from now on.
+func (e *Entry) Publish(t blueprint.Table, fresh bool) {
+	h := e.held.Load()
+	if h != nil && h.table.Edition == t.Edition && h.fresh == fresh {
+		return
+	}
+	n := &held{t, fresh, map[mark.Queue]bool{}}
+	for _, r := range t.Rows {
+		n.names[r.Name] = true
+	}
+	e.held.Store(n)
+}
+
+// Routes adds the gate's pages to those that all daemons have.
+func (e *Entry) Routes(p *Pages) http.Handler {
+	r := p.Router()
+	r.HandleFunc("/v1/jobs/{id}", e.putJob(p)).Methods(http.MethodPut)
+	r.HandleFunc("/v1/jobs/{id}", named(p.Ask("job.get"))).Methods(http.MethodGet)
+	r.HandleFunc("/v1/jobs/{id}/cancel", named(p.Ask("job.cancel"))).Methods(http.MethodPost)
+	r.HandleFunc("/v1/table", e.putTable(p)).Methods(http.MethodPut)
+	r.HandleFunc("/v1/table", p.Ask("table.get")).Methods(http.MethodGet)
+	r.HandleFunc("/v1/queues", p.Ask("queues")).Methods(http.MethodGet)
+	r.HandleFunc("/v1/workers", p.Ask("workers")).Methods(http.MethodGet)
+	r.HandleFunc("/v1/mates", p.Ask("mates")).Methods(http.MethodGet)
+	r.HandleFunc("/v1/leader", p.Ask("status")).Methods(http.MethodGet)
+	return r
+}
+
+// named lets a request pass only with a proper job id.
+func named(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		if bad := blueprint.Name(mux.Vars(q)["id"]); bad != "" {
+			Fail(w, fault.New(fault.BadField, "id", bad))
+			return
+		}
+		next(w, q)
+	}
+}
+
+func (e *Entry) putJob(p *Pages) http.HandlerFunc {
+	return named(func(w http.ResponseWriter, q *http.Request) {
+		b, ok := Read(w, q, store.Body)
+		if !ok {
+			return
+		}
+		var heap fault.Heap
+		spec := store.ReadSpec(b, &heap)
+		if h := e.held.Load(); len(heap.List()) == 0 && h != nil && h.fresh && !h.names[spec.Queue] {
+			heap.Add(fault.NoQueue, "queue", "no queue is called "+string(spec.Queue))
+		}
+		if f := heap.First(); f != nil {
+			Fail(w, f)
+			return
+		}
+		Give(w, p.Owner.Ask(q.Context(), "job.put", mux.Vars(q)["id"], word.Body(spec)))
+	})
+}
+
+func (e *Entry) putTable(p *Pages) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		b, ok := Read(w, q, store.Body)
+		if !ok {
+			return
+		}
+		var heap fault.Heap
+		t := blueprint.ReadTable(b, &heap)
+		if f := heap.First(); f != nil {
+			Fail(w, f)
+			return
+		}
+		Give(w, p.Owner.Ask(q.Context(), "table.put", "", word.Body(t)))
+	}
+}
--- /dev/null
+++ b/door/owner.go
@@ -0,0 +1,216 @@
+// Package door is the shell round a state machine: the one goroutine that owns
+// it, the disk writer, the outgoing posts and the HTTP pages. What the machine
+// shows is published as immutable values behind atomic pointers.
+package door
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"coppercourse/fault"
+	"coppercourse/lore"
+	"coppercourse/mark"
+	"coppercourse/word"
+)
+
+const (
+	beat  = 20 * time.Millisecond
+	inbox = 8192
+	show  = 200 * time.Millisecond
+)
+
+type event struct {
+	word.Event
+	back chan word.Answer
+}
+
+// Owner runs one machine.
+type Owner struct {
+	m      word.Machine
+	post   *Post
+	disk   *Disk
+	in     chan event
+	closed chan struct{}
+	asks   map[uint64]chan word.Answer
+	next   uint64
+	shown  time.Time
+	Show   func() any // run by the owner, to publish
+	After  func()     // run by the owner after each step
+	view   atomic.Pointer[json.RawMessage]
+	idle   atomic.Bool
+	full   atomic.Uint64
+}
+
+var start = time.Now()
+
+// Now reads the clocks; nothing else in the daemons does for a machine.
+func Now() mark.Now {
+	t := time.Now()
+	return mark.Now{Mono: mark.Stamp(t.Sub(start)), Wall: mark.Wall(t.UnixNano())}
+}
+
+func NewOwner(post *Post, file *lore.File) *Owner {
+	o := &Owner{post: post, in: make(chan event, inbox), closed: make(chan struct{}), asks: map[uint64]chan word.Answer{}}
+	if file != nil {
+		o.disk = &Disk{file: file, in: make(chan batch, 1024), done: o.synced}
+	}
+	return o
+}
+
+// Carry sets the machine; it must be called before Run.
+func (o *Owner) Carry(m word.Machine) { o.m = m }
+
+func (o *Owner) synced(seq uint64) {
+	select {
+	case o.in <- event{Event: word.Event{Synced: seq}}:
+	case <-o.closed:
+	}
+}
+
+// Note gives the machine a message; false when its inbox is full.
+func (o *Owner) Note(n word.Note) bool {
+	select {
+	case o.in <- event{Event: word.Event{Note: &n}}:
+		return true
+	default:
+		o.full.Add(1)
+		return false
+	}
+}
+
+// Ask gives the machine a request and waits for its answer.
+func (o *Owner) Ask(ctx context.Context, verb, arg string, body json.RawMessage) word.Answer {
+	back := make(chan word.Answer, 1)
+	select {
+	case o.in <- event{word.Event{Ask: &word.Ask{Verb: verb, Arg: arg, Body: body}}, back}:
+	default:
+		o.full.Add(1)
+		return word.Answer{Fault: fault.New(fault.Crowd, "", "more requests than this daemon can take in").After(2 * time.Second)}
+	}
+	select {
+	case a := <-back:
+		return a
+	case <-o.closed:
+		return word.Answer{Fault: fault.New(fault.Closing, "", "this daemon is stopping").After(time.Second)}
+	case <-ctx.Done():
+		return word.Answer{Fault: fault.New(fault.Unsure, "", "the caller went away")}
+	}
+}
+
+// Close tells the machine that its end is planned.
+func (o *Owner) Close() { o.in <- event{Event: word.Event{Close: true}} }
+
+// Idle tells whether a machine that was told to close has nothing left to do.
+func (o *Owner) Idle() bool { return o.idle.Load() }
+
+// View is what the machine last showed.
+func (o *Owner) View() json.RawMessage {
+	if p := o.view.Load(); p != nil {
+		return *p
+	}
+	return json.RawMessage("{}")
+}
+
+// Run is the owner goroutine.
+func (o *Owner) Run(ctx context.Context) error {
+	defer close(o.closed)
+	tick := time.NewTicker(beat)
+	defer tick.Stop()
+	o.step(event{})
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-o.in:
+			o.step(e)
+		case <-tick.C:
+			o.step(event{})
+		}
+	}
+}
+
+func (o *Owner) step(e event) {
+	e.Now = Now()
+	if e.Ask != nil {
+		o.next++
+		e.Ask.Token = o.next
+		o.asks[o.next] = e.back
+	}
+	out := o.m.Step(e.Event)
+	for _, s := range out.Sends {
+		o.post.Send(s)
+	}
+	if out.Batch != nil {
+		o.disk.in <- batch{out.Batch, out.Seq, out.Whole}
+	}
+	for _, a := range out.Answers {
+		if back := o.asks[a.Token]; back != nil {
+			back <- a
+			delete(o.asks, a.Token)
+		}
+	}
+	o.idle.Store(out.Idle)
+	if o.After != nil {
+		o.After()
+	}
+	if o.Show != nil && time.Since(o.shown) > show {
+		o.shown = time.Now()
+		b := word.Body(o.Show())
+		o.view.Store(&b)
+	}
+}
+
+type batch struct {
+	list  [][]byte
+	seq   uint64
+	whole bool
+}
+
+// Disk is the one writer of the file. All batches that wait are synced as one.
+type Disk struct {
+	file *lore.File
+	in   chan batch
+	done func(uint64)
+}
+
+var errDisk = errors.New("disk")
+
+func (d *Disk) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return d.file.Close()
+		case b := <-d.in:
+			group := []batch{b}
+			for len(d.in) > 0 {
+				group = append(group, <-d.in)
+			}
+			if err := d.write(group); err != nil {
+				return errors.Join(errDisk, err)
+			}
+			d.done(group[len(group)-1].seq)
+		}
+	}
+}
+
+func (d *Disk) write(group []batch) error {
+	var list [][]byte
+	for i, b := range group {
+		if b.whole {
+			if err := d.file.Rewrite(b.list); err != nil {
+				return err
+			}
+			return d.write(group[i+1:])
+		}
+	}
+	for _, b := range group {
+		list = append(list, b.list...)
+	}
+	if list == nil {
+		return nil
+	}
+	return d.file.Append(list)
+}
--- /dev/null
+++ b/door/pages.go
@@ -0,0 +1,189 @@
+// The pages every daemon has, and the way from a request to an answer.
+package door
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/gorilla/mux"
+
+	"coppercourse/fault"
+	"coppercourse/lore"
+	"coppercourse/store"
+	"coppercourse/trail"
+	"coppercourse/word"
+)
+
+// Pages are a daemon's routes and what they show.
+type Pages struct {
+	Owner *Owner
+	Post  *Post
+	Trail *trail.Ring
+	Ready func() bool
+	drain atomic.Bool
+	shut  atomic.Bool
+	under atomic.Int64
+}
+
+// Router makes the routes that all daemons share.
+func (p *Pages) Router() *mux.Router {
+	r := mux.NewRouter().UseEncodedPath()
+	r.HandleFunc("/mate", p.mate).Methods(http.MethodPost)
+	r.HandleFunc("/live", func(w http.ResponseWriter, _ *http.Request) { write(w, 200, []byte(`{"live":true}`)) }).Methods(http.MethodGet)
+	r.HandleFunc("/ready", p.ready).Methods(http.MethodGet)
+	r.HandleFunc("/metrics", p.metrics).Methods(http.MethodGet)
+	r.HandleFunc("/v1/status", func(w http.ResponseWriter, _ *http.Request) { write(w, 200, p.Owner.View()) }).Methods(http.MethodGet)
+	r.HandleFunc("/v1/trace", func(w http.ResponseWriter, q *http.Request) {
+		write(w, 200, word.Body(p.Trail.Of(q.URL.Query().Get("subject"))))
+	}).Methods(http.MethodGet)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		Fail(w, fault.New(fault.NoPath, "", "no such path: "+q.URL.Path))
+	})
+	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		Fail(w, fault.New(fault.NoMethod, "", q.Method+" is not for this path"))
+	})
+	return r
+}
+
+// Wrap counts requests under way, so that a planned stop can wait for them,
+// and tells callers to close their connections while it does.
+func (p *Pages) Wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		p.under.Add(1)
+		defer p.under.Add(-1)
+		if p.drain.Load() && q.URL.Path != "/mate" {
+			w.Header().Set("Connection", "close")
+		}
+		if p.shut.Load() && q.URL.Path != "/mate" {
+			Fail(w, fault.New(fault.Closing, "", "this daemon is stopping; ask another"))
+			return
+		}
+		next.ServeHTTP(w, q)
+	})
+}
+
+func write(w http.ResponseWriter, code int, b []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	w.Write(b)
+}
+
+// Fail answers with a fault, by the one table.
+func Fail(w http.ResponseWriter, f *fault.Fault) {
+	if f.Retry > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(f.Retry))
+	}
+	write(w, f.Code(), word.Body(f))
+}
+
+// Give answers with what the machine said.
+func Give(w http.ResponseWriter, a word.Answer) {
+	if a.Fault != nil {
+		Fail(w, a.Fault)
+		return
+	}
+	write(w, a.Code, a.Body)
+}
+
+// Read takes a request's body up to a size, or answers why not.
+func Read(w http.ResponseWriter, q *http.Request, most int64) ([]byte, bool) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, q.Body, most))
+	if err == nil {
+		return b, true
+	}
+	f := fault.New(fault.BadBody, "", "the body could not be read")
+	if _, large := err.(*http.MaxBytesError); large {
+		f = fault.New(fault.TooLarge, "", fmt.Sprintf("larger than %d bytes", most))
+	}
+	Fail(w, f)
+	return nil, false
+}
+
+// Ask reads a body and has the machine answer it.
+func (p *Pages) Ask(verb string) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		b, ok := Read(w, q, store.Body)
+		if !ok {
+			return
+		}
+		if len(b) > 0 && !json.Valid(b) {
+			Fail(w, fault.New(fault.BadBody, "", "not well-formed JSON"))
+			return
+		}
+		Give(w, p.Owner.Ask(q.Context(), verb, mux.Vars(q)["id"], b))
+	}
+}
+
+func (p *Pages) mate(w http.ResponseWriter, q *http.Request) {
+	b, ok := Read(w, q, lore.MaxLen)
+	if !ok {
+		return
+	}
+	var list []word.Note
+	if json.Unmarshal(b, &list) != nil {
+		Fail(w, fault.New(fault.BadBody, "", "not a list of notes"))
+		return
+	}
+	for _, n := range list {
+		if !p.Owner.Note(n) {
+			Fail(w, fault.New(fault.Crowd, "", "inbox full"))
+			return
+		}
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Pages) ready(w http.ResponseWriter, _ *http.Request) {
+	if p.drain.Load() || !p.Ready() {
+		Fail(w, fault.New(fault.NotReady, "", "not ready; see /v1/status"))
+		return
+	}
+	write(w, 200, []byte(`{"ready":true}`))
+}
+
+// metrics shows every number of the status, and the shell's own.
+func (p *Pages) metrics(w http.ResponseWriter, _ *http.Request) {
+	var v map[string]any
+	json.Unmarshal(p.Owner.View(), &v)
+	delete(v, "mates")
+	delete(v, "roll")
+	flat := map[string]float64{"post_sent": float64(p.Post.Sent.Load()), "post_failed": float64(p.Post.Failed.Load()),
+		"post_dropped": float64(p.Post.Dropped.Load()), "inbox_refused": float64(p.Owner.full.Load()),
+		"requests_under_way_http": float64(p.under.Load())}
+	flatten("", v, flat)
+	names := make([]string, 0, len(flat))
+	for n := range flat {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	for _, n := range names {
+		fmt.Fprintf(w, "coppercourse_%s %v\n", n, flat[n])
+	}
+}
+
+func flatten(path string, v any, into map[string]float64) {
+	switch x := v.(type) {
+	case float64:
+		into[path] = x
+	case bool:
+		into[path] = 0
+		if x {
+			into[path] = 1
+		}
+	case map[string]any:
+		for k, y := range x {
+			at := strings.ToLower(k)
+			if path != "" {
+				at = path + "_" + at
+			}
+			flatten(at, y, into)
+		}
+	}
+}
--- /dev/null
+++ b/fault/fault.go
@@ -0,0 +1,131 @@
+// Package fault is the closed list of error kinds and the one table from a
+// kind to the answer a caller gets. Errors are errorx errors of one namespace;
+// a kind that is not in the table cannot be made.
+package fault
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+type Kind string
+
+const (
+	BadBody    Kind = "bad_body"
+	BadField   Kind = "bad_field"
+	TooLarge   Kind = "too_large"
+	NoPath     Kind = "no_such_path"
+	NoMethod   Kind = "no_such_method"
+	NoJob      Kind = "no_such_job"
+	NoQueue    Kind = "no_such_queue"
+	Conflict   Kind = "id_in_use"
+	Ended      Kind = "already_ended"
+	Unplaced   Kind = "never_placeable"
+	Stale      Kind = "stale_edition"
+	InUse      Kind = "queue_in_use"
+	Full       Kind = "queue_full"
+	Crowd      Kind = "too_busy"
+	NoLead     Kind = "no_leader"
+	NotReady   Kind = "not_ready"
+	Unsure     Kind = "outcome_unknown"
+	Closing    Kind = "closing"
+	Unfit      Kind = "unfit"
+	BadSetting Kind = "bad_setting"
+)
+
+// Code is the answer table: HTTP status by kind.
+var Code = map[Kind]int{
+	BadBody: http.StatusBadRequest, BadField: http.StatusUnprocessableEntity,
+	TooLarge: http.StatusRequestEntityTooLarge, NoPath: http.StatusNotFound,
+	NoMethod: http.StatusMethodNotAllowed, NoJob: http.StatusNotFound,
+	NoQueue: http.StatusUnprocessableEntity, Conflict: http.StatusConflict,
+	Ended: http.StatusConflict, Unplaced: http.StatusUnprocessableEntity,
+	Stale: http.StatusConflict, InUse: http.StatusConflict,
+	Full: http.StatusTooManyRequests, Crowd: http.StatusServiceUnavailable,
+	NoLead: http.StatusServiceUnavailable, NotReady: http.StatusServiceUnavailable,
+	Unsure: http.StatusServiceUnavailable, Closing: http.StatusServiceUnavailable,
+	Unfit: http.StatusConflict, BadSetting: http.StatusUnprocessableEntity,
+}
+
+// Later names the kinds whose answer tells when to come back.
+var Later = map[Kind]bool{Full: true, Crowd: true, NoLead: true, NotReady: true, Unsure: true, Closing: true}
+
+// Fault is the body of every refusal.
+type Fault struct {
+	Kind   Kind   `json:"kind"`
+	Field  string `json:"field,omitempty"`
+	Reason string `json:"reason"`
+	Retry  int    `json:"retry_after_s,omitempty"`
+}
+
+func (f *Fault) Error() string {
+	if f.Field != "" {
+		return string(f.Kind) + ": " + f.Field + ": " + f.Reason
+	}
+	return string(f.Kind) + ": " + f.Reason
+}
+
+// Code gives the status of the fault's kind.
+func (f *Fault) Code() int { return Code[f.Kind] }
+
+func New(k Kind, field, reason string) *Fault {
+	f := &Fault{Kind: k, Field: field, Reason: reason}
+	if Later[k] {
+		f.Retry = 1
+	}
+	return f
+}
+
+// After sets when to come back, rounded up to whole seconds, one at least.
+func (f *Fault) After(d time.Duration) *Fault {
+	f.Retry = max(1, int((d+time.Second-1)/time.Second))
+	return f
+}
+
+var (
+	space = errorx.NewNamespace("coppercourse")
+	types = func() map[Kind]*errorx.Type {
+		m := map[Kind]*errorx.Type{}
+		for k := range Code {
+			m[k] = errorx.NewType(space, string(k))
+		}
+		return m
+	}()
+)
+
+// Wrap makes an errorx error of the kind round a cause, for errors that stay
+// inside a process or end it.
+func Wrap(k Kind, err error, text string) error {
+	return types[k].Wrap(err, "%s", text)
+}
+
+// Heap collects errors so that they are looked at once, at the end of a step.
+type Heap struct{ list []*Fault }
+
+func (h *Heap) Add(k Kind, field, reason string) { h.list = append(h.list, New(k, field, reason)) }
+func (h *Heap) Check(ok bool, field, reason string) {
+	if !ok {
+		h.Add(BadField, field, reason)
+	}
+}
+func (h *Heap) List() []*Fault { return h.list }
+
+// First gives the first fault, or nil; a caller is answered with it.
+func (h *Heap) First() *Fault {
+	if len(h.list) == 0 {
+		return nil
+	}
+	return h.list[0]
+}
+
+// Err joins all faults into one error, for the command line.
+func (h *Heap) Err() error {
+	var all []error
+	for _, f := range h.list {
+		all = append(all, f)
+	}
+	return errors.Join(all...)
+}
--- /dev/null
+++ b/helm/helm.go
@@ -0,0 +1,316 @@
+// Package helm is the control and scheduler daemon as one state machine: the
+// replicated log, the state it makes, and, on the leader, the dispatcher. This
+// file is the step itself; calls.go answers callers, plan.go places work.
+package helm
+
+import (
+	"encoding/json"
+	"maps"
+	"math/rand"
+	"slices"
+	"time"
+
+	"coppercourse/accord"
+	"coppercourse/fault"
+	"coppercourse/kin"
+	"coppercourse/mark"
+	"coppercourse/news"
+	"coppercourse/store"
+	"coppercourse/trail"
+	"coppercourse/truth"
+	"coppercourse/word"
+)
+
+// Place is where and as what a helm runs.
+type Place struct {
+	Addr  mark.Addr
+	Loc   mark.Locality
+	Seeds []mark.Addr
+	Issue string
+	Core  accord.Pace
+	Truth truth.Pace
+}
+
+type waiter struct {
+	from mark.Addr
+	id   uint64
+	term mark.Term
+	job  mark.JobID
+	made bool
+}
+
+// Helm is one control daemon.
+type Helm struct {
+	place  Place
+	now    mark.Now
+	core   *accord.Core
+	kin    *kin.Roster
+	state  *store.State
+	done   mark.Index
+	head   *truth.Head
+	desk   *news.Desk
+	Trail  *trail.Ring
+	waits  map[mark.Index]waiter
+	flight map[store.End]bool
+	giving mark.Index
+	shaped mark.Index
+	timed  mark.Stamp
+	since  mark.Index
+	drain  bool
+	late   mark.Stamp
+	rates  map[mark.Queue]*rate
+	sends  []word.Send
+	Sums   Sums
+}
+
+// Sums are counters since start.
+type Sums struct {
+	Steps, Applied, Calls, Refused, Orders, Ends, Elected, Lost uint64
+}
+
+// Every is how many entries the log may grow before it is put together.
+const Every = 4096
+
+// New starts a helm from the records of its disk.
+func New(now mark.Now, rnd *rand.Rand, p Place, recs [][]byte) *Helm {
+	me := accord.Member{Addr: p.Addr, Loc: p.Loc}
+	h := &Helm{place: p, now: now, core: accord.New(now, p.Core, rnd, me, recs, Mint(rnd)),
+		waits: map[mark.Index]waiter{}, flight: map[store.End]bool{}, rates: map[mark.Queue]*rate{}, Trail: trail.New()}
+	h.kin = kin.New(rnd, h.card(), p.Seeds)
+	h.desk = news.NewDesk(p.Addr)
+	h.load()
+	return h
+}
+
+// Mint makes an identity.
+func Mint(rnd *rand.Rand) mark.ID {
+	const hex = "0123456789abcdef"
+	b := make([]byte, 12)
+	for i := range b {
+		b[i] = hex[rnd.Intn(16)]
+	}
+	return mark.ID(b)
+}
+
+func (h *Helm) load() {
+	s := h.core.State()
+	st, err := store.Load(s.State)
+	if err != nil {
+		panic(err)
+	}
+	h.state, h.done, h.since = st, s.Index, s.Index
+	h.core.Wind(st.Tick)
+}
+
+func (h *Helm) card() kin.Card {
+	return kin.Card{Addr: h.place.Addr, ID: h.core.ID(), Role: "helm", Loc: h.place.Loc, Name: h.core.Name(),
+		Term: h.core.Term(), Leads: h.core.Leads() && !h.drain, Part: h.core.Role(), Ready: h.Ready(), Issue: h.place.Issue}
+}
+
+// Ready tells whether the platform may send callers here: a helm that knows a
+// leader of now, or is it.
+func (h *Helm) Ready() bool {
+	return !h.drain && h.core.Name() != "" && (h.core.Leads() && h.core.Firm() || !h.core.Leads() && h.core.Leader() != "")
+}
+
+// Step takes one event.
+func (h *Helm) Step(e word.Event) word.Out {
+	h.now = e.Now
+	h.Sums.Steps++
+	switch {
+	case e.Note != nil:
+		h.take(*e.Note)
+	case e.Synced > 0:
+		h.core.Synced(e.Now, e.Synced)
+	case e.Close:
+		h.close()
+	default:
+		h.tick()
+	}
+	h.catch()
+	h.lead()
+	var out word.Out
+	if h.core.Commit()-h.since > Every && h.done > h.since {
+		h.core.Compact(h.done, h.state.Save())
+		h.since = h.done
+	}
+	h.kin.Me(h.card())
+	out.Sends, out.Batch, out.Seq, out.Whole = h.core.Out()
+	out.Sends = append(append(out.Sends, h.sends...), h.kin.Out()...)
+	h.sends = nil
+	out.Idle = h.drain && (!h.core.Leads() || h.now.Mono >= h.late) && len(h.waits) == 0
+	return out
+}
+
+func (h *Helm) take(n word.Note) {
+	switch {
+	case h.kin.Take(h.now.Mono, n):
+	case h.core.Take(h.now, n):
+	case n.Kind == word.Call:
+		h.call(n)
+	case n.Kind == word.News:
+		if h.core.Firm() {
+			h.desk.Take(h.now.Mono, n)
+		}
+	case h.head != nil:
+		h.head.Take(h.now.Mono, h.core.Grace(), n)
+	}
+}
+
+func (h *Helm) tick() {
+	h.kin.Tick(h.now.Mono)
+	var seen []accord.Seen
+	for _, c := range h.kin.Helms() {
+		if c.ID != "" && c.Part != "out" {
+			seen = append(seen, accord.Seen{Member: accord.Member{ID: c.ID, Addr: c.Addr, Loc: c.Loc}, Name: c.Name})
+		}
+	}
+	h.core.See(seen)
+	h.core.Tick(h.now)
+}
+
+// close begins a planned stop: the duty goes to a successor.
+func (h *Helm) close() {
+	h.drain = true
+	h.late = h.now.Mono.Add(3 * time.Second)
+	h.core.HandOver(h.now)
+}
+
+// catch brings the state up to what is committed.
+func (h *Helm) catch() {
+	if s := h.core.State(); s.Index > h.done {
+		h.load()
+	}
+	for h.done < h.core.Commit() {
+		h.done++
+		e := h.core.Entry(h.done)
+		h.Sums.Applied++
+		if e.Fact == nil {
+			continue
+		}
+		var f store.Fact
+		if err := json.Unmarshal(e.Fact, &f); err != nil {
+			panic(err)
+		}
+		legs, bad := h.state.Apply(f)
+		h.told(f, e.Index)
+		w, ok := h.waits[e.Index]
+		delete(h.waits, e.Index)
+		if ok && w.term == e.Term {
+			h.settle(w, f, bad)
+		}
+		if h.head != nil && h.core.Leads() {
+			h.order(legs)
+			h.head.Settle(f.Ends)
+			for _, x := range f.Ends {
+				delete(h.flight, x)
+			}
+		}
+	}
+}
+
+// told leaves marks of what was applied for the tracer.
+func (h *Helm) told(f store.Fact, at mark.Index) {
+	switch {
+	case f.Table != nil:
+		h.Trail.Add(h.now.Wall, trail.Table(h.state.Table.Edition), "applied", "index", at)
+	case f.Job != nil:
+		h.Trail.Add(h.now.Wall, trail.Job(f.Job.ID), "accept applied", "index", at)
+	case f.Cancel != "":
+		h.Trail.Add(h.now.Wall, trail.Job(f.Cancel), "cancel applied", "index", at)
+	}
+	for _, g := range f.Legs {
+		h.Trail.Add(h.now.Wall, trail.Job(g.Leg.Job), "leg given out", "leg", g.Leg, "shard", g.Shard)
+	}
+	for _, x := range f.Ends {
+		h.Trail.Add(h.now.Wall, trail.Job(x.Leg.Job), "end applied", "leg", x.Leg, "fate", x.Fate)
+		h.ended(x)
+	}
+}
+
+// lead does the leader's work, or lets go of it.
+func (h *Helm) lead() {
+	if !h.core.Leads() {
+		if h.head != nil {
+			h.head = nil
+			h.Sums.Lost++
+		}
+		for _, i := range slices.Sorted(maps.Keys(h.waits)) {
+			h.reply(h.waits[i], word.ReplyBody{Fault: fault.New(fault.Unsure, "", "the leader changed; send the same again")})
+		}
+		clear(h.waits)
+		clear(h.flight)
+		h.giving, h.shaped = 0, 0
+		return
+	}
+	if h.head == nil {
+		if !h.core.Firm() {
+			return
+		}
+		h.Sums.Elected++
+		h.head = truth.NewHead(h.now.Mono, h.place.Truth, h.place.Addr, h.core.Term(), h.outs())
+		h.head.Taken = h.taken
+	}
+	h.head.Tick(h.now.Mono, h.core.Grace())
+	h.plan()
+	sends, ends := h.head.Out()
+	h.sends = append(h.sends, sends...)
+	h.propose(ends)
+	if h.core.Firm() {
+		h.sends = append(h.sends, h.desk.Tell(h.now.Mono, h.state.Table)...)
+	}
+}
+
+// propose puts ends into the log, each at most once at a time.
+func (h *Helm) propose(ends []store.End) {
+	var list []store.End
+	for _, e := range ends {
+		if !h.flight[e] && !h.taken(e) {
+			list = append(list, e)
+		}
+	}
+	if list == nil {
+		return
+	}
+	if _, ok := h.fact(store.Fact{Ends: list}); ok {
+		for _, e := range list {
+			h.flight[e] = true
+		}
+		h.Sums.Ends += uint64(len(list))
+	}
+}
+
+func (h *Helm) fact(f store.Fact) (mark.Index, bool) {
+	f.Tick = max(h.core.Clock(), h.state.Tick)
+	return h.core.Propose(word.Body(f))
+}
+
+// outs lists the legs given out as the state has them.
+func (h *Helm) outs() (list []truth.Hold) {
+	for _, j := range h.state.Live() {
+		for n, t := range j.Tasks {
+			if t.Out != nil {
+				step := j.Spec.Step(n)
+				list = append(list, truth.Hold{Leg: mark.Leg{Task: mark.Task{Job: j.ID, N: n}, Leg: t.Leg},
+					Shard: t.Out.Shard, Step: step, Room: j.Spec.Steps[step].Room})
+			}
+		}
+	}
+	return
+}
+
+// taken tells whether the state already has an end, or has no use for it.
+func (h *Helm) taken(e store.End) bool {
+	j := h.state.Jobs[e.Leg.Job]
+	if j == nil || j.Over() || e.Leg.N >= len(j.Tasks) {
+		return true
+	}
+	t := j.Tasks[e.Leg.N]
+	if t.Out != nil && t.Leg == e.Leg.Leg {
+		return false
+	}
+	if t.Doubt != "" && t.Leg == e.Leg.Leg {
+		return e.Fate == store.Lost
+	}
+	return e.Fate != store.OK || t.Done
+}
--- /dev/null
+++ b/helm/plan.go
@@ -0,0 +1,182 @@
+// The leader's placing of work: what waits and may start, where there is room,
+// legs given out in the log, and orders sent once that is committed. One round
+// is in the log at a time, so nothing is given out twice.
+package helm
+
+import (
+	"slices"
+	"time"
+
+	"coppercourse/choice"
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/truth"
+)
+
+const (
+	near   = mark.Wall(50 * time.Millisecond)
+	astray = mark.Wall(20 * time.Millisecond)
+)
+
+func (h *Helm) plan() {
+	var doom []mark.Leg
+	var clear []store.End
+	for _, j := range h.state.Live() {
+		doom = append(doom, j.Doomed()...)
+		for n, t := range j.Tasks {
+			l := mark.Leg{Task: mark.Task{Job: j.ID, N: n}, Leg: t.Leg}
+			if t.Doubt != "" && t.Out == nil && h.head.Clears(t.Doubt, l) {
+				clear = append(clear, store.End{Leg: l, Fate: store.Unrun})
+			}
+		}
+	}
+	h.propose(clear)
+	h.head.Halt(append(doom, h.head.Strays()...))
+	if !h.core.Firm() || h.drain {
+		return
+	}
+	h.shapes()
+	h.times()
+	if h.head.Wait || h.giving > h.done {
+		return
+	}
+	wants, dues := h.wants()
+	if len(wants) == 0 {
+		return
+	}
+	slots, total := h.slots()
+	var legs []store.Give
+	for _, p := range choice.Place(wants, slots, dues, total) {
+		t := h.state.Jobs[p.Task.Job].Tasks[p.Task.N]
+		legs = append(legs, store.Give{Leg: mark.Leg{Task: p.Task, Leg: t.Leg + 1}, Shard: p.Shard})
+	}
+	if legs == nil {
+		return
+	}
+	if i, ok := h.fact(store.Fact{Legs: legs}); ok {
+		h.giving = i
+	}
+}
+
+// wants lists what may start now, and what each queue has in use.
+func (h *Helm) wants() (list []choice.Want, dues map[mark.Queue]*choice.Due) {
+	dues = map[mark.Queue]*choice.Due{}
+	for _, r := range h.state.Table.Rows {
+		dues[r.Name] = &choice.Due{Row: r}
+	}
+	now := h.core.Clock()
+	for _, j := range h.state.Live() {
+		d := dues[j.Queue]
+		if d == nil {
+			continue
+		}
+		for n, t := range j.Tasks {
+			if t.Out != nil {
+				d.Running++
+				d.Cores += j.Spec.Steps[j.Spec.Step(n)].Room.Cores
+			}
+		}
+		for _, i := range j.Ready(now, h.state.Off) {
+			p := j.Spec.Steps[i]
+			w := choice.Want{Part: choice.Part{Job: j.ID, Step: i}, Queue: j.Queue, Urgency: j.Spec.Urgency,
+				Kind: p.Kind, Rack: p.Rack, Room: p.Room, Spread: p.Spread, Gang: p.Gang}
+			base, whole := j.Spec.Base(i), true
+			for n, t := range j.Part(i) {
+				switch {
+				case t.Done:
+				case t.Out == nil && !t.Dead && t.Ready <= now:
+					w.Tasks = append(w.Tasks, base+n)
+				default:
+					whole = false
+				}
+			}
+			if len(w.Tasks) > 0 && (whole || !p.Gang) {
+				list = append(list, w)
+			}
+		}
+	}
+	return
+}
+
+// slots lists the workers that may be given work, and all cores there are.
+func (h *Helm) slots() (list []choice.Slot, total int) {
+	at := map[mark.Shard]int{}
+	for _, s := range h.head.Seats() {
+		if s.State != truth.Healthy {
+			continue
+		}
+		total += s.Room.Cores
+		if !s.Leaving {
+			at[s.Shard] = len(list)
+			list = append(list, choice.Slot{Shard: s.Shard, Rack: s.Rack, Kinds: s.Kinds, Free: s.Room,
+				Bad: s.Worth.Bad, Slow: s.Worth.Slow, Load: map[choice.Part]int{}})
+		}
+	}
+	for _, o := range h.head.Holds() {
+		i, ok := at[o.Shard]
+		if !ok {
+			continue
+		}
+		x := &list[i]
+		x.Free = x.Free.Minus(o.Room)
+		x.Busy++
+		if o.Step >= 0 {
+			x.Load[choice.Part{Job: o.Leg.Job, Step: o.Step}]++
+		}
+	}
+	return
+}
+
+// order sends the legs that the log has just given out.
+func (h *Helm) order(legs []store.Give) {
+	for _, g := range legs {
+		j := h.state.Jobs[g.Leg.Job]
+		i := j.Spec.Step(g.Leg.N)
+		p := j.Spec.Steps[i]
+		limit := p.Limit
+		if r, ok := h.state.Table.Find(j.Queue); ok && (limit == 0 || limit > r.TaskMS) {
+			limit = r.TaskMS
+		}
+		h.Sums.Orders++
+		h.head.Order(g.Shard, i, string(j.Queue)+"/"+p.Name,
+			truth.Job{Leg: g.Leg, Kind: p.Kind, Rack: p.Rack, Room: p.Room, Limit: limit, Work: p.Work})
+	}
+}
+
+// shapes keeps in the log what the workers are made of.
+func (h *Helm) shapes() {
+	if h.shaped > h.done {
+		return
+	}
+	var list []store.Shape
+	for _, s := range h.head.Seats() {
+		x := store.Shape{Shard: s.Shard, Rack: s.Rack, Kinds: s.Kinds, Room: s.Room}
+		y, ok := h.state.Shapes[s.Shard]
+		if s.State != truth.New && (!ok || y.Rack != x.Rack || y.Room != x.Room || !slices.Equal(y.Kinds, x.Kinds)) {
+			list = append(list, x)
+		}
+	}
+	if list != nil {
+		h.shaped, _ = h.fact(store.Fact{Shapes: list})
+	}
+}
+
+// times keeps the offset from the cluster's clock to the wall clocks. Only two
+// voters that agree closely move it, so one clock that jumps moves nothing; of
+// the two the offset that lets nothing start early is taken.
+func (h *Helm) times() {
+	if h.now.Mono.Sub(h.timed) < time.Second {
+		return
+	}
+	h.timed = h.now.Mono
+	offs := h.core.Offs()
+	for i := 0; i+1 < len(offs); i++ {
+		if offs[i+1]-offs[i] > near {
+			continue
+		}
+		if d := offs[i] - h.state.Off; d > astray || d < -astray {
+			h.fact(store.Fact{Off: &offs[i]})
+		}
+		return
+	}
+}
--- /dev/null
+++ b/helm/view.go
@@ -0,0 +1,153 @@
+// What the helm shows: jobs, queues, workers and its own status, each as a
+// value that can be written as JSON.
+package helm
+
+import (
+	"time"
+
+	"coppercourse/accord"
+	"coppercourse/kin"
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/truth"
+)
+
+// JobView is a job as callers see it.
+type JobView struct {
+	ID        mark.JobID   `json:"id"`
+	Queue     mark.Queue   `json:"queue"`
+	State     store.Stage  `json:"state"`
+	Why       string       `json:"reason,omitempty"`
+	Accepted  string       `json:"accepted_at"`
+	Cancelled bool         `json:"cancel_accepted,omitempty"`
+	Tasks     int          `json:"tasks"`
+	Done      int          `json:"tasks_done"`
+	Running   int          `json:"tasks_running"`
+	Legs      int          `json:"legs"`
+	List      []store.Task `json:"detail,omitempty"`
+}
+
+// View shows a job, or nil.
+func (h *Helm) View(id mark.JobID) *JobView {
+	j := h.state.Jobs[id]
+	if j == nil {
+		return nil
+	}
+	v := &JobView{ID: j.ID, Queue: j.Queue, State: j.State, Why: j.Why, Cancelled: j.Halt, Tasks: j.Size, Done: j.Fine,
+		Legs: j.Legs, Accepted: time.Unix(0, int64(j.Wall)).UTC().Format(time.RFC3339Nano)}
+	for _, t := range j.Tasks {
+		if t.Out != nil {
+			v.Running++
+		}
+	}
+	if len(j.Tasks) <= 200 {
+		v.List = append([]store.Task(nil), j.Tasks...)
+	}
+	return v
+}
+
+// QueueView is a queue's row beside what is in it.
+type QueueView struct {
+	Name    mark.Queue `json:"name"`
+	Weight  int        `json:"weight"`
+	Share   int        `json:"share"`
+	Jobs    int        `json:"jobs_unfinished"`
+	Limit   int        `json:"jobs_limit"`
+	Running int        `json:"tasks_running"`
+	Cores   int        `json:"cores_in_use"`
+	Ready   int        `json:"tasks_waiting_for_room"`
+	Oldest  int64      `json:"oldest_job_ms"`
+	store.Counts
+}
+
+// Queues lists them in the table's order.
+func (h *Helm) Queues() (list []QueueView) {
+	wants, dues := h.wants()
+	ready, oldest := map[mark.Queue]int{}, map[mark.Queue]mark.Tick{}
+	for _, w := range wants {
+		ready[w.Queue] += len(w.Tasks)
+	}
+	for _, j := range h.state.Live() {
+		if _, ok := oldest[j.Queue]; !ok {
+			oldest[j.Queue] = j.At
+		}
+	}
+	list = []QueueView{}
+	for _, r := range h.state.Table.Rows {
+		v := QueueView{Name: r.Name, Weight: r.Weight, Share: r.Share, Jobs: h.state.Load(r.Name), Limit: r.Waiting,
+			Running: dues[r.Name].Running, Cores: dues[r.Name].Cores, Ready: ready[r.Name]}
+		if at, ok := oldest[r.Name]; ok {
+			v.Oldest = h.core.Clock().Sub(at).Milliseconds()
+		}
+		if c := h.state.Count[r.Name]; c != nil {
+			v.Counts = *c
+		}
+		list = append(list, v)
+	}
+	return
+}
+
+// WorkerView is a worker as the leader sees it.
+type WorkerView struct {
+	Shard   mark.Shard      `json:"shard"`
+	ID      mark.ID         `json:"instance"`
+	Addr    mark.Addr       `json:"ward"`
+	State   truth.Soundness `json:"state"`
+	ForMS   int64           `json:"for_ms"`
+	QuietMS int64           `json:"quiet_ms"`
+	truth.Report
+	Free mark.Room `json:"free"`
+	Legs int       `json:"legs"`
+	Bad  float64   `json:"bad_ends"`
+	Slow float64   `json:"slowness"`
+}
+
+func (h *Helm) Workers() (list []WorkerView) {
+	list = []WorkerView{}
+	if h.head == nil {
+		return
+	}
+	n := map[mark.Shard]int{}
+	for _, o := range h.head.Holds() {
+		n[o.Shard]++
+	}
+	for _, s := range h.head.Seats() {
+		list = append(list, WorkerView{Shard: s.Shard, ID: s.ID, Addr: s.Addr, State: s.State, ForMS: h.now.Mono.Sub(s.Since).Milliseconds(),
+			QuietMS: h.now.Mono.Sub(s.Good).Milliseconds(), Report: s.Report, Free: h.head.Free(s), Legs: n[s.Shard],
+			Bad: s.Worth.Bad, Slow: s.Worth.Slow})
+	}
+	return
+}
+
+// StatusView is one helm's account of itself.
+type StatusView struct {
+	Role    string       `json:"role"`
+	Program string       `json:"program"`
+	ID      mark.ID      `json:"id"`
+	Cluster string       `json:"cluster"`
+	Part    string       `json:"part"`
+	Why     string       `json:"reason,omitempty"`
+	Ready   bool         `json:"ready"`
+	Term    mark.Term    `json:"term"`
+	Leader  mark.Addr    `json:"leader"`
+	Commit  mark.Index   `json:"commit"`
+	Roll    accord.Roll  `json:"roll"`
+	Edition mark.Edition `json:"table_edition"`
+	Jobs    int          `json:"jobs_unfinished"`
+	Wait    string       `json:"initial_wait,omitempty"`
+	Wall    string       `json:"cluster_time"`
+	Mates   []kin.Mate   `json:"mates"`
+	Sums    Sums         `json:"sums"`
+}
+
+func (h *Helm) Status() StatusView {
+	c := h.core
+	v := StatusView{Role: "helm", Program: h.place.Issue, ID: c.ID(), Cluster: c.Name(), Part: c.Role(), Why: c.Why(),
+		Ready: h.Ready(), Term: c.Term(), Leader: c.Leader(), Commit: c.Commit(), Roll: c.Roll(), Edition: h.state.Table.Edition,
+		Jobs: len(h.state.Live()), Mates: h.kin.Mates(), Sums: h.Sums,
+		Wall: time.Unix(0, int64(h.core.Clock())+int64(h.state.Off)).UTC().Format(time.RFC3339Nano)}
+	if h.head != nil && h.head.Wait {
+		v.Wait = h.head.Why
+	}
+	return v
+}
--- /dev/null
+++ b/lore/lore.go
@@ -0,0 +1,71 @@
+// Package lore is the form of the one file a daemon keeps: records one after
+// another, each under a header with its length, a checksum, and how much of
+// the file was already synced when the record was written. That last number
+// is what tells a torn tail (cut off and forgotten, nobody was told of it)
+// from damage to something once acknowledged (refused). The codec does no I/O;
+// the simulator runs it over bytes in memory, the daemon over a real file.
+package lore
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+
+	"coppercourse/fault"
+)
+
+const (
+	head   = 16
+	MaxLen = 64 << 20
+	// Whole marks the records of a rewritten file: it takes its name only once
+	// all of it is synced. An empty record closes it, so its last is guarded.
+	Whole = int64(1) << 62
+)
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// Pack appends one record to the bytes of a file.
+func Pack(out []byte, body []byte, synced int64) []byte {
+	var h [head]byte
+	binary.BigEndian.PutUint32(h[0:], uint32(len(body)))
+	binary.BigEndian.PutUint64(h[8:], uint64(synced))
+	sum := crc32.Update(crc32.Checksum(h[8:], table), table, body)
+	binary.BigEndian.PutUint32(h[4:], sum)
+	return append(append(out, h[:]...), body...)
+}
+
+// take reads the record at the start of b; ok is false when it is not whole.
+func take(b []byte) (body []byte, synced int64, ok bool) {
+	if len(b) < head {
+		return nil, 0, false
+	}
+	n := int(binary.BigEndian.Uint32(b[0:]))
+	if n == 0 || n > MaxLen || len(b) < head+n {
+		return nil, 0, false
+	}
+	body = b[head : head+n]
+	sum := crc32.Update(crc32.Checksum(b[8:head], table), table, body)
+	if sum != binary.BigEndian.Uint32(b[4:]) {
+		return nil, 0, false
+	}
+	return body, int64(binary.BigEndian.Uint64(b[8:])), true
+}
+
+// Scan reads all records of a file. keep is the length that stays; bytes past
+// it are a torn tail. Damage before a point once synced is an error.
+func Scan(b []byte) (list [][]byte, keep int64, err error) {
+	at := 0
+	for at < len(b) {
+		body, _, ok := take(b[at:])
+		if !ok {
+			break
+		}
+		list = append(list, body)
+		at += head + len(body)
+	}
+	for p := at + 1; p < len(b); p++ {
+		if _, synced, ok := take(b[p:]); ok && synced > int64(at) {
+			return nil, 0, fault.New(fault.Unfit, "lore", "a record that was once synced is damaged; the file is refused")
+		}
+	}
+	return list, int64(at), nil
+}
--- /dev/null
+++ b/news/news.go
@@ -0,0 +1,116 @@
+// Package news is the editioned long poll by which data-plane daemons get the
+// table: the reader asks with the edition it has, and the desk answers when it
+// has another, or after a short hold to say that there is none. A reader that
+// has not been confirmed for a while knows that it may not decide by what it
+// has.
+package news
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"coppercourse/blueprint"
+	"coppercourse/mark"
+	"coppercourse/word"
+)
+
+const (
+	hold  = 400 * time.Millisecond
+	Stale = 1500 * time.Millisecond
+	again = 700 * time.Millisecond
+	most  = 500
+)
+
+type ask struct {
+	Have mark.Edition `json:"have"`
+	Any  bool         `json:"any"`
+	Mark mark.Stamp   `json:"mark"`
+}
+
+type told struct {
+	Edition mark.Edition     `json:"edition"`
+	Table   *blueprint.Table `json:"table,omitempty"`
+	Mark    mark.Stamp       `json:"mark"`
+}
+
+type wait struct {
+	ask ask
+	by  mark.Stamp
+}
+
+// Desk is the leader's side.
+type Desk struct {
+	me    mark.Addr
+	waits map[mark.Addr]wait
+}
+
+func NewDesk(me mark.Addr) *Desk { return &Desk{me, map[mark.Addr]wait{}} }
+
+func (d *Desk) Take(now mark.Stamp, n word.Note) {
+	if a, ok := word.Read[ask](n); ok && len(d.waits) < most {
+		d.waits[n.From] = wait{a, now.Add(hold)}
+	}
+}
+
+// Tell answers those for whom there is news, or whose hold is over.
+func (d *Desk) Tell(now mark.Stamp, t blueprint.Table) (sends []word.Send) {
+	for _, from := range slices.Sorted(maps.Keys(d.waits)) {
+		w := d.waits[from]
+		fresh := !w.ask.Any || w.ask.Have != t.Edition
+		if !fresh && now < w.by {
+			continue
+		}
+		b := told{Edition: t.Edition, Mark: w.ask.Mark}
+		if fresh {
+			b.Table = &t
+		}
+		sends = append(sends, word.Make(d.me, from, word.Told, b))
+		delete(d.waits, from)
+	}
+	return
+}
+
+// Reader is the data-plane side.
+type Reader struct {
+	me    mark.Addr
+	Table blueprint.Table
+	any   bool
+	open  bool
+	asked mark.Stamp
+	sure  mark.Stamp
+}
+
+func NewReader(me mark.Addr) *Reader { return &Reader{me: me, sure: -1 << 61, asked: -1 << 61} }
+
+// Fresh tells whether the table may be decided by.
+func (r *Reader) Fresh(now mark.Stamp) bool { return r.any && now.Sub(r.sure) < Stale }
+
+// Tick asks the leader again, at once after an answer.
+func (r *Reader) Tick(now mark.Stamp, lead mark.Addr) (sends []word.Send) {
+	if lead == "" || r.open && now.Sub(r.asked) < again {
+		return nil
+	}
+	r.open, r.asked = true, now
+	return []word.Send{word.Make(r.me, lead, word.News, ask{r.Table.Edition, r.any, now})}
+}
+
+// Take handles an answer; true when the table changed. What it confirms counts
+// from when it was asked.
+func (r *Reader) Take(n word.Note) bool {
+	t, ok := word.Read[told](n)
+	if !ok {
+		return false
+	}
+	if t.Mark == r.asked {
+		r.open = false
+	}
+	if t.Table != nil && (!r.any || t.Edition > r.Table.Edition) {
+		r.Table, r.any, r.sure = *t.Table, true, max(r.sure, t.Mark)
+		return true
+	}
+	if r.any && t.Edition == r.Table.Edition {
+		r.sure = max(r.sure, t.Mark)
+	}
+	return false
+}
--- /dev/null
+++ b/place/place.go
@@ -0,0 +1,143 @@
+// Package place is a daemon's settings: from a file, from flags that go before the file, and
+// from defaults of ours. All faults are told at once, with field and reason.
+package place
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"coppercourse/accord"
+	"coppercourse/blueprint"
+	"coppercourse/fault"
+	"coppercourse/mark"
+	"coppercourse/truth"
+)
+
+// Settings is a daemon's place and pace.
+type Settings struct {
+	Listen   string
+	Address  string
+	Source   string
+	Locality string
+	Seeds    []string
+	Data     string
+	Shard    string
+	Log      string
+	Pace     Pace
+}
+
+// Pace is every timing an operator may set, in milliseconds.
+type Pace struct {
+	Beat, Ill, Loss, Grant, Worker, Again int
+	Round, Election, Stall, Dead          int
+}
+
+func ms(d time.Duration) int { return int(d / time.Millisecond) }
+func un(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Defaults are the settings before file and flags.
+func Defaults() Settings {
+	t, a := truth.Defaults, accord.Defaults
+	return Settings{Listen: "127.0.0.1:7400", Log: "info", Pace: Pace{Beat: ms(t.Beat), Ill: ms(t.Ill), Loss: ms(t.Loss),
+		Grant: ms(t.Grant), Worker: ms(t.Worker), Again: ms(t.Again), Round: ms(a.Beat), Election: ms(a.Least),
+		Stall: ms(a.Stall), Dead: ms(a.Dead)}}
+}
+
+// ReadSettings lays a file over the defaults.
+func Read(b []byte, s *Settings, heap *fault.Heap) {
+	r := blueprint.NewReader(b, heap)
+	any := func(string) string { return "" }
+	p := &s.Pace
+	num := func(to *int) blueprint.Field { return blueprint.Num(r, to, 1, 3_600_000) }
+	r.Whole(map[string]blueprint.Field{
+		"listen":   blueprint.Text(r, &s.Listen, any),
+		"address":  blueprint.Text(r, &s.Address, any),
+		"source":   blueprint.Text(r, &s.Source, any),
+		"locality": blueprint.Text(r, &s.Locality, any),
+		"data":     blueprint.Text(r, &s.Data, any),
+		"shard":    blueprint.Text(r, &s.Shard, any),
+		"log":      blueprint.Text(r, &s.Log, any),
+		"seeds": func(at string) {
+			s.Seeds = nil
+			r.List(at, 16, func(at string, _ int) {
+				var a string
+				blueprint.Text(r, &a, any)(at)
+				s.Seeds = append(s.Seeds, a)
+			})
+		},
+		"pace": func(at string) {
+			r.Obj(at, map[string]blueprint.Field{"beat_ms": num(&p.Beat), "ill_ms": num(&p.Ill), "loss_ms": num(&p.Loss),
+				"grant_ms": num(&p.Grant), "worker_ms": num(&p.Worker), "again_ms": num(&p.Again), "round_ms": num(&p.Round),
+				"election_ms": num(&p.Election), "stall_ms": num(&p.Stall), "dead_ms": num(&p.Dead)})
+		},
+	})
+}
+
+// Check tells all that is wrong with the settings of a role.
+func (s *Settings) Check(role string, heap *fault.Heap) {
+	if s.Address == "" {
+		s.Address = s.Listen
+	}
+	addr := func(field, a string) {
+		p, err := netip.ParseAddrPort(a)
+		heap.Check(err == nil && p.Port() != 0, field, "want IP:port, got "+fmt.Sprintf("%q", a))
+	}
+	addr("listen", s.Listen)
+	addr("address", s.Address)
+	if s.Source != "" {
+		_, err := netip.ParseAddr(s.Source)
+		heap.Check(err == nil, "source", "want an IP number")
+	}
+	bad := blueprint.Name(s.Locality)
+	heap.Check(bad == "", "locality", bad)
+	heap.Check(len(s.Seeds) > 0, "seeds", "missing: give the addresses of up to three other daemons")
+	for i, a := range s.Seeds {
+		addr(fmt.Sprintf("seeds[%d]", i), a)
+	}
+	heap.Check((s.Data != "") == (role == "helm"), "data", "a helm needs a data folder, and no other daemon may have one")
+	if role == "ward" {
+		bad := blueprint.Name(s.Shard)
+		heap.Check(bad == "", "shard", bad)
+	} else {
+		heap.Check(s.Shard == "", "shard", "only a ward has one")
+	}
+	heap.Check(s.Log == "info" || s.Log == "debug", "log", "want info or debug")
+	s.Pace.check(heap)
+}
+
+// check ties the timings together: each line is a rule that the proofs of the
+// dispatcher and of the elections rest on.
+func (p Pace) check(h *fault.Heap) {
+	h.Check(p.Worker < p.Grant, "pace.worker_ms", "must be less than grant_ms: the worker's grant ends first")
+	h.Check(p.Grant*5 <= p.Loss*4, "pace.grant_ms", "must be at most four fifths of loss_ms: a ward's grant ends before it is counted lost, drift included")
+	h.Check(p.Grant <= 2500, "pace.grant_ms", "must be at most 2500: a cancel holds within 3 s, however cut")
+	h.Check(3*p.Beat <= p.Ill, "pace.ill_ms", "must be at least three beats")
+	h.Check(2*p.Ill <= p.Loss, "pace.loss_ms", "must be at least twice ill_ms")
+	h.Check(3*p.Round <= p.Election, "pace.election_ms", "must be at least three rounds")
+	h.Check(2*p.Election < p.Grant, "pace.election_ms", "must be less than half of grant_ms, or every change of leader costs the running work")
+	h.Check(p.Stall >= p.Election, "pace.stall_ms", "must be at least election_ms")
+	h.Check(p.Dead > p.Loss, "pace.dead_ms", "must be more than loss_ms")
+	h.Check(p.Again <= p.Ill, "pace.again_ms", "must be at most ill_ms")
+}
+
+// Truth and Core give the paces that the machines take.
+func (p Pace) Truth() truth.Pace {
+	return truth.Pace{Beat: un(p.Beat), Ill: un(p.Ill), Loss: un(p.Loss), Grant: un(p.Grant), Worker: un(p.Worker), Again: un(p.Again)}
+}
+
+func (p Pace) Core() accord.Pace {
+	return accord.Pace{Beat: un(p.Round), Least: un(p.Election), Stall: un(p.Stall), Dead: un(p.Dead), Hold: un(p.Grant)}
+}
+
+func (s Settings) Addr() mark.Addr { return mark.Addr(s.Address) }
+
+func (s Settings) Near() (list []mark.Addr) {
+	for _, a := range s.Seeds {
+		list = append(list, mark.Addr(a))
+	}
+	return
+}
+
+func (s Settings) Loc() mark.Locality    { return mark.Locality(s.Locality) }
+func (s Settings) ShardName() mark.Shard { return mark.Shard(s.Shard) }
--- /dev/null
+++ b/trial/caller.go
@@ -0,0 +1,201 @@
+// Stand-in callers and operators of the simulator. A caller sends a job at a
+// ready gate of its locality, sends the same again anywhere when the answer is
+// lost or says to come back, looks at its jobs now and then, and sometimes
+// cancels one. Operators put tables, at times two at once.
+package trial
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"coppercourse/blueprint"
+	"coppercourse/fault"
+	"coppercourse/gate"
+	"coppercourse/helm"
+	"coppercourse/mark"
+	"coppercourse/word"
+)
+
+const lostAfter = 4 * time.Second
+
+// Crew is all callers and operators of a world.
+type Crew struct {
+	w      *World
+	town   Town
+	gates  []mark.Addr
+	me     mark.Addr
+	next   int
+	open   bool
+	Cancel float64
+	Races  bool
+	Count  map[fault.Kind]int
+}
+
+func (c *Crew) pick(loc int) mark.Addr {
+	first := c.gates[loc%len(c.gates)]
+	for i := range c.gates {
+		a := c.gates[(loc+i)%len(c.gates)]
+		if g, ok := c.w.nodes[a].m.(*gate.Gate); ok && g.Ready() {
+			return a
+		}
+	}
+	return first
+}
+
+func (c *Crew) any() mark.Addr { return c.gates[c.w.rnd.Intn(len(c.gates))] }
+
+// flow sends jobs of one shape until the crew is closed.
+func (c *Crew) flow(f Flow) {
+	gap := time.Duration((0.5 + c.w.rnd.Float64()) * float64(f.Every))
+	c.w.at(gap, func() {
+		if !c.open {
+			return
+		}
+		c.next++
+		id := mark.JobID(fmt.Sprintf("%s-%d", f.Queue, c.next))
+		s := f.Spec(c.w.rnd)
+		c.w.tell(Happening{What: Sent, Job: id, Spec: &s})
+		c.send(id, word.Body(s), c.pick(c.w.rnd.Intn(3)), 0)
+		c.flow(f)
+	})
+}
+
+// try asks once; lost is called when no answer came in time.
+func (c *Crew) try(to mark.Addr, verb, arg string, body json.RawMessage, got func(word.Answer), lost func()) {
+	over := false
+	c.w.ask(c.me, to, verb, arg, body, func(a word.Answer) {
+		if !over {
+			over = true
+			got(a)
+		}
+	})
+	c.w.at(lostAfter, func() {
+		if !over {
+			over = true
+			lost()
+		}
+	})
+}
+
+func (c *Crew) send(id mark.JobID, body json.RawMessage, to mark.Addr, n int) {
+	again := func(d time.Duration) {
+		if n < 30 {
+			c.w.at(d, func() { c.send(id, body, c.any(), n+1) })
+		}
+	}
+	c.try(to, "job.put", string(id), body, func(a word.Answer) {
+		switch {
+		case a.Fault == nil:
+			c.w.tell(Happening{What: Accepted, Job: id})
+			c.saw(id, a)
+			c.look(id)
+			if c.w.rnd.Float64() < c.Cancel {
+				c.w.at(time.Duration(c.w.rnd.Int63n(int64(3*time.Second))), func() { c.cancel(id, 0) })
+			}
+		case a.Fault.Retry > 0:
+			c.Count[a.Fault.Kind]++
+			again(time.Duration(a.Fault.Retry) * time.Second)
+		default:
+			c.Count[a.Fault.Kind]++
+			c.w.tell(Happening{What: Denied, Job: id, Text: a.Fault.Error()})
+		}
+	}, func() { again(100 * time.Millisecond) })
+}
+
+func (c *Crew) saw(id mark.JobID, a word.Answer) (over bool) {
+	var v helm.JobView
+	if json.Unmarshal(a.Body, &v) != nil {
+		return false
+	}
+	c.w.tell(Happening{What: Saw, Job: id, Stage: v.State, Text: v.Why})
+	return v.State == "done" || v.State == "failed" || v.State == "cancelled"
+}
+
+// look asks after a job now and then until it has ended.
+func (c *Crew) look(id mark.JobID) {
+	c.w.at(500*time.Millisecond+time.Duration(c.w.rnd.Int63n(int64(2*time.Second))), func() {
+		c.try(c.any(), "job.get", string(id), nil, func(a word.Answer) {
+			switch {
+			case a.Fault != nil && a.Fault.Kind == fault.NoJob:
+				c.w.tell(Happening{What: Missed, Job: id})
+			case a.Fault != nil || !c.saw(id, a):
+				c.look(id)
+			}
+		}, func() { c.look(id) })
+	})
+}
+
+func (c *Crew) cancel(id mark.JobID, n int) {
+	again := func(d time.Duration) {
+		if n < 10 {
+			c.w.at(d, func() { c.cancel(id, n+1) })
+		}
+	}
+	c.try(c.any(), "job.cancel", string(id), nil, func(a word.Answer) {
+		switch {
+		case a.Fault == nil:
+			c.w.tell(Happening{What: Halt, Job: id})
+		case a.Fault.Retry > 0:
+			again(time.Duration(a.Fault.Retry) * time.Second)
+		}
+	}, func() { again(100 * time.Millisecond) })
+}
+
+// put sends a table until it is known to be taken or refused.
+func (c *Crew) put(t blueprint.Table, to mark.Addr, n int, then func(bool)) {
+	if n == 0 {
+		c.w.tell(Happening{What: TableTry, Table: &t})
+	}
+	again := func(d time.Duration) {
+		if n < 40 {
+			c.w.at(d, func() { c.put(t, c.any(), n+1, then) })
+		}
+	}
+	c.try(to, "table.put", "", word.Body(t), func(a word.Answer) {
+		switch {
+		case a.Fault == nil:
+			got := blueprint.Table{Edition: t.Edition + 1, Rows: t.Rows}
+			c.w.tell(Happening{What: TableAck, Table: &got})
+			then(true)
+		case a.Fault.Retry > 0:
+			again(time.Duration(a.Fault.Retry) * time.Second)
+		default:
+			c.w.tell(Happening{What: TableNo, Table: &t, Text: a.Fault.Error()})
+			then(false)
+		}
+	}, func() { again(100 * time.Millisecond) })
+}
+
+// read reads the table and gives it on.
+func (c *Crew) read(then func(blueprint.Table)) {
+	began := c.w.now
+	c.try(c.any(), "table.get", "", nil, func(a word.Answer) {
+		var t blueprint.Table
+		if a.Fault == nil && json.Unmarshal(a.Body, &t) == nil {
+			c.w.tell(Happening{What: TableSaw, Table: &t, Text: fmt.Sprint(began)})
+			if then != nil {
+				then(t)
+			}
+		}
+	}, func() {})
+}
+
+// races has two operators change the table on the same edition, again and
+// again, at different gates.
+func (c *Crew) races() {
+	c.w.at(time.Duration(2+c.w.rnd.Intn(4))*time.Second, func() {
+		if !c.open || !c.Races {
+			return
+		}
+		c.read(func(t blueprint.Table) {
+			for i := range 2 {
+				n := blueprint.Table{Edition: t.Edition, Rows: append([]blueprint.Row(nil), t.Rows...)}
+				n.Rows[0].Weight = 1 + c.w.rnd.Intn(900)
+				n.Rows[1].Running = 400 + c.w.rnd.Intn(100)
+				c.put(n, c.gates[(i+c.w.rnd.Intn(2))%len(c.gates)], 0, func(bool) {})
+			}
+		})
+		c.races()
+	})
+}
--- /dev/null
+++ b/trial/check.go
@@ -0,0 +1,277 @@
+// The checker: reads a history and tells every rule that it breaks. It knows
+// legs as the workers ran them, jobs as callers sent and saw them, and tables
+// as operators were answered.
+package trial
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+)
+
+// Break is one broken rule.
+type Break struct {
+	Rule string
+	At   int64
+	Text string
+}
+
+func (b Break) String() string {
+	return fmt.Sprintf("%-14s at %8.3f s: %s", b.Rule, float64(b.At)/1e9, b.Text)
+}
+
+// span is one leg as it ran on a worker.
+type span struct {
+	leg   mark.Leg
+	who   string
+	shard mark.Shard
+	from  int64
+	to    int64 // the end of the history if it never ended
+	fate  store.Fate
+	ice   [][2]int64 // when its worker stood still
+}
+
+type job struct {
+	id     mark.JobID
+	spec   *store.Spec
+	sent   int64
+	taken  int64
+	halt   int64
+	sight  []Happening
+	missed int64
+	spans  map[int][]*span // by task
+}
+
+// Bounds of the rules, with what the callers' network adds.
+type Bounds struct {
+	Start   time.Duration // a start after a cancel
+	Run     time.Duration // running after a cancel
+	Early   time.Duration // before its time
+	Leave   time.Duration // a start after a worker said it is leaving
+	Alone   time.Duration // one of a gang without the rest
+	Table   time.Duration // an acknowledged table not seen
+	Settled bool          // all jobs must have ended by the end
+}
+
+// Rules are the brief's bounds.
+var Rules = Bounds{Start: 3 * time.Second, Run: 4 * time.Second, Early: 100 * time.Millisecond, Leave: 2 * time.Second,
+	Alone: 6 * time.Second, Table: 2 * time.Second, Settled: true}
+
+type checker struct {
+	b      Bounds
+	end    int64
+	jobs   map[mark.JobID]*job
+	makes  map[mark.Shard]*Make
+	spans  []*span
+	frozen map[string]int64
+	leave  map[mark.Shard][][2]int64
+	breaks []Break
+	Open   int // re-runs after an end that nobody could be told of in time
+	rows   map[mark.Queue]store.Spec
+	hist   *History
+	tries  int
+}
+
+// Check tells all rules a history breaks, and how many times a task was run
+// again after an end that could not be told within the queue's patience.
+func Check(h *History, b Bounds, end int64, tries int, patience time.Duration) (list []Break, untold int) {
+	c := &checker{b: b, end: end, jobs: map[mark.JobID]*job{}, makes: map[mark.Shard]*Make{}, frozen: map[string]int64{},
+		leave: map[mark.Shard][][2]int64{}, hist: h, tries: tries}
+	c.read()
+	ids := make([]mark.JobID, 0, len(c.jobs))
+	for id := range c.jobs {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, k int) bool { return ids[i] < ids[k] })
+	for _, id := range ids {
+		j := c.jobs[id]
+		if j.spec == nil {
+			c.bad("stranger", 0, "leg of a job that nobody sent: %s", id)
+			continue
+		}
+		c.once(j, int64(patience))
+		c.order(j)
+		c.place(j)
+		c.gangs(j)
+		c.cancels(j)
+		c.shown(j)
+	}
+	c.room()
+	c.tables()
+	sort.SliceStable(c.breaks, func(i, k int) bool { return c.breaks[i].At < c.breaks[k].At })
+	return c.breaks, c.Open
+}
+
+func (c *checker) bad(rule string, at int64, text string, args ...any) {
+	c.breaks = append(c.breaks, Break{rule, at, fmt.Sprintf(text, args...)})
+}
+
+func (c *checker) job(id mark.JobID) *job {
+	j := c.jobs[id]
+	if j == nil {
+		j = &job{id: id, spans: map[int][]*span{}}
+		c.jobs[id] = j
+	}
+	return j
+}
+
+func (c *checker) read() {
+	live := map[string]map[mark.Leg]*span{}
+	close := func(s *span, at int64, f store.Fate) {
+		s.to, s.fate = at, f
+		delete(live[s.who], s.leg)
+	}
+	for _, h := range c.hist.List {
+		switch h.What {
+		case Staying:
+			if h.Make != nil {
+				c.makes[h.Shard] = h.Make
+			}
+			if l := c.leave[h.Shard]; len(l) > 0 && l[len(l)-1][1] == c.end {
+				l[len(l)-1][1] = h.At
+			}
+		case Leaving:
+			c.leave[h.Shard] = append(c.leave[h.Shard], [2]int64{h.At, c.end})
+		case Started:
+			s := &span{leg: h.Leg, who: h.Who, shard: h.Shard, from: h.At, to: c.end}
+			if live[h.Who] == nil {
+				live[h.Who] = map[mark.Leg]*span{}
+			}
+			live[h.Who][h.Leg] = s
+			c.spans = append(c.spans, s)
+			j := c.job(h.Leg.Job)
+			j.spans[h.Leg.N] = append(j.spans[h.Leg.N], s)
+		case Ended:
+			if s := live[h.Who][h.Leg]; s != nil {
+				close(s, h.At, h.Fate)
+			}
+		case Died:
+			for _, s := range live[h.Who] {
+				if at, ok := c.frozen[h.Who]; ok {
+					s.ice = append(s.ice, [2]int64{at, h.At})
+				}
+				close(s, h.At, store.Gone)
+			}
+			delete(c.frozen, h.Who)
+		case Froze:
+			c.frozen[h.Who] = h.At
+		case Thawed:
+			for _, s := range live[h.Who] {
+				s.ice = append(s.ice, [2]int64{c.frozen[h.Who], h.At})
+			}
+			delete(c.frozen, h.Who)
+		case Sent:
+			j := c.job(h.Job)
+			j.spec, j.sent = h.Spec, h.At
+		case Accepted:
+			if j := c.job(h.Job); j.taken == 0 {
+				j.taken = h.At
+			}
+		case Halt:
+			if j := c.job(h.Job); j.halt == 0 {
+				j.halt = h.At
+			}
+		case Saw:
+			j := c.job(h.Job)
+			j.sight = append(j.sight, h)
+		case Missed:
+			c.job(h.Job).missed = h.At
+		}
+	}
+}
+
+// runs tells whether a leg really runs at some time in a stretch: a worker that
+// stands still runs nothing, and stops what has lapsed before anything else.
+func (s *span) runs(from, to int64) bool {
+	a, b := max(s.from, from), min(s.to, to)
+	for _, i := range s.ice {
+		if a >= i[0] && a < i[1] {
+			a = i[1]
+		}
+		if b > i[0] && b <= i[1] {
+			b = i[0]
+		}
+	}
+	return a < b
+}
+
+// once: no task twice at once, and none again after it ended well; no more
+// tries than the queue allows.
+func (c *checker) once(j *job, patience int64) {
+	for n, list := range j.spans {
+		fails := 0
+		for i, s := range list {
+			for _, o := range list[:i] {
+				if o.runs(s.from, s.to) && s.runs(o.from, o.to) {
+					c.bad("twice", s.from, "%v on %s while %v runs on %s", s.leg, s.who, o.leg, o.who)
+				}
+				if o.fate == store.OK && o.to <= s.from {
+					if s.from-o.to >= patience {
+						c.Open++
+					} else {
+						c.bad("again", s.from, "%v starts although %v ended well at %.3f s", s.leg, o.leg, float64(o.to)/1e9)
+					}
+				}
+			}
+			if fails >= c.tries {
+				c.bad("tries", s.from, "task %d of %s starts after %d failures", n, j.id, fails)
+			}
+			if s.fate == store.Bad {
+				fails++
+			}
+		}
+	}
+}
+
+func (j *job) good(n int, by int64) bool {
+	for _, s := range j.spans[n] {
+		if s.fate == store.OK && s.to <= by {
+			return true
+		}
+	}
+	return false
+}
+
+// order: nothing before what it depends on, nor before its time.
+func (c *checker) order(j *job) {
+	for n, list := range j.spans {
+		p := j.spec.Steps[j.spec.Step(n)]
+		for _, s := range list {
+			if due := j.sent + int64(p.Delay)*1e6; s.from < due-int64(c.b.Early) {
+				c.bad("early", s.from, "%v starts %.3f s too soon", s.leg, float64(due-s.from)/1e9)
+			}
+			if t, err := time.Parse(time.RFC3339Nano, p.Not); err == nil && s.from+origin < t.UnixNano()-int64(c.b.Early) {
+				c.bad("early", s.from, "%v starts before %s", s.leg, p.Not)
+			}
+			for _, a := range p.After {
+				for i, q := range j.spec.Steps {
+					for m := j.spec.Base(i); q.Name == a && m < j.spec.Base(i)+q.Tasks; m++ {
+						if !j.good(m, s.from) {
+							c.bad("order", s.from, "%v starts before task %d of step %s ended well", s.leg, m, a)
+						}
+					}
+				}
+			}
+		}
+	}
+}
+
+// cancels: no start and no running past the bounds after an accepted cancel.
+func (c *checker) cancels(j *job) {
+	if j.halt == 0 {
+		return
+	}
+	for _, list := range j.spans {
+		for _, s := range list {
+			if s.from > j.halt+int64(c.b.Start) {
+				c.bad("cancel-start", s.from, "%v starts %.3f s after its cancel", s.leg, float64(s.from-j.halt)/1e9)
+			}
+			if s.runs(j.halt+int64(c.b.Run), c.end) {
+				c.bad("cancel-run", s.to, "%v runs %.3f s after its cancel", s.leg, float64(s.to-j.halt)/1e9)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/trial/check2.go
@@ -0,0 +1,248 @@
+// More of the checker: places, rooms, gangs, what callers were shown, tables.
+package trial
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"coppercourse/blueprint"
+	"coppercourse/mark"
+	"coppercourse/store"
+)
+
+// place: the right service, rack and spread, and nothing for one that leaves.
+func (c *checker) place(j *job) {
+	for n, list := range j.spans {
+		i := j.spec.Step(n)
+		p := j.spec.Steps[i]
+		for _, s := range list {
+			m := c.makes[s.shard]
+			if !slices.Contains(m.Kinds, p.Kind) {
+				c.bad("service", s.from, "%v of kind %s on %s", s.leg, p.Kind, s.shard)
+			}
+			if p.Rack != "" && p.Rack != m.Rack {
+				c.bad("rack", s.from, "%v for rack %s on %s in %s", s.leg, p.Rack, s.shard, m.Rack)
+			}
+			for _, l := range c.leave[s.shard] {
+				if s.from > l[0]+int64(c.b.Leave) && s.from < l[1] {
+					c.bad("leaving", s.from, "%v starts on %s, leaving for %.3f s", s.leg, s.who, float64(s.from-l[0])/1e9)
+				}
+			}
+			if p.Spread == 0 {
+				continue
+			}
+			at := 0
+			for m := j.spec.Base(i); m < j.spec.Base(i)+p.Tasks; m++ {
+				for _, o := range j.spans[m] {
+					if o.who == s.who && o.runs(s.from, s.from+1) {
+						at++
+					}
+				}
+			}
+			if at > p.Spread {
+				c.bad("spread", s.from, "%d tasks of step %s of %s on %s, %d allowed", at, p.Name, j.id, s.who, p.Spread)
+			}
+		}
+	}
+}
+
+// room: what a worker runs at once fits into it.
+func (c *checker) room() {
+	by := map[string][]*span{}
+	for _, s := range c.spans {
+		by[s.who] = append(by[s.who], s)
+	}
+	for who, list := range by {
+		for _, s := range list {
+			var sum mark.Room
+			for _, o := range list {
+				if o.from <= s.from && o.to > s.from {
+					if sp := c.jobs[o.leg.Job].spec; sp != nil {
+						sum = sum.Plus(sp.Steps[sp.Step(o.leg.N)].Room)
+					}
+				}
+			}
+			if m := c.makes[s.shard]; !m.Room.Holds(sum) {
+				c.bad("room", s.from, "%s runs %v at once, its room is %v", who, sum, m.Room)
+			}
+		}
+	}
+}
+
+// gangs: no member runs on for long when a mate has ended badly, or never was.
+func (c *checker) gangs(j *job) {
+	for i, p := range j.spec.Steps {
+		if !p.Gang {
+			continue
+		}
+		b := j.spec.Base(i)
+		for n := b; n < b+p.Tasks; n++ {
+			for _, s := range j.spans[n] {
+				for m := b; m < b+p.Tasks; m++ {
+					if m != n {
+						c.mated(j, s, m)
+					}
+				}
+			}
+		}
+	}
+}
+
+func (c *checker) mated(j *job, s *span, m int) {
+	alone := int64(c.b.Alone)
+	if !s.runs(s.from+alone, c.end) {
+		return
+	}
+	met := j.good(m, s.from+alone)
+	for _, o := range j.spans[m] {
+		if o.to > s.from && o.from < s.from+alone {
+			met = true
+			if o.fate != store.OK && o.to < c.end && s.runs(o.to+alone, c.end) {
+				c.bad("gang", o.to+alone, "%v runs on although %v ended (%s)", s.leg, o.leg, o.fate)
+			}
+		}
+	}
+	if !met {
+		c.bad("gang", s.from+alone, "%v runs without task %d", s.leg, m)
+	}
+}
+
+// shown: what callers were told of a job is true, and none is forgotten.
+func (c *checker) shown(j *job) {
+	if j.taken == 0 {
+		return
+	}
+	if j.missed > j.taken {
+		c.bad("forgotten", j.missed, "%s was accepted, then there was no such job", j.id)
+	}
+	last := store.Stage("")
+	for _, h := range j.sight {
+		over := h.Stage == store.Done || h.Stage == store.Failed || h.Stage == store.Stopped
+		if (last == store.Done || last == store.Failed || last == store.Stopped) && h.Stage != last && over {
+			c.bad("shown", h.At, "%s was %s, then %s", j.id, last, h.Stage)
+		}
+		if over && last != h.Stage {
+			c.told(j, h)
+		}
+		if over {
+			last = h.Stage
+		}
+	}
+	if last == "" && c.b.Settled {
+		c.bad("forgotten", c.end, "%s was accepted and has not ended", j.id)
+	}
+}
+
+func (c *checker) told(j *job, h Happening) {
+	dead := false
+	for n := range j.spec.Total() {
+		fails := 0
+		for _, s := range j.spans[n] {
+			if s.runs(h.At, c.end) {
+				c.bad("shown", h.At, "%s is shown %s while %v runs", j.id, h.Stage, s.leg)
+			}
+			if s.fate == store.Bad {
+				fails++
+			}
+		}
+		dead = dead || fails >= c.tries
+		if h.Stage == store.Done && !j.good(n, h.At) {
+			c.bad("shown", h.At, "%s is shown done, but task %d never ended well", j.id, n)
+		}
+	}
+	if h.Stage == store.Failed && !dead {
+		c.bad("shown", h.At, "%s is shown failed (%s), but no task failed %d times", j.id, h.Text, c.tries)
+	}
+	if h.Stage == store.Stopped && j.halt == 0 && !strings.Contains(h.Text, "cancel") {
+		c.bad("shown", h.At, "%s is shown cancelled, but nobody did", j.id)
+	}
+}
+
+// tables: an edition says one thing; what is read is never older than what was
+// acknowledged before the read began; a refused table is in no edition.
+func (c *checker) tables() {
+	says := map[mark.Edition]blueprint.Table{}
+	var acked []Happening
+	tried := []blueprint.Table{}
+	fixed := func(t blueprint.Table, at int64) {
+		if o, ok := says[t.Edition]; ok && !o.Same(t) {
+			c.bad("table", at, "edition %d says two different things", t.Edition)
+		}
+		says[t.Edition] = t
+	}
+	for _, h := range c.hist.List {
+		switch h.What {
+		case TableTry:
+			tried = append(tried, *h.Table)
+		case TableAck:
+			fixed(*h.Table, h.At)
+			acked = append(acked, h)
+		case TableSaw:
+			fixed(*h.Table, h.At)
+			began, _ := strconv.ParseInt(h.Text, 10, 64)
+			i := sort.Search(len(acked), func(i int) bool { return acked[i].At >= began })
+			for _, a := range acked[:i] {
+				if h.Table.Edition < a.Table.Edition {
+					c.bad("table", h.At, "edition %d was read although %d was acknowledged at %.3f s", h.Table.Edition, a.Table.Edition, float64(a.At)/1e9)
+					break
+				}
+			}
+			known := h.Table.Edition == 0
+			for _, t := range tried {
+				known = known || t.Edition+1 == h.Table.Edition && t.Same(*h.Table)
+			}
+			if !known {
+				c.bad("table", h.At, "edition %d was put by nobody", h.Table.Edition)
+			}
+		}
+	}
+	for _, h := range c.hist.List {
+		if o, ok := says[mark.Edition(0)]; h.What == TableNo && ok && len(o.Rows) > 0 {
+			c.bad("table", h.At, "edition 0 is not empty")
+		}
+		if h.What == TableNo {
+			if o, ok := says[h.Table.Edition+1]; ok && o.Same(*h.Table) && !c.twin(tried, *h.Table) {
+				c.bad("table", h.At, "a refused table is edition %d", o.Edition)
+			}
+		}
+	}
+}
+
+func (c *checker) twin(tried []blueprint.Table, t blueprint.Table) bool {
+	n := 0
+	for _, o := range tried {
+		if o.Edition == t.Edition && o.Same(t) {
+			n++
+		}
+	}
+	return n > 1
+}
+
+// Rate counts jobs seen done in a stretch, each once, by when they were sent.
+func Rate(h *History, from, to int64) float64 {
+	first := map[mark.JobID]bool{}
+	n := 0
+	for _, x := range h.List {
+		if x.What == Saw && x.Stage == store.Done && !first[x.Job] {
+			first[x.Job] = true
+			if x.At >= from && x.At < to {
+				n++
+			}
+		}
+	}
+	return float64(n) / (time.Duration(to - from)).Seconds()
+}
+
+// Summary counts the history's happenings in one line.
+func Summary(h *History) string {
+	n := map[What]int{}
+	for _, x := range h.List {
+		n[x.What]++
+	}
+	return fmt.Sprintf("sent %d, accepted %d, denied %d, cancels %d, legs %d, ended %d, worker deaths %d, tables %d taken %d refused, troubles %d",
+		n[Sent], n[Accepted], n[Denied], n[Halt], n[Started], n[Ended], n[Died], n[TableAck], n[TableNo], n[Trouble])
+}
--- /dev/null
+++ b/trial/faults.go
@@ -0,0 +1,273 @@
+// The table of faults. Each begins one and gives back how it ends; nil means
+// that it could not be begun now.
+package trial
+
+import (
+	"time"
+
+	"coppercourse/helm"
+	"coppercourse/mark"
+	"coppercourse/word"
+)
+
+// Fault begins a trouble.
+type Fault func(r *Run, long time.Duration) func()
+
+func up(list []*node) (ups []*node) {
+	for _, n := range list {
+		if n.m != nil && !n.frozen {
+			ups = append(ups, n)
+		}
+	}
+	return
+}
+
+// leader finds who leads, for faults that aim at it.
+func (r *Run) leader() *node {
+	var best *node
+	var term mark.Term
+	for _, n := range up(r.helms) {
+		if h, ok := n.m.(*helm.Helm); ok {
+			if s := h.Status(); s.Part == "leader" && s.Term > term {
+				best, term = n, s.Term
+			}
+		}
+	}
+	return best
+}
+
+func killer(pick func(*Run) []*node) Fault {
+	return func(r *Run, _ time.Duration) func() {
+		list := up(pick(r))
+		if len(list) == 0 {
+			return nil
+		}
+		n := one(r.rnd, list)
+		n.kill()
+		return func() {
+			if n.m == nil {
+				n.boot()
+			}
+		}
+	}
+}
+
+func freezer(pick func(*Run) []*node) Fault {
+	return func(r *Run, _ time.Duration) func() {
+		list := up(pick(r))
+		if len(list) == 0 {
+			return nil
+		}
+		n := one(r.rnd, list)
+		n.freeze()
+		return n.thaw
+	}
+}
+
+func cutter(both bool, groups func(*Run) (a, b []mark.Addr)) Fault {
+	return func(r *Run, _ time.Duration) func() {
+		a, b := groups(r)
+		if len(a) == 0 || len(b) == 0 {
+			return nil
+		}
+		r.Split(a, b, both, true)
+		return func() { r.Split(a, b, both, false) }
+	}
+}
+
+func (r *Run) rest(out ...mark.Addr) (list []mark.Addr) {
+	drop := map[mark.Addr]bool{}
+	for _, a := range out {
+		drop[a] = true
+	}
+	for _, a := range append(r.order, r.Crew.me) {
+		if !drop[a] {
+			list = append(list, a)
+		}
+	}
+	return
+}
+
+func leaders(r *Run) []*node {
+	if n := r.leader(); n != nil {
+		return []*node{n}
+	}
+	return nil
+}
+
+func alone(r *Run, n *node) (a, b []mark.Addr) {
+	if n == nil {
+		return nil, nil
+	}
+	return []mark.Addr{n.addr}, r.rest(n.addr)
+}
+
+// mates is a helm and the other helms only: it still reaches wards and gates.
+func mates(r *Run, n *node) (a, b []mark.Addr) {
+	if n == nil {
+		return nil, nil
+	}
+	for _, h := range r.helms {
+		if h != n {
+			b = append(b, h.addr)
+		}
+	}
+	return []mark.Addr{n.addr}, b
+}
+
+func (r *Run) hand() *hand { return one(r.rnd, r.hands) }
+
+// Faults is the table.
+var Faults = map[string]Fault{
+	"kill-leader":    killer(leaders),
+	"kill-helm":      killer(func(r *Run) []*node { return r.helms }),
+	"kill-gate":      killer(func(r *Run) []*node { return r.gates }),
+	"kill-ward":      killer(func(r *Run) []*node { return r.wards }),
+	"freeze-leader":  freezer(leaders),
+	"freeze-helm":    freezer(func(r *Run) []*node { return r.helms }),
+	"freeze-gate":    freezer(func(r *Run) []*node { return r.gates }),
+	"freeze-ward":    freezer(func(r *Run) []*node { return r.wards }),
+	"cut-leader":     cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) { return alone(r, r.leader()) }),
+	"cut-core":       cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) { return mates(r, r.leader()) }),
+	"cut-core-in":    cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { a, b := mates(r, r.leader()); return b, a }),
+	"cut-core-out":   cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { return mates(r, r.leader()) }),
+	"cut-helm":       cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) { return alone(r, one(r.rnd, r.helms)) }),
+	"cut-ward":       cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) { return alone(r, one(r.rnd, r.wards)) }),
+	"cut-ward-in":    cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { a, b := alone(r, one(r.rnd, r.wards)); return b, a }),
+	"cut-ward-out":   cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { return alone(r, one(r.rnd, r.wards)) }),
+	"cut-worker":     cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) { return alone(r, r.hand().node) }),
+	"cut-worker-in":  cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { a, b := alone(r, r.hand().node); return b, a }),
+	"cut-worker-out": cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { return alone(r, r.hand().node) }),
+	"cut-zone": cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) {
+		z := r.zones[Zone(r.rnd.Intn(3))]
+		return z, r.rest(z...)
+	}),
+	"kill-worker": func(r *Run, _ time.Duration) func() {
+		h := r.hand()
+		h.kill()
+		return func() {
+			if h.w == nil {
+				h.boot()
+			}
+		}
+	},
+	"kill-machine": func(r *Run, _ time.Duration) func() {
+		i := r.rnd.Intn(len(r.hands))
+		r.hands[i].kill()
+		r.wards[i].kill()
+		return func() {
+			if r.hands[i].w == nil {
+				r.hands[i].boot()
+			}
+			if r.wards[i].m == nil {
+				r.wards[i].boot()
+			}
+		}
+	},
+	"freeze-worker": func(r *Run, _ time.Duration) func() {
+		h := r.hand()
+		h.freeze()
+		return h.thaw
+	},
+	"freeze-machine": func(r *Run, _ time.Duration) func() {
+		i := r.rnd.Intn(len(r.hands))
+		r.hands[i].freeze()
+		r.wards[i].freeze()
+		return func() {
+			r.hands[i].thaw()
+			r.wards[i].thaw()
+		}
+	},
+	"leave-worker": func(r *Run, _ time.Duration) func() {
+		h := r.hand()
+		h.leave(true)
+		return func() { h.leave(false) }
+	},
+	"slow-disk": func(r *Run, _ time.Duration) func() {
+		d := one(r.rnd, r.helms).disk
+		d.slow = time.Duration(20+r.rnd.Intn(200)) * time.Millisecond
+		return func() { d.slow = 0 }
+	},
+	"stall-disk": func(r *Run, long time.Duration) func() {
+		d := one(r.rnd, r.helms).disk
+		d.stall = r.now + int64(long)
+		return func() {}
+	},
+	"jump-clock": func(r *Run, _ time.Duration) func() {
+		n := r.nodes[one(r.rnd, r.order)]
+		n.wall = time.Duration(r.rnd.Int63n(int64(4*time.Hour))) - 2*time.Hour
+		return func() {}
+	},
+	"weather": func(r *Run, _ time.Duration) func() {
+		r.sky = Weather{Loss: 0.03, Twice: 0.05, Late: 0.05}
+		return func() { r.sky = Weather{Loss: 0.001, Twice: 0.001, Late: 0.001} }
+	},
+	"lose-disk": func(r *Run, _ time.Duration) func() { return r.lose(false) },
+	"swap-helm": func(r *Run, _ time.Duration) func() { return r.lose(true) },
+	"power-all": func(r *Run, _ time.Duration) func() {
+		for _, h := range r.helms {
+			h.kill()
+		}
+		return func() {
+			for _, h := range r.helms {
+				if h.m == nil && !h.closes {
+					h.boot()
+				}
+			}
+		}
+	},
+	"handover": func(r *Run, _ time.Duration) func() {
+		n := r.leader()
+		if n == nil {
+			return nil
+		}
+		r.Close(n)
+		return func() {
+			if n.m == nil {
+				n.boot()
+			}
+		}
+	},
+}
+
+// lose wipes a helm's disk; it comes back empty, at once, maybe elsewhere. Only
+// one disk may be lost at a time: the others must be whole voters.
+func (r *Run) lose(swap bool) func() {
+	for _, h := range r.helms {
+		if h.m == nil || h.frozen {
+			return nil
+		}
+		if s := h.m.(*helm.Helm).Status(); s.Part != "leader" && s.Part != "follower" || len(s.Roll) != 3 {
+			return nil
+		}
+	}
+	r.spare++
+	i := r.rnd.Intn(len(r.helms))
+	n := r.helms[i]
+	n.kill()
+	n.disk.wipe()
+	if !swap {
+		return func() {
+			if n.m == nil {
+				n.boot()
+			}
+		}
+	}
+	n.closes, n.make = true, nil
+	fresh := r.World.helm(mark.Addr(string(n.addr)+"x"), n.loc)
+	r.helms[i] = fresh
+	r.zones[n.loc] = append(r.zones[n.loc], fresh.addr)
+	return fresh.boot
+}
+
+// Close warns a node, as the platform does before it kills it.
+func (r *Run) Close(n *node) {
+	n.closes = true
+	n.deliver(func() { n.step(word.Event{Close: true}) })
+	gen := n.gen
+	r.at(5*time.Second, func() {
+		if n.gen == gen && n.m != nil {
+			n.kill()
+		}
+	})
+}
--- /dev/null
+++ b/trial/hist.go
@@ -0,0 +1,57 @@
+// The history: what workers and callers saw, in true time. Nothing in it comes
+// from a daemon's opinion of itself.
+package trial
+
+import (
+	"coppercourse/blueprint"
+	"coppercourse/mark"
+	"coppercourse/store"
+)
+
+// What names a kind of happening.
+type What string
+
+const (
+	Started  What = "started"   // a worker began a leg
+	Ended    What = "ended"     // a worker's leg ended
+	Spared   What = "spared"    // a worker refused a leg
+	Died     What = "died"      // a worker process ended, its legs with it
+	Froze    What = "froze"     // a worker process stands still
+	Thawed   What = "thawed"    // and goes on
+	Leaving  What = "leaving"   // a worker says that it is leaving
+	Staying  What = "staying"   // and that it is not
+	Sent     What = "sent"      // a caller sent a job for the first time
+	Accepted What = "accepted"  // and was told that it is accepted
+	Denied   What = "denied"    // or refused for good
+	Halt     What = "cancelled" // a cancel was accepted
+	Saw      What = "saw"       // a caller saw a job's state
+	Missed   What = "missed"    // a caller was told that there is no such job
+	TableAck What = "table"     // an operator's table was acknowledged
+	TableTry What = "try"       // an operator sends a table
+	TableNo  What = "no"        // it was refused for good
+	TableSaw What = "read"      // a table was read
+	Trouble  What = "trouble"   // a fault begins
+	Healed   What = "healed"    // all faults are over
+	Dropped  What = "dropped"   // a request that was read got no answer
+)
+
+// Happening is one line of the history. At is true time in nanoseconds.
+type Happening struct {
+	At    int64            `json:"at"`
+	What  What             `json:"what"`
+	Who   string           `json:"who,omitempty"`
+	Shard mark.Shard       `json:"shard,omitempty"`
+	Leg   mark.Leg         `json:"leg,omitzero"`
+	Fate  store.Fate       `json:"fate,omitempty"`
+	Job   mark.JobID       `json:"job,omitempty"`
+	Stage store.Stage      `json:"stage,omitempty"`
+	Spec  *store.Spec      `json:"spec,omitempty"`
+	Make  *Make            `json:"make,omitempty"`
+	Table *blueprint.Table `json:"table,omitempty"`
+	Text  string           `json:"text,omitempty"`
+}
+
+// History is the whole of it, in order.
+type History struct{ List []Happening }
+
+func (h *History) Add(x Happening) { h.List = append(h.List, x) }
--- /dev/null
+++ b/trial/net.go
@@ -0,0 +1,183 @@
+// The simulated network and disks: packets lost, late, twice or out of order,
+// pairs cut one way or both; disks that are slow, stall, lose what was not
+// synced, or are wiped.
+package trial
+
+import (
+	"container/heap"
+	"time"
+
+	"coppercourse/lore"
+	"coppercourse/mark"
+)
+
+type pending struct {
+	at  int64
+	seq uint64
+	run func()
+}
+
+type agenda []pending
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, k int) bool {
+	return a[i].at < a[k].at || a[i].at == a[k].at && a[i].seq < a[k].seq
+}
+func (a agenda) Swap(i, k int) { a[i], a[k] = a[k], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(pending)) }
+func (a *agenda) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+func (w *World) at(d time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.plan, pending{w.now + int64(d), w.seq, run})
+}
+
+// Weather is how the network behaves in a stretch of time.
+type Weather struct {
+	Loss, Twice, Late float64
+}
+
+type pair struct{ from, to mark.Addr }
+
+// carry takes a packet from one address to another, or loses it.
+func (w *World) carry(from, to mark.Addr, run func()) {
+	times := 1
+	if w.rnd.Float64() < w.sky.Twice {
+		times = 2
+	}
+	for range times {
+		if w.rnd.Float64() < w.sky.Loss {
+			continue
+		}
+		d := 200*time.Microsecond + time.Duration(w.rnd.Int63n(int64(2*time.Millisecond)))
+		if w.rnd.Float64() < w.sky.Late {
+			d += time.Duration(w.rnd.Int63n(int64(900 * time.Millisecond)))
+		}
+		w.at(d, func() {
+			if !w.cut[pair{from, to}] {
+				run()
+			}
+		})
+	}
+}
+
+// Split cuts all between two groups, in one direction or both.
+func (w *World) Split(a, b []mark.Addr, both, on bool) {
+	for _, x := range a {
+		for _, y := range b {
+			w.set(pair{x, y}, on)
+			if both {
+				w.set(pair{y, x}, on)
+			}
+		}
+	}
+}
+
+func (w *World) set(p pair, on bool) {
+	if on {
+		w.cut[p] = true
+	} else {
+		delete(w.cut, p)
+	}
+}
+
+// disk is one simulated disk: what is synced, and what is only written.
+type disk struct {
+	w      *World
+	safe   []byte
+	loose  []byte
+	slow   time.Duration
+	stall  int64 // until this time nothing is synced
+	busy   bool
+	queue  []write
+	broken int // a generation; writes of an earlier one do not finish
+}
+
+type write struct {
+	list  [][]byte
+	seq   uint64
+	whole bool
+	done  func(uint64)
+}
+
+func (d *disk) put(x write) {
+	d.queue = append(d.queue, x)
+	if !d.busy {
+		d.next()
+	}
+}
+
+func (d *disk) next() {
+	if len(d.queue) == 0 {
+		d.busy = false
+		return
+	}
+	d.busy = true
+	group := d.queue
+	for i, x := range group {
+		if x.whole && i > 0 {
+			group = group[:i]
+			break
+		}
+	}
+	if group[0].whole {
+		group = group[:1]
+	}
+	d.queue = d.queue[len(group):]
+	var b []byte
+	for _, x := range group {
+		for _, r := range x.list {
+			if x.whole {
+				b = lore.Pack(b, r, lore.Whole)
+			} else {
+				b = lore.Pack(b, r, int64(len(d.safe)))
+			}
+		}
+	}
+	whole := group[0].whole
+	if !whole {
+		d.loose = b
+	}
+	wait := time.Millisecond + d.slow + time.Duration(d.w.rnd.Int63n(int64(3*time.Millisecond)))
+	if d.stall > d.w.now {
+		wait += time.Duration(d.stall - d.w.now)
+	}
+	gen := d.broken
+	d.w.at(wait, func() {
+		if gen != d.broken {
+			return
+		}
+		if whole {
+			d.safe = lore.Pack(b, []byte("{}"), lore.Whole)
+		} else {
+			d.safe = append(d.safe, b...)
+		}
+		d.loose = nil
+		last := group[len(group)-1]
+		last.done(last.seq)
+		d.next()
+	})
+}
+
+// power cuts the power: of what was not synced an arbitrary part stays, torn.
+func (d *disk) power() {
+	d.broken++
+	d.busy, d.queue = false, nil
+	keep := 0
+	if n := len(d.loose); n > 0 {
+		keep = d.w.rnd.Intn(n + 1)
+	}
+	d.safe = append(d.safe[:len(d.safe):len(d.safe)], d.loose[:keep]...)
+	d.loose = nil
+}
+
+// wipe loses everything.
+func (d *disk) wipe() {
+	d.power()
+	d.safe = nil
+}
--- /dev/null
+++ b/trial/storm.go
@@ -0,0 +1,170 @@
+// A whole simulated run: a town set up, its traffic, faults drawn from the
+// seed, the time after them, and the checks.
+package trial
+
+import (
+	"fmt"
+	"math/rand"
+	"sort"
+	"time"
+
+	"coppercourse/fault"
+	"coppercourse/mark"
+)
+
+// Plan is what a run does.
+type Plan struct {
+	Seed   int64
+	Town   string
+	Faults []string // names from the table of faults; none: no faults
+	Count  int      // how many faults
+	Calm   time.Duration
+	Storm  time.Duration
+	After  time.Duration // traffic goes on after the faults
+	Settle time.Duration // no new traffic; all must end
+	Last   bool          // one more fault at the very end of the traffic
+}
+
+// Run is a world with a town in it.
+type Run struct {
+	*World
+	Plan  Plan
+	Crew  *Crew
+	helms []*node
+	gates []*node
+	wards []*node
+	zones map[mark.Locality][]mark.Addr
+	spare int
+	begun int64
+	done  int64
+	Notes []string
+}
+
+// Build sets a town up: 3 helms, 4 gates, 11 wards and their workers.
+func Build(p Plan) *Run {
+	r := &Run{World: NewWorld(p.Seed), Plan: p, zones: map[mark.Locality][]mark.Addr{}}
+	town := Towns[p.Town]
+	r.seeds = []mark.Addr{"h1", "g1", "w1"}
+	for i := range 3 {
+		r.helms = append(r.helms, r.helm(mark.Addr(fmt.Sprintf("h%d", i+1)), Zone(i)))
+	}
+	for i := range 4 {
+		r.gates = append(r.gates, r.gate(mark.Addr(fmt.Sprintf("g%d", i+1)), Zone(i)))
+	}
+	for i, m := range town.Workers() {
+		a := mark.Addr(fmt.Sprintf("w%d", i+1))
+		r.wards = append(r.wards, r.ward(a, Zone(i), m))
+		r.worker(mark.Addr(fmt.Sprintf("k%d", i+1)), a, Zone(i), m)
+	}
+	for _, a := range r.order {
+		n := r.nodes[a]
+		r.zones[n.loc] = append(r.zones[n.loc], a)
+		if n.make != nil {
+			r.at(time.Duration(r.rnd.Int63n(int64(300*time.Millisecond))), n.boot)
+		}
+	}
+	for _, h := range r.hands {
+		r.at(time.Duration(r.rnd.Int63n(int64(500*time.Millisecond))), h.boot)
+	}
+	r.Crew = &Crew{w: r.World, town: town, me: "caller", open: true, Cancel: 0.04, Races: true, Count: map[fault.Kind]int{}}
+	for _, g := range r.gates {
+		r.Crew.gates = append(r.Crew.gates, g.addr)
+	}
+	r.sky = Weather{Loss: 0.001, Twice: 0.001, Late: 0.001}
+	return r
+}
+
+// Go does the whole run.
+func (r *Run) Go() *Run {
+	p := r.Plan
+	t := r.Crew.town.Table()
+	r.at(3*time.Second, func() { r.Crew.put(t, r.Crew.any(), 0, func(bool) {}) })
+	r.at(6*time.Second, func() {
+		for _, f := range r.Crew.town.Flows {
+			r.Crew.flow(f)
+		}
+		r.Crew.races()
+		r.reads()
+	})
+	from := 6*time.Second + p.Calm
+	r.Run(from)
+	for range p.Count {
+		d := time.Duration(r.rnd.Int63n(int64(p.Storm * 8 / 10)))
+		name := p.Faults[r.rnd.Intn(len(p.Faults))]
+		long := time.Duration(300+r.rnd.Intn(6000)) * time.Millisecond
+		r.at(d, func() { r.cause(name, long) })
+	}
+	r.Run(from + p.Storm)
+	r.Heal()
+	r.Run(from + p.Storm + p.After)
+	if p.Last {
+		r.cause(p.Faults[r.rnd.Intn(len(p.Faults))], 2*time.Second)
+	}
+	r.Crew.open = false
+	r.Run(from + p.Storm + p.After + 3*time.Second)
+	r.Heal()
+	r.Run(from + p.Storm + p.After + p.Settle)
+	r.done = r.now
+	return r
+}
+
+func (r *Run) reads() {
+	r.at(700*time.Millisecond, func() {
+		if r.Crew.open {
+			r.Crew.read(nil)
+			r.reads()
+		}
+	})
+}
+
+// Heal ends all faults: everything that is down starts, all cuts go.
+func (r *Run) Heal() {
+	clear(r.cut)
+	r.sky = Weather{Loss: 0.001, Twice: 0.001, Late: 0.001}
+	for _, a := range r.order {
+		n := r.nodes[a]
+		if n.make == nil {
+			continue
+		}
+		n.thaw()
+		if n.disk != nil {
+			n.disk.slow, n.disk.stall = 0, 0
+		}
+		if n.m == nil {
+			n.boot()
+		}
+	}
+	for _, h := range r.hands {
+		h.leave(false)
+		h.thaw()
+		if h.w == nil {
+			h.boot()
+		}
+	}
+	r.tell(Happening{What: Healed})
+}
+
+func one[T any](rnd *rand.Rand, list []T) T { return list[rnd.Intn(len(list))] }
+
+// cause begins a fault and ends it after a while.
+func (r *Run) cause(name string, long time.Duration) {
+	f := Faults[name]
+	if f == nil {
+		panic("no such fault: " + name)
+	}
+	end := f(r, long)
+	if end == nil {
+		return
+	}
+	r.tell(Happening{What: Trouble, Text: fmt.Sprintf("%s for %s", name, long)})
+	r.at(long, end)
+}
+
+// FaultNames lists the table.
+func FaultNames() (list []string) {
+	for n := range Faults {
+		list = append(list, n)
+	}
+	sort.Strings(list)
+	return
+}
--- /dev/null
+++ b/trial/town.go
@@ -0,0 +1,114 @@
+// The two deployments as the brief sizes them: machines, workers, tables, and
+// the three shapes of job with their rates.
+package trial
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"time"
+
+	"coppercourse/blueprint"
+	"coppercourse/mark"
+	"coppercourse/store"
+)
+
+// Town is a deployment.
+type Town struct {
+	Name  string
+	Cores int
+	Flows []Flow
+}
+
+// Flow is one stream of jobs of a shape, with its mean rate.
+type Flow struct {
+	Queue mark.Queue
+	Every time.Duration
+	Spec  func(r *rand.Rand) store.Spec
+}
+
+func work(r *rand.Rand, least, most int) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(`{"ms":%d}`, least+r.Intn(most-least+1)))
+}
+
+// gangs is two small gangs of short tasks.
+func gangs(q mark.Queue, kind mark.Kind, cores int) func(*rand.Rand) store.Spec {
+	return func(r *rand.Rand) store.Spec {
+		s := store.Spec{Queue: q, Urgency: r.Intn(3)}
+		for _, name := range []string{"near", "far"} {
+			s.Steps = append(s.Steps, store.Step{Name: name, Kind: kind, Room: mark.Room{Cores: cores, Memory: 64}, Tasks: 2 + r.Intn(2),
+				Gang: true, Spread: 1 + r.Intn(2), Work: work(r, 60, 250)})
+		}
+		if r.Intn(3) == 0 {
+			s.Steps[1].After = []string{"near"}
+		}
+		return s
+	}
+}
+
+// wide is one wide step of long tasks.
+func wide(q mark.Queue, kind mark.Kind, cores, tasks int) func(*rand.Rand) store.Spec {
+	return func(r *rand.Rand) store.Spec {
+		s := store.Spec{Queue: q, Steps: []store.Step{{Name: "all", Kind: kind, Room: mark.Room{Cores: cores, Memory: 256}, Tasks: tasks,
+			Spread: 3, Work: work(r, 1500, 4000)}}}
+		if r.Intn(4) == 0 {
+			s.Steps[0].Rack, s.Steps[0].Spread = mark.Rack(fmt.Sprintf("r%d", 1+r.Intn(3))), 0
+		}
+		return s
+	}
+}
+
+// duo is two short tasks, one after the other or side by side.
+func duo(q mark.Queue, kind mark.Kind) func(*rand.Rand) store.Spec {
+	return func(r *rand.Rand) store.Spec {
+		s := store.Spec{Queue: q, Urgency: 5}
+		for _, name := range []string{"hold", "book"} {
+			s.Steps = append(s.Steps, store.Step{Name: name, Kind: kind, Room: mark.Room{Cores: 1, Memory: 32}, Tasks: 1, Work: work(r, 40, 150)})
+		}
+		switch r.Intn(3) {
+		case 0:
+			s.Steps[1].After = []string{"hold"}
+		case 1:
+			s.Steps[1].Delay = 300 + r.Intn(700)
+		}
+		if r.Intn(25) == 0 {
+			s.Steps[1].Work = json.RawMessage(`{"ms":50,"fail":true}`)
+		}
+		return s
+	}
+}
+
+// Towns are the two.
+var Towns = map[string]Town{
+	"kingston": {"kingston", 16, []Flow{
+		{"quotes", 140 * time.Millisecond, gangs("quotes", "quote", 1)},
+		{"menus", 6 * time.Second, wide("menus", "menu", 2, 12)},
+		{"payments", 900 * time.Millisecond, duo("payments", "pay")},
+	}},
+	"romania": {"romania", 64, []Flow{
+		{"searches", 220 * time.Millisecond, gangs("searches", "quote", 2)},
+		{"plans", 6 * time.Second, wide("plans", "menu", 4, 24)},
+		{"bookings", 330 * time.Millisecond, duo("bookings", "pay")},
+	}},
+}
+
+// Table is a town's first table.
+func (t Town) Table() blueprint.Table {
+	row := func(f Flow, weight, share int) blueprint.Row {
+		return blueprint.Row{Name: f.Queue, Weight: weight, Share: share, Running: 500, Waiting: 400, Tries: 3, TaskMS: 60_000, Patience: 30_000}
+	}
+	return blueprint.Table{Rows: []blueprint.Row{row(t.Flows[0], 4, 30), row(t.Flows[1], 2, 10), row(t.Flows[2], 4, 20)}}
+}
+
+// Workers are eleven, three to a rack.
+func (t Town) Workers() (list []Make) {
+	kinds := [][]mark.Kind{{"quote", "menu"}, {"quote", "pay"}, {"menu", "pay", "quote"}}
+	for i := range 11 {
+		list = append(list, Make{Shard: mark.Shard(fmt.Sprintf("k%d", i+1)), Rack: mark.Rack(fmt.Sprintf("r%d", i/3+1)),
+			Kinds: kinds[i%3], Room: mark.Room{Cores: t.Cores, Memory: t.Cores * 1024}})
+	}
+	return
+}
+
+// Zone names the locality of the i-th of something.
+func Zone(i int) mark.Locality { return mark.Locality(fmt.Sprintf("z%d", i%3+1)) }
--- /dev/null
+++ b/truth/hand.go
@@ -0,0 +1,236 @@
+// Hand is the half beside each worker. It holds the one true account of what
+// runs there: a leg is in it from its order until its end is settled.
+package truth
+
+import (
+	"sort"
+	"time"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/word"
+)
+
+type part string
+
+const (
+	waiting part = "waiting" // ordered, not yet taken up by the worker
+	going   part = "running"
+	halting part = "stopping"
+	ended   part = "ended"
+)
+
+type leg struct {
+	job     Job
+	part    part
+	until   mark.Stamp
+	from    mark.Stamp
+	fate    store.Fate
+	over    bool // past its time limit: however it is stopped, it failed
+	shown   bool
+	settled bool
+	ghost   bool // the worker runs it although it has ended here
+}
+
+// Hand is one ward's half.
+type Hand struct {
+	pace  Pace
+	me    mark.Addr
+	shard mark.Shard
+	id    mark.ID
+	mint  func() mark.ID
+	past  mark.ID
+
+	now    mark.Stamp
+	boot   mark.Stamp
+	term   mark.Term
+	lead   mark.Addr
+	state  Soundness
+	since  mark.Stamp
+	good   mark.Stamp
+	until  mark.Stamp
+	seq    mark.Seq
+	set    SetID
+	beat   mark.Stamp
+	status mark.Stamp
+	legs   map[mark.Leg]*leg
+	seen   map[mark.Leg]mark.Stamp
+	worker mark.ID
+	told   bool
+	call   uint64
+	heard  mark.Stamp
+	stamp  mark.Stamp
+	given  mark.Stamp
+	rep    Report
+	news   bool
+	sends  []word.Send
+}
+
+const never = mark.Stamp(-1 << 61)
+
+// NewHand starts a ward that knows nothing of its worker yet.
+func NewHand(now mark.Stamp, pace Pace, me mark.Addr, shard mark.Shard, mint func() mark.ID) *Hand {
+	return &Hand{pace: pace, me: me, shard: shard, id: mint(), mint: mint, now: now, boot: now, state: New, since: now,
+		good: now, until: never, beat: never, status: never, heard: never, given: now,
+		legs: map[mark.Leg]*leg{}, seen: map[mark.Leg]mark.Stamp{}}
+}
+
+func (h *Hand) sorted() []*leg {
+	list := make([]*leg, 0, len(h.legs))
+	for _, l := range h.legs {
+		list = append(list, l)
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].job.Leg.Least(list[k].job.Leg) })
+	return list
+}
+
+func (h *Hand) say(to mark.Addr, kind string, body any) {
+	h.sends = append(h.sends, word.Make(h.me, to, kind, body))
+}
+
+func (h *Hand) turn(s Soundness) {
+	if h.state != s {
+		h.state, h.since = s, h.now
+	}
+}
+
+// finish ends a leg in the account and has it told.
+func (h *Hand) finish(l *leg, f store.Fate) {
+	if l.over && f != store.OK {
+		f = store.Bad
+	}
+	l.part, l.fate, h.status = ended, f, never
+}
+
+// halt has a leg stopped. One that the worker was never shown ends at once.
+func (h *Hand) halt(l *leg) {
+	switch {
+	case l.part == waiting && !l.shown:
+		h.finish(l, store.Unrun)
+	case l.part == waiting || l.part == going:
+		l.part, h.news = halting, true
+	}
+}
+
+// Tick lets time pass; lead is whom the roster holds for the leader.
+func (h *Hand) Tick(now mark.Stamp, lead mark.Addr) {
+	h.now, h.lead = now, lead
+	h.rep.Sound = h.told && now.Sub(h.heard) < h.pace.Ill*6/10
+	quiet := now.Sub(h.good)
+	switch {
+	case h.state == MustDie:
+		h.rise()
+	case h.state == New:
+	case quiet > h.pace.Loss:
+		h.turn(MustDie)
+	case quiet > h.pace.Ill:
+		h.turn(Unhealthy)
+	default:
+		h.turn(Healthy)
+	}
+	if now >= h.until || h.state == MustDie {
+		for _, l := range h.sorted() {
+			h.halt(l)
+		}
+	}
+	for _, l := range h.sorted() {
+		if l.part == going && l.job.Limit > 0 && now.Sub(l.from) > time.Duration(l.job.Limit)*time.Millisecond {
+			l.over = true
+			h.halt(l)
+		}
+		if l.part != ended && h.told && h.lapsed() {
+			h.finish(l, store.Lost)
+		}
+	}
+	for l, by := range h.seen {
+		if now > by {
+			delete(h.seen, l)
+		}
+	}
+	h.pulse()
+}
+
+// rise comes back as a new instance once nothing can be running any more.
+func (h *Hand) rise() {
+	for _, l := range h.legs {
+		if l.part != ended {
+			return
+		}
+	}
+	h.id, h.past, h.set, h.seq = h.mint(), "", SetID{}, 0
+	h.good, h.until, h.beat = h.now, never, never
+	h.turn(New)
+}
+
+func (h *Hand) pulse() {
+	if h.lead == "" {
+		return
+	}
+	if h.now.Sub(h.beat) >= h.pace.Beat && h.ready() {
+		h.beat = h.now
+		h.say(h.lead, word.Beat, Beat{h.shard, h.id, h.past, h.now, h.set, h.owed(), h.rep})
+	}
+	if h.now.Sub(h.status) < h.pace.Again {
+		return
+	}
+	var list []store.End
+	for _, l := range h.sorted() {
+		if l.part == ended && !l.settled && len(list) < 500 {
+			list = append(list, store.End{Leg: l.job.Leg, Fate: l.fate})
+		}
+	}
+	if list != nil {
+		h.status = h.now
+		h.say(h.lead, word.Status, Status{h.shard, h.id, list})
+	}
+}
+
+// owed counts the ends that the leader has not settled.
+func (h *Hand) owed() (n int) {
+	for _, l := range h.legs {
+		if l.part == ended && !l.settled {
+			n++
+		}
+	}
+	return
+}
+
+// ready is false while the ward can't tell what runs: its worker has not
+// called yet and could still hold a grant of an earlier ward.
+func (h *Hand) ready() bool { return h.told || h.now.Sub(h.boot) > h.pace.Loss }
+
+// Out drains what there is to send.
+func (h *Hand) Out() []word.Send {
+	s := h.sends
+	h.sends = nil
+	return s
+}
+
+// View is the account as the ward's own status page shows it.
+type View struct {
+	Shard mark.Shard `json:"shard"`
+	ID    mark.ID    `json:"instance"`
+	Term  mark.Term  `json:"term"`
+	State Soundness  `json:"state"`
+	ForMS int64      `json:"for_ms"`
+	Report
+	Grant  int64     `json:"grant_left_ms"`
+	Worker mark.ID   `json:"worker"`
+	Legs   []LegView `json:"legs"`
+}
+
+type LegView struct {
+	Leg  mark.Leg   `json:"leg"`
+	Part string     `json:"part"`
+	Fate store.Fate `json:"fate,omitempty"`
+}
+
+func (h *Hand) View() View {
+	v := View{Shard: h.shard, ID: h.id, Term: h.term, State: h.state, ForMS: h.now.Sub(h.since).Milliseconds(),
+		Report: h.rep, Worker: h.worker, Legs: []LegView{}}
+	v.Grant = max(0, h.until.Sub(h.now).Milliseconds())
+	for _, l := range h.sorted() {
+		v.Legs = append(v.Legs, LegView{l.job.Leg, string(l.part), l.fate})
+	}
+	return v
+}
--- /dev/null
+++ b/truth/head.go
@@ -0,0 +1,313 @@
+// Head is the scheduler's half. A new one is made with each leadership; what
+// runs it learns from the wards alone, and the log only tells it which legs it
+// must hear of before it may give their tasks out again.
+package truth
+
+import (
+	"sort"
+	"time"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/word"
+)
+
+type phase string
+
+const (
+	dim    phase = "unknown" // given out before this leadership, not told of yet
+	sent   phase = "sent"
+	sure   phase = "running"
+	unsure phase = "unsure"
+)
+
+// Hold is a leg that possibly runs.
+type Hold struct {
+	Leg   mark.Leg
+	Shard mark.Shard
+	Step  int
+	Room  mark.Room
+	Phase phase
+	Usual string // what its time is compared with
+	At    mark.Stamp
+	halt  mark.Stamp
+}
+
+// Seat is one shard and the ward instance that has it.
+type Seat struct {
+	Shard mark.Shard
+	ID    mark.ID
+	Addr  mark.Addr
+	State Soundness
+	Since mark.Stamp
+	Report
+	Been  bool
+	Good  mark.Stamp
+	stamp mark.Stamp
+	seq   mark.Seq
+	owed  int  // ends the ward has told of and not had settled; -1 before its account
+	whole bool // the account came from the worker itself
+	asked mark.Stamp
+	query mark.Stamp
+	quest map[mark.Seq][]mark.Leg
+	old   SetID
+	ver   int
+	ind   int
+	Worth Worth
+}
+
+// Head is the whole model.
+type Head struct {
+	pace  Pace
+	me    mark.Addr
+	term  mark.Term
+	born  mark.Stamp
+	now   mark.Stamp
+	grace time.Duration
+	Wait  bool
+	Why   string
+	seats map[mark.Shard]*Seat
+	past  map[mark.ID]bool
+	holds map[mark.Leg]*Hold
+	hist  []map[mark.ID]bool
+	ends  []store.End
+	norm  map[string]float64
+	sends []word.Send
+	// Taken tells whether the log already has an end, or has no use for it.
+	Taken func(store.End) bool
+}
+
+// NewHead starts a leadership; outs are the legs that the log has as given out.
+func NewHead(now mark.Stamp, pace Pace, me mark.Addr, term mark.Term, outs []Hold) *Head {
+	h := &Head{pace: pace, me: me, term: term, born: now, now: now, Wait: true, seats: map[mark.Shard]*Seat{},
+		past: map[mark.ID]bool{}, holds: map[mark.Leg]*Hold{}, hist: []map[mark.ID]bool{{}}, norm: map[string]float64{}}
+	for _, o := range outs {
+		o.Phase, o.At = dim, now
+		h.holds[o.Leg] = &o
+	}
+	return h
+}
+
+func (h *Head) say(s *Seat, kind string, body any) {
+	h.sends = append(h.sends, word.Make(h.me, s.Addr, kind, body))
+}
+
+func (h *Head) top(s *Seat) Top { return Top{h.term, s.ID} }
+
+// Out drains the step: what to send, and the ends to commit.
+func (h *Head) Out() (sends []word.Send, ends []store.End) {
+	sends, ends = h.sends, h.ends
+	h.sends, h.ends = nil, nil
+	return
+}
+
+func (h *Head) onBeat(from mark.Addr, b Beat) {
+	s := h.seats[b.Shard]
+	switch {
+	case s == nil:
+		s = h.sit(from, b)
+	case s.ID != b.ID && h.past[b.ID]:
+		h.sends = append(h.sends, word.Make(h.me, from, word.Quit, Quit{Top{h.term, b.ID}}))
+		return
+	case s.ID != b.ID && (s.State == MustDie || b.Past == s.ID):
+		h.past[s.ID] = true
+		if s.State != MustDie {
+			h.dim(s)
+		}
+		s = h.sit(from, b)
+	case s.ID != b.ID:
+		return
+	}
+	if s.State == MustDie {
+		h.say(s, word.Quit, Quit{h.top(s)})
+		return
+	}
+	if b.Stamp <= s.stamp {
+		return
+	}
+	s.Addr, s.stamp, s.Report = from, b.Stamp, b.Report
+	if b.Sound {
+		s.Good = h.now
+	}
+	if s.State != New {
+		s.owed = b.Owed
+	}
+	if b.Set.Born == h.term && b.Set.Ver > s.ver {
+		s.ver = b.Set.Ver
+	}
+	h.spread()
+	if s.State == New {
+		h.ask(s)
+	}
+	h.judge(s)
+	h.answer(s, b.Sound)
+}
+
+// answer renews the ward's grant, but only for a beat that told of a sound
+// worker: the time to loss counts from the same beat.
+func (h *Head) answer(s *Seat, sound bool) {
+	a := Beaten{Top: h.top(s), Stamp: s.stamp, Known: s.State != New, Set: h.set()}
+	if sound && s.State != New {
+		a.Until = s.stamp.Add(min(h.pace.Grant, h.grace))
+	}
+	h.say(s, word.Beaten, a)
+}
+
+func (h *Head) sit(from mark.Addr, b Beat) *Seat {
+	s := &Seat{Shard: b.Shard, ID: b.ID, Addr: from, State: New, Since: h.now, Good: h.now, old: b.Set, Worth: Worth{Slow: 1},
+		asked: -1 << 62, stamp: -1 << 62, owed: -1, quest: map[mark.Seq][]mark.Leg{}}
+	h.seats[b.Shard] = s
+	h.reset()
+	return s
+}
+
+// dim makes a replaced ward's legs unknown until its successor's account.
+func (h *Head) dim(s *Seat) {
+	for _, o := range h.holds {
+		if o.Shard == s.Shard {
+			o.Phase = dim
+		}
+	}
+}
+
+func (h *Head) ask(s *Seat) {
+	if h.now.Sub(s.asked) >= h.pace.Again/3 {
+		s.asked = h.now
+		h.say(s, word.AskRun, Ask{h.top(s)})
+	}
+}
+
+// mine finds the seat that a ward's message speaks for.
+func (h *Head) mine(t mark.Term, shard mark.Shard, id mark.ID) *Seat {
+	if s := h.seats[shard]; s != nil && s.ID == id && t == h.term {
+		return s
+	}
+	return nil
+}
+
+func (h *Head) onAccount(_ mark.Addr, a Account) {
+	s := h.mine(a.Term, a.Shard, a.ID)
+	if s == nil || s.State != New {
+		return
+	}
+	told := map[mark.Leg]bool{}
+	for _, r := range a.Runs {
+		told[r.Leg] = true
+		if o := h.holds[r.Leg]; o != nil && o.Shard == s.Shard {
+			o.Phase = sure
+		} else if o == nil {
+			h.holds[r.Leg] = &Hold{Leg: r.Leg, Shard: s.Shard, Step: -1, Room: r.Room, Phase: sure, At: h.now}
+		}
+	}
+	fate := store.Unrun
+	if !a.Whole {
+		fate = store.Lost
+	}
+	for _, o := range h.sorted() {
+		if o.Shard == s.Shard && !told[o.Leg] {
+			h.drop(o.Leg, fate)
+		}
+	}
+	s.State, s.Since, s.whole = Unhealthy, h.now, a.Whole
+	h.judge(s)
+	h.answer(s, s.Sound)
+}
+
+func (h *Head) sorted() []*Hold {
+	list := make([]*Hold, 0, len(h.holds))
+	for _, o := range h.holds {
+		list = append(list, o)
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].Leg.Least(list[k].Leg) })
+	return list
+}
+
+// drop says that a leg has ended; it is held until that is committed.
+func (h *Head) drop(l mark.Leg, f store.Fate) {
+	h.ends = append(h.ends, store.End{Leg: l, Fate: f})
+}
+
+// Settle forgets legs whose end is committed and tells their wards.
+func (h *Head) Settle(list []store.End) {
+	by := map[mark.Shard][]mark.Leg{}
+	for _, e := range list {
+		if o := h.holds[e.Leg]; o != nil {
+			h.mark(o, e.Fate)
+			by[o.Shard] = append(by[o.Shard], e.Leg)
+			delete(h.holds, e.Leg)
+		}
+	}
+	for _, s := range h.Seats() {
+		if legs := by[s.Shard]; legs != nil && s.State != MustDie {
+			h.say(s, word.Settled, Settled{h.top(s), legs})
+		}
+	}
+}
+
+// Order marks a leg running and sends it, once.
+func (h *Head) Order(shard mark.Shard, step int, usual string, j Job) {
+	o := &Hold{Leg: j.Leg, Shard: shard, Step: step, Room: j.Room, Phase: sent, Usual: usual, At: h.now}
+	h.holds[j.Leg] = o
+	s := h.seats[shard]
+	if s == nil || s.State != Healthy || s.Leaving || h.grace <= 0 {
+		h.drop(j.Leg, store.Unrun)
+		return
+	}
+	h.say(s, word.Order, Order{h.top(s), s.seq, s.stamp.Add(min(h.pace.Grant, h.grace)), j})
+}
+
+func (h *Head) onOrdered(_ mark.Addr, r Ordered) {
+	s, o := h.mine(r.Term, r.Shard, r.ID), h.holds[r.Leg]
+	if s == nil || o == nil || o.Shard != s.Shard || o.Phase == sure {
+		return
+	}
+	if r.Why != "" {
+		h.drop(r.Leg, store.Unrun)
+		return
+	}
+	o.Phase = sure
+}
+
+func (h *Head) onQueried(_ mark.Addr, q Queried) {
+	s := h.mine(q.Term, q.Shard, q.ID)
+	if s == nil {
+		return
+	}
+	for _, l := range s.quest[q.Seq] {
+		if o := h.holds[l]; o != nil && o.Phase == unsure {
+			o.Phase = sure
+		}
+	}
+	delete(s.quest, q.Seq)
+}
+
+// onStatus takes ends. Those already committed are settled at once; a leg's
+// number is used once, so an end counts whoever of the shard's wards tells it.
+func (h *Head) onStatus(from mark.Addr, u Status) {
+	s := h.seats[u.Shard]
+	if s == nil || s.ID == u.ID && s.State == New {
+		return
+	}
+	var done []mark.Leg
+	for _, e := range u.Ends {
+		if h.Taken(e) {
+			delete(h.holds, e.Leg)
+			done = append(done, e.Leg)
+		} else {
+			h.ends = append(h.ends, e)
+		}
+	}
+	if done != nil {
+		h.sends = append(h.sends, word.Make(h.me, from, word.Settled, Settled{Top{h.term, u.ID}, done}))
+	}
+}
+
+// Seats lists the seats in order.
+func (h *Head) Seats() []*Seat {
+	list := make([]*Seat, 0, len(h.seats))
+	for _, s := range h.seats {
+		list = append(list, s)
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].Shard < list[k].Shard })
+	return list
+}
--- /dev/null
+++ b/truth/heed.go
@@ -0,0 +1,193 @@
+// How the ward's half heeds the scheduler. A lower term than one seen is let
+// fall; a higher one is a new leader, to whom the ward is NEW again.
+package truth
+
+import (
+	"slices"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/word"
+)
+
+// heeds checks the term and the addressee, and takes up a new leader.
+func (h *Hand) heeds(from mark.Addr, t Top) bool {
+	if t.To != h.id || t.Term < h.term {
+		return false
+	}
+	if t.Term > h.term {
+		h.term, h.seq = t.Term, 0
+		if h.state != MustDie {
+			h.turn(New)
+		}
+	}
+	h.lead = from
+	return true
+}
+
+func (h *Hand) onBeaten(from mark.Addr, b Beaten) {
+	if !h.heeds(from, b.Top) {
+		return
+	}
+	if b.Set != h.set {
+		h.set, h.beat = b.Set, never
+	}
+	if !b.Known {
+		return
+	}
+	h.past = ""
+	if b.Until > h.until {
+		h.until = b.Until
+	}
+	if b.Until > b.Stamp {
+		h.good = max(h.good, b.Stamp)
+	}
+	if h.state == New {
+		h.turn(Unhealthy)
+	}
+	if h.state == Unhealthy && h.now.Sub(h.good) <= h.pace.Ill {
+		h.turn(Healthy)
+	}
+}
+
+func (h *Hand) onAsk(from mark.Addr, a Ask) {
+	if !h.heeds(from, a.Top) || !h.ready() {
+		return
+	}
+	list := []Run{}
+	for _, l := range h.sorted() {
+		if !l.settled {
+			list = append(list, Run{l.job.Leg, l.job.Room})
+		}
+	}
+	h.say(from, word.Account, Account{h.term, h.shard, h.id, list, h.told})
+}
+
+func (h *Hand) onOrder(from mark.Addr, o Order) {
+	if !h.heeds(from, o.Top) {
+		return
+	}
+	l := h.legs[o.Job.Leg]
+	_, seen := h.seen[o.Job.Leg]
+	if l != nil || seen {
+		return
+	}
+	h.seen[o.Job.Leg] = max(o.Until, h.now).Add(h.pace.Loss)
+	why := h.refuse(o)
+	if why == "" {
+		h.legs[o.Job.Leg] = &leg{job: o.Job, part: waiting, until: min(o.Until, h.until)}
+		h.news = true
+	}
+	h.say(from, word.Ordered, Ordered{h.term, h.shard, h.id, o.Job.Leg, why})
+}
+
+// refuse gives the reason why an order may not be taken, or nothing.
+func (h *Hand) refuse(o Order) string {
+	free := h.rep.Room
+	twin := false
+	for _, l := range h.legs {
+		if l.part != ended {
+			free = free.Minus(l.job.Room)
+			twin = twin || l.job.Leg.Task == o.Job.Leg.Task
+		}
+	}
+	for _, c := range []struct {
+		bad bool
+		why string
+	}{
+		{o.Seq < h.seq, "sent before the latest query"},
+		{h.now >= o.Until || h.now >= h.until, "grant has lapsed"},
+		{h.state != Healthy, "ward is " + string(h.state)},
+		{!h.rep.Sound, "worker is silent"},
+		{h.rep.Leaving, "worker is leaving"},
+		{!slices.Contains(h.rep.Kinds, o.Job.Kind), "worker has not this kind"},
+		{o.Job.Rack != "" && o.Job.Rack != h.rep.Rack, "worker is in another rack"},
+		{twin, "another leg of the task is here"},
+		{!free.Holds(o.Job.Room), "no room"},
+	} {
+		if c.bad {
+			return c.why
+		}
+	}
+	return ""
+}
+
+// onQuery answers which of the legs asked about do not run here; from now on
+// orders sent before it are refused.
+func (h *Hand) onQuery(from mark.Addr, q Query) {
+	if !h.heeds(from, q.Top) || q.Seq <= h.seq {
+		return
+	}
+	h.seq = q.Seq
+	var idle []store.End
+	for _, l := range q.Legs {
+		if h.legs[l] == nil {
+			h.legs[l] = &leg{job: Job{Leg: l}, part: ended, fate: store.Unrun}
+			idle = append(idle, store.End{Leg: l, Fate: store.Unrun})
+		}
+	}
+	if idle != nil {
+		h.status = never
+	}
+	h.say(from, word.Queried, Queried{h.term, h.shard, h.id, q.Seq})
+}
+
+func (h *Hand) onSettled(from mark.Addr, s Settled) {
+	if !h.heeds(from, s.Top) {
+		return
+	}
+	for _, k := range s.Legs {
+		if l := h.legs[k]; l != nil && l.part == ended {
+			l.settled, h.news = true, true
+			if h.worker == "" {
+				delete(h.legs, k)
+			}
+		}
+	}
+}
+
+func (h *Hand) onStop(from mark.Addr, s Stop) {
+	if !h.heeds(from, s.Top) {
+		return
+	}
+	for _, k := range s.Legs {
+		if l := h.legs[k]; l != nil {
+			h.halt(l)
+		} else {
+			h.legs[k] = &leg{job: Job{Leg: k}, part: ended, fate: store.Unrun}
+			h.seen[k], h.status = h.now.Add(2*h.pace.Loss), never
+		}
+	}
+}
+
+func (h *Hand) onQuit(from mark.Addr, q Quit) {
+	if h.heeds(from, q.Top) {
+		h.turn(MustDie)
+	}
+}
+
+func heed[T any](f func(*Hand, mark.Addr, T)) func(*Hand, word.Note) {
+	return func(h *Hand, n word.Note) {
+		if b, ok := word.Read[T](n); ok {
+			f(h, n.From, b)
+		}
+	}
+}
+
+var hands = map[string]func(*Hand, word.Note){
+	word.Beaten:  heed((*Hand).onBeaten),
+	word.AskRun:  heed((*Hand).onAsk),
+	word.Order:   heed((*Hand).onOrder),
+	word.Query:   heed((*Hand).onQuery),
+	word.Settled: heed((*Hand).onSettled),
+	word.Stop:    heed((*Hand).onStop),
+	word.Quit:    heed((*Hand).onQuit),
+}
+
+// Take handles a scheduler's note.
+func (h *Hand) Take(now mark.Stamp, n word.Note) {
+	h.now = now
+	if f := hands[n.Kind]; f != nil {
+		f(h, n)
+	}
+}
--- /dev/null
+++ b/truth/poll.go
@@ -0,0 +1,151 @@
+// What a ward and its worker say. The worker calls, again and again; the ward
+// answers at once when there is news and otherwise after a short hold. Calls
+// are numbered: an answer counts only for the worker's latest call, and a call
+// older than the ward's latest is let fall. So a leg that was in an answer and
+// is not in the next call was not started and never will be.
+package truth
+
+import (
+	"time"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+)
+
+// Poll is the worker's call.
+type Poll struct {
+	Worker mark.ID     `json:"worker"`
+	Ward   mark.ID     `json:"ward"`
+	Call   uint64      `json:"call"`
+	Stamp  mark.Stamp  `json:"stamp"`
+	Rack   mark.Rack   `json:"rack"`
+	Kinds  []mark.Kind `json:"kinds"`
+	Room   mark.Room   `json:"room"`
+	Leave  bool        `json:"leaving"`
+	Runs   []Run       `json:"running"`
+	Ends   []Finish    `json:"ended"`
+}
+
+// Finish is an ended leg that the worker keeps until it is settled.
+type Finish struct {
+	Run
+	Fate store.Fate `json:"fate"`
+}
+
+// Answer is what the ward answers. Until is on the worker's own clock: past it
+// the worker stops everything by itself.
+type Answer struct {
+	Ward    mark.ID    `json:"ward"`
+	Call    uint64     `json:"call"`
+	Until   mark.Stamp `json:"until"`
+	Start   []Job      `json:"start"`
+	Stop    []mark.Leg `json:"stop"`
+	Settled []mark.Leg `json:"settled"`
+}
+
+// Poll takes a worker's call; false means that it is not to be answered.
+func (h *Hand) Poll(now mark.Stamp, p Poll) bool {
+	h.now = now
+	if p.Worker != h.worker {
+		if h.worker != "" && now.Sub(h.given) <= h.pace.Worker {
+			return false
+		}
+		h.fresh(p)
+	} else if p.Call <= h.call {
+		return false
+	}
+	h.call, h.heard, h.stamp, h.told = p.Call, now, p.Stamp, true
+	h.rep = Report{Rack: p.Rack, Kinds: p.Kinds, Room: p.Room, Leaving: p.Leave, Sound: true}
+	runs := map[mark.Leg]bool{}
+	for _, r := range p.Runs {
+		runs[r.Leg] = true
+		l := h.legs[r.Leg]
+		if l == nil {
+			l = &leg{job: Job{Leg: r.Leg, Room: r.Room}, part: going, from: now}
+			h.legs[r.Leg] = l
+		}
+		if l.part == waiting {
+			l.part, l.from = going, now
+		}
+		l.ghost = l.part == ended
+	}
+	for _, e := range p.Ends {
+		l := h.legs[e.Leg]
+		if l == nil {
+			l = &leg{job: Job{Leg: e.Leg, Room: e.Room}, part: going}
+			h.legs[e.Leg] = l
+		}
+		if l.part != ended || e.Fate == store.OK && l.fate != store.OK {
+			l.settled = false
+			h.finish(l, e.Fate)
+		}
+		l.ghost, runs[e.Leg] = false, true
+	}
+	for _, l := range h.sorted() {
+		if runs[l.job.Leg] {
+			continue
+		}
+		switch {
+		case l.part == going, l.part == halting && l.from != 0:
+			h.finish(l, store.Gone)
+		case l.part == halting:
+			h.finish(l, store.Unrun)
+		case l.part == waiting && now >= l.until:
+			h.finish(l, store.Unrun)
+		case l.part == ended && l.settled:
+			delete(h.legs, l.job.Leg)
+		}
+	}
+	return true
+}
+
+// fresh takes another worker process in place of the last, all of whose legs
+// have ended with it.
+func (h *Hand) fresh(p Poll) {
+	for _, l := range h.sorted() {
+		if l.part != ended {
+			h.finish(l, store.Gone)
+		}
+		if l.settled {
+			delete(h.legs, l.job.Leg)
+		}
+	}
+	if h.worker == "" {
+		h.past = p.Ward
+	}
+	h.worker = p.Worker
+}
+
+// Reply makes the answer to the worker's latest call.
+func (h *Hand) Reply(now mark.Stamp) Answer {
+	h.now, h.news = now, false
+	left := min(h.pace.Worker, h.until.Sub(now))
+	if h.state == MustDie || left < 0 {
+		left = 0
+	}
+	a := Answer{Ward: h.id, Call: h.call, Until: h.stamp.Add(left)}
+	if left > 0 {
+		h.given = max(h.given, now.Add(left-h.pace.Worker))
+	}
+	for _, l := range h.sorted() {
+		switch {
+		case l.part == waiting && left > 0 && now < l.until:
+			a.Start = append(a.Start, l.job)
+			l.shown = true
+		case l.part == halting, l.ghost:
+			a.Stop = append(a.Stop, l.job.Leg)
+		case l.part == ended && l.settled:
+			a.Settled = append(a.Settled, l.job.Leg)
+		}
+	}
+	return a
+}
+
+// News tells whether the worker's call should be answered now.
+func (h *Hand) News() bool { return h.news }
+
+// lapsed is true when the worker's last grant has surely ended.
+func (h *Hand) lapsed() bool { return h.now.Sub(h.given) > h.pace.Worker }
+
+// Worker gives the time since the worker's last call.
+func (h *Hand) Quiet(now mark.Stamp) time.Duration { return now.Sub(h.heard) }
--- /dev/null
+++ b/truth/say.go
@@ -0,0 +1,162 @@
+// Package truth is the dispatcher after the Bistro worker protocol: Head is the
+// scheduler's half and Hand the half beside each worker. Both run one health
+// machine with equal timeouts. What is added to the paper: every message of the
+// scheduler carries its term, and every permission to run ends at a stamp that
+// its receiver made itself. This file has what the two halves say.
+package truth
+
+import (
+	"encoding/json"
+	"time"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+)
+
+// Soundness is the paper's worker state.
+type Soundness string
+
+const (
+	New       Soundness = "NEW"
+	Unhealthy Soundness = "UNHEALTHY"
+	Healthy   Soundness = "HEALTHY"
+	MustDie   Soundness = "MUST_DIE"
+)
+
+// Pace holds the timings of both halves.
+type Pace struct {
+	Beat   time.Duration // between heartbeats
+	Ill    time.Duration // silence that makes UNHEALTHY
+	Loss   time.Duration // silence that makes MUST_DIE
+	Grant  time.Duration // a ward's grant past its own stamp
+	Worker time.Duration // a worker's grant past its own stamp
+	Again  time.Duration // between repeats of queries, stops and reports
+}
+
+// Defaults are ours; blueprint checks how they hang together.
+var Defaults = Pace{Beat: 300 * time.Millisecond, Ill: time.Second, Loss: 2500 * time.Millisecond,
+	Grant: 2 * time.Second, Worker: 1500 * time.Millisecond, Again: 300 * time.Millisecond}
+
+// Report is what a worker says of itself, and its ward of it.
+type Report struct {
+	Rack    mark.Rack   `json:"rack"`
+	Kinds   []mark.Kind `json:"kinds"`
+	Room    mark.Room   `json:"room"`
+	Leaving bool        `json:"leaving"`
+	Sound   bool        `json:"sound"`
+}
+
+// SetID names a worker set: which leader made it, its version there, its hash.
+type SetID struct {
+	Born mark.Term `json:"born"`
+	Ver  int       `json:"ver"`
+	Hash uint64    `json:"hash"`
+	Size int       `json:"size"`
+}
+
+// Beat is processHeartbeat.
+type Beat struct {
+	Shard mark.Shard `json:"shard"`
+	ID    mark.ID    `json:"id"`
+	Past  mark.ID    `json:"past,omitempty"`
+	Stamp mark.Stamp `json:"stamp"`
+	Set   SetID      `json:"set"`
+	Owed  int        `json:"owed"` // ends told but not yet settled
+	Report
+}
+
+// Top is the part that every message of the scheduler begins with.
+type Top struct {
+	Term mark.Term `json:"term"`
+	To   mark.ID   `json:"to"`
+}
+
+// Beaten answers a beat. Until is the grant's end on the ward's own clock.
+type Beaten struct {
+	Top
+	Stamp mark.Stamp `json:"stamp"`
+	Until mark.Stamp `json:"until"`
+	Known bool       `json:"known"`
+	Set   SetID      `json:"set"`
+}
+
+// Ask is getRunningTasks.
+type Ask struct{ Top }
+
+// Run is one leg as an account tells it.
+type Run struct {
+	Leg  mark.Leg  `json:"leg"`
+	Room mark.Room `json:"room"`
+}
+
+// Account answers Ask. Whole means that the worker itself has told its legs.
+type Account struct {
+	Term  mark.Term  `json:"term"`
+	Shard mark.Shard `json:"shard"`
+	ID    mark.ID    `json:"id"`
+	Runs  []Run      `json:"runs"`
+	Whole bool       `json:"whole"`
+}
+
+// Job is what a leg is to do.
+type Job struct {
+	Leg   mark.Leg        `json:"leg"`
+	Kind  mark.Kind       `json:"kind"`
+	Rack  mark.Rack       `json:"rack,omitempty"`
+	Room  mark.Room       `json:"room"`
+	Limit int             `json:"limit_ms"`
+	Work  json.RawMessage `json:"work,omitempty"`
+}
+
+// Order is runTask.
+type Order struct {
+	Top
+	Seq   mark.Seq   `json:"seq"`
+	Until mark.Stamp `json:"until"`
+	Job   Job        `json:"job"`
+}
+
+// Ordered answers an order.
+type Ordered struct {
+	Term  mark.Term  `json:"term"`
+	Shard mark.Shard `json:"shard"`
+	ID    mark.ID    `json:"id"`
+	Leg   mark.Leg   `json:"leg"`
+	Why   string     `json:"why,omitempty"`
+}
+
+// Query is notifyIfTasksNotRunning.
+type Query struct {
+	Top
+	Seq  mark.Seq   `json:"seq"`
+	Legs []mark.Leg `json:"legs"`
+}
+
+type Queried struct {
+	Term  mark.Term  `json:"term"`
+	Shard mark.Shard `json:"shard"`
+	ID    mark.ID    `json:"id"`
+	Seq   mark.Seq   `json:"seq"`
+}
+
+// Status is updateStatus, of both kinds.
+type Status struct {
+	Shard mark.Shard  `json:"shard"`
+	ID    mark.ID     `json:"id"`
+	Ends  []store.End `json:"ends"`
+}
+
+// Settled tells a ward which ends are committed.
+type Settled struct {
+	Top
+	Legs []mark.Leg `json:"legs"`
+}
+
+// Stop is killTask.
+type Stop struct {
+	Top
+	Legs []mark.Leg `json:"legs"`
+}
+
+// Quit is requestSuicide: the ward stops all legs and comes back as another.
+type Quit struct{ Top }
--- /dev/null
+++ b/truth/watch.go
@@ -0,0 +1,214 @@
+// What the scheduler's half does as time passes: the health machine, the end
+// of the initial wait, unsure legs asked about until none is left, and stops
+// repeated until the end is told.
+package truth
+
+import (
+	"time"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/word"
+)
+
+// Tick lets time pass. Grace is how long the leader's own authority lasts.
+func (h *Head) Tick(now mark.Stamp, grace time.Duration) {
+	h.now, h.grace = now, grace
+	for _, s := range h.Seats() {
+		h.judge(s)
+		if s.State == New {
+			h.ask(s)
+		}
+	}
+	h.chase()
+	if h.Wait {
+		h.wake()
+	}
+}
+
+// judge moves one seat through the health machine.
+func (h *Head) judge(s *Seat) {
+	quiet := h.now.Sub(s.Good)
+	to := s.State
+	switch {
+	case s.State == MustDie:
+		return
+	case quiet > h.pace.Loss:
+		to = MustDie
+	case s.State == New:
+		return
+	case quiet > h.pace.Ill:
+		to = Unhealthy
+	case s.Been || h.permits(s):
+		to, s.Been = Healthy, true
+	default:
+		to = Unhealthy
+	}
+	if to != s.State {
+		s.State, s.Since = to, h.now
+	}
+	if to == MustDie {
+		h.lose(s)
+	}
+}
+
+// lose forgets what a lost worker ran; its grants have lapsed by now.
+func (h *Head) lose(s *Seat) {
+	for _, o := range h.sorted() {
+		if o.Shard == s.Shard {
+			h.drop(o.Leg, store.Lost)
+		}
+	}
+	h.reset()
+	h.say(s, word.Quit, Quit{h.top(s)})
+}
+
+// wake ends the initial wait: by time, when every worker that could still run
+// something has had to stop; or early, when all wards that came carry the same
+// worker set, it is just the set of those that came, and no leg in the log
+// waits to be heard of. The last is more than the paper asks.
+func (h *Head) wake() {
+	late := h.now.Sub(h.born) > h.pace.Loss+h.pace.Beat
+	h.Why = h.short()
+	if !late && h.Why != "" {
+		return
+	}
+	h.Wait, h.Why = false, ""
+	for _, o := range h.sorted() {
+		if o.Phase == dim && h.seats[o.Shard] == nil {
+			h.drop(o.Leg, store.Lost)
+		}
+	}
+}
+
+// short says why the wait can't be cut short, or nothing.
+func (h *Head) short() string {
+	ids, n := map[mark.ID]bool{}, 0
+	for _, s := range h.seats {
+		if s.State != MustDie {
+			ids[s.ID] = true
+			n++
+		}
+	}
+	if n == 0 {
+		return "no ward has come yet"
+	}
+	want := digest(ids)
+	for _, s := range h.Seats() {
+		if s.State == MustDie {
+			continue
+		}
+		if s.State == New {
+			return "ward of " + string(s.Shard) + " has not told what runs"
+		}
+		if s.old.Hash != want || s.old.Size != n {
+			return "the wards do not agree on the worker set"
+		}
+	}
+	for _, o := range h.sorted() {
+		if o.Phase == dim {
+			return "leg " + o.Leg.String() + " on " + string(o.Shard) + " is not heard of"
+		}
+	}
+	return ""
+}
+
+// chase repeats orders' doubts and stops.
+func (h *Head) chase() {
+	ask := map[mark.Shard][]mark.Leg{}
+	for _, o := range h.sorted() {
+		if o.Phase == sent && h.now.Sub(o.At) > h.pace.Again {
+			o.Phase = unsure
+		}
+		if o.Phase == unsure {
+			ask[o.Shard] = append(ask[o.Shard], o.Leg)
+		}
+	}
+	for _, s := range h.Seats() {
+		legs := ask[s.Shard]
+		if len(legs) == 0 || s.State == MustDie || s.State == New || h.now.Sub(s.query) < h.pace.Again {
+			continue
+		}
+		s.query = h.now
+		s.seq++
+		if len(s.quest) > 16 {
+			clear(s.quest)
+		}
+		s.quest[s.seq] = legs
+		h.say(s, word.Query, Query{h.top(s), s.seq, legs})
+	}
+}
+
+// Halt asks for legs to be stopped, again and again until they have ended.
+// Legs of this leadership that were never sent are left alone.
+func (h *Head) Halt(legs []mark.Leg) {
+	by := map[mark.Shard][]mark.Leg{}
+	for _, l := range legs {
+		o := h.holds[l]
+		if o == nil || o.halt != 0 && h.now.Sub(o.halt) < h.pace.Again/2 {
+			continue
+		}
+		o.halt = h.now
+		by[o.Shard] = append(by[o.Shard], l)
+	}
+	for _, s := range h.Seats() {
+		if legs := by[s.Shard]; legs != nil && s.State != MustDie && s.State != New {
+			h.say(s, word.Stop, Stop{h.top(s), legs})
+		}
+	}
+}
+
+// Strays lists legs that a ward runs but the log does not have as given out.
+func (h *Head) Strays() (list []mark.Leg) {
+	for _, o := range h.sorted() {
+		if o.Phase == sure && h.Taken(store.End{Leg: o.Leg, Fate: store.Halted}) {
+			list = append(list, o.Leg)
+		}
+	}
+	return
+}
+
+// Clears tells whether a leg lost on a shard is known not to have ended well
+// there: the worker itself is heard again and all its ends are settled.
+func (h *Head) Clears(shard mark.Shard, l mark.Leg) bool {
+	s := h.seats[shard]
+	return s != nil && (s.State == Healthy || s.State == Unhealthy) && s.Sound && s.whole && s.owed == 0 && h.holds[l] == nil
+}
+
+// Holds lists the legs that possibly run.
+func (h *Head) Holds() []*Hold { return h.sorted() }
+
+// Free is a seat's room less all that possibly runs on it.
+func (h *Head) Free(s *Seat) mark.Room {
+	r := s.Room
+	for _, o := range h.holds {
+		if o.Shard == s.Shard {
+			r = r.Minus(o.Room)
+		}
+	}
+	return r
+}
+
+func take[T any](f func(*Head, mark.Addr, T)) func(*Head, word.Note) {
+	return func(h *Head, n word.Note) {
+		if b, ok := word.Read[T](n); ok {
+			f(h, n.From, b)
+		}
+	}
+}
+
+var heads = map[string]func(*Head, word.Note){
+	word.Beat:    take((*Head).onBeat),
+	word.Account: take((*Head).onAccount),
+	word.Ordered: take((*Head).onOrdered),
+	word.Queried: take((*Head).onQueried),
+	word.Status:  take((*Head).onStatus),
+}
+
+// Take handles a ward's note.
+func (h *Head) Take(now mark.Stamp, grace time.Duration, n word.Note) {
+	h.now, h.grace = now, grace
+	if f := heads[n.Kind]; f != nil {
+		f(h, n)
+	}
+}
--- /dev/null
+++ b/ward/ward.go
@@ -0,0 +1,159 @@
+// Package ward is the daemon beside each worker as one state machine: the
+// dispatcher's half, the roster, and the worker's calls held until there is
+// news for it.
+package ward
+
+import (
+	"encoding/json"
+	"math/rand"
+	"time"
+
+	"coppercourse/fault"
+	"coppercourse/kin"
+	"coppercourse/mark"
+	"coppercourse/trail"
+	"coppercourse/truth"
+	"coppercourse/word"
+)
+
+// Place is where and for which worker a ward runs.
+type Place struct {
+	Addr  mark.Addr
+	Loc   mark.Locality
+	Shard mark.Shard
+	Seeds []mark.Addr
+	Issue string
+	Truth truth.Pace
+}
+
+// hold is how long a worker's call is kept when there is nothing to tell.
+const hold = 150 * time.Millisecond
+
+// Ward is one worker's daemon.
+type Ward struct {
+	place Place
+	now   mark.Now
+	kin   *kin.Roster
+	hand  *truth.Hand
+	Trail *trail.Ring
+	token uint64
+	since mark.Stamp
+	drain bool
+	outs  []word.Answer
+	Sums  Sums
+}
+
+// Sums are counters since start.
+type Sums struct {
+	Polls, Stale, Orders, Stops uint64
+}
+
+func New(now mark.Now, rnd *rand.Rand, p Place) *Ward {
+	w := &Ward{place: p, now: now, Trail: trail.New()}
+	w.hand = truth.NewHand(now.Mono, p.Truth, p.Addr, p.Shard, func() mark.ID {
+		const hex = "0123456789abcdef"
+		b := make([]byte, 12)
+		for i := range b {
+			b[i] = hex[rnd.Intn(16)]
+		}
+		return mark.ID(b)
+	})
+	w.kin = kin.New(rnd, w.card(), p.Seeds)
+	return w
+}
+
+func (w *Ward) card() kin.Card {
+	c := kin.Card{Addr: w.place.Addr, Role: "ward", Loc: w.place.Loc, Part: string(w.place.Shard), Ready: w.Ready(), Issue: w.place.Issue}
+	if w.kin != nil {
+		c.Name = w.kin.Cluster()
+	}
+	return c
+}
+
+// Ready tells whether the ward takes its worker's calls.
+func (w *Ward) Ready() bool { return !w.drain }
+
+// Step takes one event.
+func (w *Ward) Step(e word.Event) word.Out {
+	w.now = e.Now
+	switch {
+	case e.Note != nil:
+		w.take(*e.Note)
+	case e.Ask != nil:
+		w.poll(*e.Ask)
+	case e.Close:
+		w.drain = true
+	default:
+		w.kin.Tick(w.now.Mono)
+		w.hand.Tick(w.now.Mono, w.kin.Lead())
+	}
+	if w.token != 0 && (w.hand.News() || w.drain || w.now.Mono.Sub(w.since) >= hold) {
+		w.outs = append(w.outs, word.Answer{Token: w.token, Code: 200, Body: word.Body(w.hand.Reply(w.now.Mono))})
+		w.token = 0
+	}
+	w.kin.Me(w.card())
+	out := word.Out{Sends: append(w.hand.Out(), w.kin.Out()...), Answers: w.outs, Idle: w.drain && w.token == 0}
+	w.outs = nil
+	return out
+}
+
+func (w *Ward) take(n word.Note) {
+	if w.kin.Take(w.now.Mono, n) {
+		return
+	}
+	w.hand.Take(w.now.Mono, n)
+	switch n.Kind {
+	case word.Order:
+		w.Sums.Orders++
+		if o, ok := word.Read[truth.Order](n); ok {
+			w.Trail.Add(w.now.Wall, trail.Job(o.Job.Leg.Job), "order came", "leg", o.Job.Leg)
+		}
+	case word.Stop:
+		w.Sums.Stops++
+		if s, ok := word.Read[truth.Stop](n); ok {
+			for _, l := range s.Legs {
+				w.Trail.Add(w.now.Wall, trail.Job(l.Job), "stop came", "leg", l)
+			}
+		}
+	}
+}
+
+// poll takes a worker's call; the one held before it is answered as stale.
+func (w *Ward) poll(a word.Ask) {
+	w.Sums.Polls++
+	var p truth.Poll
+	if a.Verb != "poll" || json.Unmarshal(a.Body, &p) != nil || p.Worker == "" {
+		w.outs = append(w.outs, word.Answer{Token: a.Token, Fault: fault.New(fault.BadBody, "", "not a worker's call")})
+		return
+	}
+	if w.token != 0 {
+		w.outs = append(w.outs, word.Answer{Token: w.token, Fault: fault.New(fault.Stale, "call", "a newer call has come")})
+		w.token = 0
+	}
+	if !w.hand.Poll(w.now.Mono, p) {
+		w.Sums.Stale++
+		w.outs = append(w.outs, word.Answer{Token: a.Token, Fault: fault.New(fault.Stale, "call", "older than the latest call, or another worker still holds a grant")})
+		return
+	}
+	for _, e := range p.Ends {
+		w.Trail.Add(w.now.Wall, trail.Job(e.Leg.Job), "worker told an end", "leg", e.Leg, "fate", e.Fate)
+	}
+	w.token, w.since = a.Token, w.now.Mono
+}
+
+// StatusView is a ward's account of itself.
+type StatusView struct {
+	Role    string     `json:"role"`
+	Program string     `json:"program"`
+	Ready   bool       `json:"ready"`
+	Leader  mark.Addr  `json:"leader"`
+	QuietMS int64      `json:"worker_quiet_ms"`
+	Account truth.View `json:"account"`
+	Mates   []kin.Mate `json:"mates"`
+	Sums    Sums       `json:"sums"`
+}
+
+func (w *Ward) Status() StatusView {
+	return StatusView{Role: "ward", Program: w.place.Issue, Ready: w.Ready(), Leader: w.kin.Lead(),
+		QuietMS: min(1<<40, w.hand.Quiet(w.now.Mono).Milliseconds()), Account: w.hand.View(), Mates: w.kin.Mates(), Sums: w.Sums}
+}
--- /dev/null
+++ b/word/step.go
@@ -0,0 +1,78 @@
+// The shape of every state machine: one event in, and out of it what to send,
+// to write and to answer. Machines do no I/O and read no clock; the daemon's
+// shell and the simulator carry the same machines.
+package word
+
+import (
+	"encoding/json"
+
+	"coppercourse/fault"
+	"coppercourse/mark"
+)
+
+// Event is one input. With nothing set it only tells that time has passed.
+type Event struct {
+	Now    mark.Now
+	Note   *Note
+	Ask    *Ask
+	Synced uint64
+	Close  bool
+}
+
+// Ask is a request read from outside, to be answered under its token.
+type Ask struct {
+	Token uint64
+	Verb  string
+	Arg   string
+	Body  json.RawMessage
+}
+
+// Answer ends an ask: a body, or a fault.
+type Answer struct {
+	Token uint64
+	Code  int
+	Body  json.RawMessage
+	Fault *fault.Fault
+}
+
+// Out is what a step wants done. Batch is one group of records to sync as
+// number Seq; Whole puts it in place of the file.
+type Out struct {
+	Sends   []Send
+	Batch   [][]byte
+	Seq     uint64
+	Whole   bool
+	Answers []Answer
+	Idle    bool // closing, and nothing is left to do
+}
+
+// Machine is what shells carry.
+type Machine interface {
+	Step(Event) Out
+}
+
+// Body writes a value for an answer.
+func Body(v any) json.RawMessage {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// CallBody is a caller's request as a gate hands it over, ReplyBody its answer.
+type CallBody struct {
+	ID   uint64          `json:"id"`
+	Verb string          `json:"verb"`
+	Arg  string          `json:"arg,omitempty"`
+	Body json.RawMessage `json:"body,omitempty"`
+}
+
+type ReplyBody struct {
+	ID    uint64          `json:"id"`
+	Code  int             `json:"code"`
+	Body  json.RawMessage `json:"body,omitempty"`
+	Fault *fault.Fault    `json:"fault,omitempty"`
+	Lead  mark.Addr       `json:"lead,omitempty"`
+	Away  bool            `json:"away,omitempty"` // not the leader; ask Lead
+}
--- /dev/null
+++ b/word/word.go
@@ -0,0 +1,68 @@
+// Package word holds what the system's own processes say to each other. Every
+// message is one way and carries its sender's advertised address; an answer is
+// another message. Bodies are JSON and unknown fields are let pass, so that
+// daemons of mixed editions understand each other. Several notes may share one
+// HTTP request.
+package word
+
+import (
+	"encoding/json"
+
+	"coppercourse/mark"
+)
+
+type Note struct {
+	From mark.Addr       `json:"from"`
+	Kind string          `json:"kind"`
+	Body json.RawMessage `json:"body"`
+}
+
+// Send is a note and where it goes.
+type Send struct {
+	To   mark.Addr
+	Note Note
+}
+
+// Make builds a send; a body that cannot be written is a defect of ours.
+func Make(from, to mark.Addr, kind string, body any) Send {
+	b, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	return Send{To: to, Note: Note{From: from, Kind: kind, Body: b}}
+}
+
+// Read gives the body as a type, and false for one that does not fit.
+func Read[T any](n Note) (t T, ok bool) {
+	return t, json.Unmarshal(n.Body, &t) == nil
+}
+
+// The kinds of note.
+const (
+	Hello   = "hello"   // kin: who is there
+	Found   = "found"   // accord: founding of a cluster
+	Join    = "join"    // accord: an empty member asks in
+	Ballot  = "ballot"  // accord: asks for a vote
+	Vote    = "vote"    // accord: answers a ballot
+	Append  = "append"  // accord: entries, or none
+	Append2 = "taken"   // accord: answers append
+	Snap    = "snap"    // accord: a whole state
+	Heir    = "heir"    // accord: the holder names its successor
+	Gone    = "gone"    // accord: a member is told that it is out
+	Beat    = "beat"    // truth: processHeartbeat
+	Beaten  = "beaten"  // truth: its answer
+	AskRun  = "ask"     // truth: getRunningTasks
+	Account = "account" // truth: its answer
+	Order   = "order"   // truth: runTask
+	Ordered = "ordered" // truth: its answer
+	Query   = "query"   // truth: notifyIfTasksNotRunning
+	Queried = "queried" // truth: its answer
+	Status  = "status"  // truth: updateStatus
+	Settled = "settled" // truth: its answer, once committed
+	Stop    = "stop"    // truth: killTask
+	Quit    = "quit"    // truth: requestSuicide, for one instance
+	Call    = "call"    // gate: hands over a caller's request
+	Reply   = "reply"   // helm: its answer
+	News    = "news"    // news: asks with the edition held
+	Told    = "told"    // news: its answer
+)
