--- a/cmd/trial/sweep.go
+++ b/cmd/trial/sweep.go
@@ -38,7 +38,7 @@
 	c.Flag("after", "Traffic after they are healed.").Default("24s").DurationVar(&s.plan.After)
 	c.Flag("settle", "Time for everything to end.").Default("90s").DurationVar(&s.plan.Settle)
 	c.Flag("last", "One more fault at the very end of the traffic.").BoolVar(&s.plan.Last)
-	c.Flag("verbose", "Print each run, and the troubles of those that break a rule.").Short('v').BoolVar(&s.verbose)
+	c.Flag("verbose", "Print each run; with one seed, its time line.").Short('v').BoolVar(&s.verbose)
 	runs["sweep"] = s.run
 }
 
@@ -93,6 +93,9 @@
 	if s.verbose || len(v.Breaks) > 0 {
 		fmt.Printf("seed %d: ratio %.2f, %s\n", seed, v.Ratio, trial.Summary(&r.Hist))
 	}
+	if s.seeds == 1 && s.verbose {
+		fmt.Println(trial.Timeline(&r.Hist))
+	}
 	if len(v.Breaks) == 0 {
 		return
 	}
@@ -102,11 +105,4 @@
 			fmt.Printf("  %s\n", b)
 		}
 	}
-	if s.verbose {
-		for _, h := range r.Hist.List {
-			if h.What == trial.Trouble {
-				fmt.Printf("    %8.3f s %s\n", float64(h.At)/1e9, h.Text)
-			}
-		}
-	}
 }
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -193,6 +193,7 @@
 			panic(err)
 		}
 		legs, bad := h.state.Apply(f)
+		h.core.Wind(h.state.Tick)
 		h.told(f, e.Index)
 		w, ok := h.waits[e.Index]
 		delete(h.waits, e.Index)
--- a/trial/verdict.go
+++ b/trial/verdict.go
@@ -4,9 +4,13 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 	"time"
 )
 
+// Near is the part of the calm's rate that service must have come back to.
+const Near = 0.75
+
 // Verdict is what one run showed.
 type Verdict struct {
 	Breaks []Break
@@ -30,6 +34,9 @@
 	heal := 6*time.Second + p.Calm + p.Storm + 12*time.Second
 	if calm > 0 && p.After > 12*time.Second {
 		v.Ratio = Rate(&r.Hist, int64(heal), int64(heal+p.After-12*time.Second)) / calm
+		if v.Ratio < Near {
+			v.Breaks = append(v.Breaks, Break{"recovery", int64(heal), fmt.Sprintf("%.2f of the jobs done a second before the faults", v.Ratio)})
+		}
 	}
 	return
 }
@@ -42,3 +49,35 @@
 	sort.Float64s(list)
 	return fmt.Sprintf("least %.2f, median %.2f, most %.2f of %d", list[0], list[len(list)/2], list[len(list)-1], len(list))
 }
+
+// Timeline tells, two seconds a line, how many jobs were sent, accepted, seen
+// done, and legs started, with the troubles that began.
+func Timeline(h *History) string {
+	const step = int64(2e9)
+	type row struct {
+		n    map[What]int
+		done int
+		text []string
+	}
+	var rows []row
+	seen := map[string]bool{}
+	for _, x := range h.List {
+		for int64(len(rows)) <= x.At/step {
+			rows = append(rows, row{n: map[What]int{}})
+		}
+		r := &rows[x.At/step]
+		r.n[x.What]++
+		if x.What == Saw && x.Stage == "done" && !seen[string(x.Job)] {
+			seen[string(x.Job)] = true
+			r.done++
+		}
+		if x.What == Trouble || x.What == Healed {
+			r.text = append(r.text, fmt.Sprintf("%.1f %s %s", float64(x.At)/1e9, x.What, x.Text))
+		}
+	}
+	var b strings.Builder
+	for i, r := range rows {
+		fmt.Fprintf(&b, "%4d s sent %3d accepted %3d started %3d done %3d  %s\n", i*2, r.n[Sent], r.n[Accepted], r.n[Started], r.done, strings.Join(r.text, "; "))
+	}
+	return b.String()
+}
