--- a/cmd/trial/main.go
+++ b/cmd/trial/main.go
@@ -15,6 +15,7 @@
 	app.HelpFlag.Short('h')
 	runs := map[string]func() error{}
 	sweep(app, runs)
+	fleet(app, runs)
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := runs[name](); err != nil {
 		fmt.Fprintln(os.Stderr, "trial: "+strings.ReplaceAll(err.Error(), "\n", "\ntrial: "))
--- /dev/null
+++ b/trial/day.go
@@ -0,0 +1,250 @@
+// A fleet's day: traffic, faults at set times, and the account at its end.
+package trial
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Event is one fault of a day: its name, when it comes, and how long it lasts.
+type Event struct {
+	Name string
+	At   time.Duration
+	Long time.Duration
+}
+
+// ParseEvents reads faults as name@at+long, by comma.
+func ParseEvents(s string) (list []Event, err error) {
+	for _, one := range strings.FieldsFunc(s, func(r rune) bool { return r == ',' }) {
+		name, rest, ok := strings.Cut(one, "@")
+		at, long, ok2 := strings.Cut(rest, "+")
+		e := Event{Name: name}
+		if ok && ok2 {
+			if e.At, err = time.ParseDuration(at); err == nil {
+				e.Long, err = time.ParseDuration(long)
+			}
+		}
+		if !ok || !ok2 || err != nil || days[name] == nil {
+			return nil, fmt.Errorf("fault %q: want name@at+long, with a name of: %s", one, strings.Join(DayNames(), ", "))
+		}
+		list = append(list, e)
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].At < list[k].At })
+	return
+}
+
+// DayNames lists the faults a fleet knows.
+func DayNames() (list []string) {
+	for n := range days {
+		list = append(list, n)
+	}
+	sort.Strings(list)
+	return
+}
+
+type day func(f *Fleet, s *Street) (end func())
+
+func dayKill(pick func(*Fleet, *Street) []*proc, wipe bool) day {
+	return func(f *Fleet, s *Street) func() {
+		list := pick(f, s)
+		for _, p := range list {
+			f.kill(p)
+		}
+		return func() {
+			for _, p := range list {
+				if wipe {
+					os.RemoveAll(filepath.Join(f.Dir, p.name+".data"))
+				}
+				f.launch(p)
+			}
+		}
+	}
+}
+
+func dayFreeze(pick func(*Fleet, *Street) []*proc) day {
+	return func(f *Fleet, s *Street) func() {
+		list := pick(f, s)
+		for _, p := range list {
+			f.freeze(p, true)
+		}
+		return func() {
+			for _, p := range list {
+				f.freeze(p, false)
+			}
+		}
+	}
+}
+
+// dayCut cuts the picked processes from all others, or from some.
+func dayCut(pick func(*Fleet, *Street) []*proc, from func(*Fleet, *proc) bool) day {
+	return func(f *Fleet, s *Street) func() {
+		in := map[*proc]bool{}
+		for _, p := range pick(f, s) {
+			in[p] = true
+		}
+		set := func(on bool) {
+			for _, a := range f.procs {
+				for _, b := range f.procs {
+					if in[a] && !in[b] && from(f, b) {
+						f.net.Cut(a.ip, b.ip, on)
+						f.net.Cut(b.ip, a.ip, on)
+					}
+				}
+			}
+		}
+		set(true)
+		return func() { set(false) }
+	}
+}
+
+func lead(f *Fleet, _ *Street) []*proc {
+	if p := f.leader(); p != nil {
+		return []*proc{p}
+	}
+	return nil
+}
+
+func some(role string) func(*Fleet, *Street) []*proc {
+	return func(f *Fleet, s *Street) []*proc {
+		list := f.of(role)
+		return []*proc{list[s.chance(len(list))]}
+	}
+}
+
+func zone(f *Fleet, s *Street) (list []*proc) {
+	z := Zone(s.chance(3))
+	for _, p := range f.procs {
+		if p.loc == z {
+			list = append(list, p)
+		}
+	}
+	return
+}
+
+func machine(f *Fleet, s *Street) []*proc {
+	i := s.chance(11) + 1
+	return []*proc{f.by[fmt.Sprintf("ward%d", i)], f.by[fmt.Sprintf("worker%d", i)]}
+}
+
+func helms(f *Fleet, _ *Street) []*proc { return f.of("helm") }
+
+func all(*Fleet, *proc) bool        { return true }
+func isHelm(_ *Fleet, p *proc) bool { return p.role == "helm" }
+
+// restart warns a process, as the platform does, and starts it again.
+func restart(f *Fleet, p *proc) {
+	p.signal(syscall.SIGTERM)
+	until := time.Now().Add(6 * time.Second)
+	for time.Now().Before(until) && p.cmd.ProcessState == nil {
+		time.Sleep(20 * time.Millisecond)
+	}
+	p.signal(syscall.SIGKILL)
+	f.launch(p)
+}
+
+var days = map[string]day{
+	"kill-leader":    dayKill(lead, false),
+	"kill-helm":      dayKill(some("helm"), false),
+	"kill-core":      dayKill(helms, false),
+	"wipe-helm":      dayKill(some("helm"), true),
+	"kill-gate":      dayKill(some("gate"), false),
+	"kill-ward":      dayKill(some("ward"), false),
+	"kill-worker":    dayKill(some("worker"), false),
+	"kill-machine":   dayKill(machine, false),
+	"freeze-leader":  dayFreeze(lead),
+	"freeze-ward":    dayFreeze(some("ward")),
+	"freeze-worker":  dayFreeze(some("worker")),
+	"freeze-machine": dayFreeze(machine),
+	"cut-zone":       dayCut(zone, all),
+	"cut-leader":     dayCut(lead, all),
+	"cut-core":       dayCut(lead, isHelm),
+	"cut-ward":       dayCut(some("ward"), all),
+	"cut-worker":     dayCut(some("worker"), all),
+	"stop-leader": func(f *Fleet, s *Street) func() {
+		for _, p := range lead(f, s) {
+			restart(f, p)
+		}
+		return func() {}
+	},
+	"roll-all": func(f *Fleet, s *Street) func() {
+		for _, role := range []string{"helm", "gate", "ward"} {
+			for _, p := range f.of(role) {
+				restart(f, p)
+				f.Ready(10 * time.Second)
+			}
+		}
+		return func() {}
+	},
+}
+
+// Live runs the day: traffic for so long, with the events, then quiet.
+func (f *Fleet) Live(s *Street, long time.Duration, list []Event) error {
+	from := time.Now()
+	go s.Watch()
+	for _, fl := range f.Town.Flows {
+		go s.Flow(fl)
+	}
+	go s.Races()
+	type ending struct {
+		at time.Time
+		do func()
+	}
+	var ends []ending
+	wait := func(until time.Time) {
+		for len(ends) > 0 && !ends[0].at.After(until) {
+			time.Sleep(time.Until(ends[0].at))
+			ends[0].do()
+			f.Tell(Happening{What: Healed})
+			ends = ends[1:]
+		}
+		time.Sleep(time.Until(until))
+	}
+	for _, e := range list {
+		wait(from.Add(e.At))
+		f.Tell(Happening{What: Trouble, Text: fmt.Sprintf("%s for %s", e.Name, e.Long)})
+		ends = append(ends, ending{time.Now().Add(e.Long), days[e.Name](f, s)})
+		sort.Slice(ends, func(i, k int) bool { return ends[i].at.Before(ends[k].at) })
+	}
+	wait(from.Add(long))
+	if len(ends) > 0 {
+		wait(ends[len(ends)-1].at)
+	}
+	if !s.Close(75 * time.Second) {
+		return fmt.Errorf("jobs were still not seen ended 75 s after the traffic")
+	}
+	return nil
+}
+
+// Quantiles tells some of a list of times in ms.
+func Quantiles(list []float64) string {
+	if len(list) == 0 {
+		return "none"
+	}
+	sort.Float64s(list)
+	at := func(q float64) float64 { return list[int(q*float64(len(list)-1))] }
+	return fmt.Sprintf("p50 %.0f ms, p90 %.0f ms, p99 %.0f ms, most %.0f ms of %d", at(.5), at(.9), at(.99), list[len(list)-1], len(list))
+}
+
+// Report prints the day and gives its broken rules.
+func (f *Fleet) Report(s *Street) ([]Break, error) {
+	end := time.Since(f.start).Nanoseconds()
+	if err := f.gather(); err != nil {
+		return nil, err
+	}
+	breaks, untold := Check(&f.Hist, Rules, end, 3, 30*time.Second)
+	for _, h := range f.Hist.List {
+		if h.What == Dropped {
+			breaks = append(breaks, Break{"dropped", h.At, "a request that was read got no answer: " + h.Who + ": " + h.Text})
+		}
+	}
+	fmt.Print(Timeline(&f.Hist))
+	fmt.Printf("%s\n", Summary(&f.Hist))
+	fmt.Printf("accepted after: %s\nseen done after: %s\n", Quantiles(s.Takes), Quantiles(s.Ends))
+	fmt.Printf("refusals on the way: %v; re-runs after an end nobody could be told of: %d\n", s.Denials, untold)
+	return breaks, nil
+}
--- /dev/null
+++ b/trial/fleet.go
@@ -0,0 +1,271 @@
+// A fleet of real processes on one machine: the daemons of a town, a worker
+// process beside each ward, relays before all of them, and callers.
+package trial
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"sync"
+	"syscall"
+	"time"
+
+	"coppercourse/mark"
+)
+
+// proc is one process of the fleet.
+type proc struct {
+	name string
+	role string
+	loc  mark.Locality
+	ip   string // where it listens, and from where it calls
+	addr string // by which others reach it
+	args []string
+	bin  string
+	gen  int
+	cmd  *exec.Cmd
+	down bool
+	ice  bool
+}
+
+// Fleet is the whole of them.
+type Fleet struct {
+	Town   Town
+	Dir    string
+	Bin    string // the coppercourse program
+	Self   string // the trial program, for workers
+	Port   int
+	net    *Net
+	procs  []*proc
+	by     map[string]*proc
+	mu     sync.Mutex
+	Hist   History
+	ctx    context.Context
+	start  time.Time
+	client *http.Client
+}
+
+// Open lays the fleet out and starts it.
+func (f *Fleet) Open(ctx context.Context) error {
+	f.ctx, f.net, f.by, f.start = ctx, NewNet(), map[string]*proc{}, time.Now()
+	f.client = &http.Client{Timeout: 2 * time.Second}
+	if err := os.MkdirAll(f.Dir, 0o755); err != nil {
+		return err
+	}
+	for i := range 3 {
+		f.daemon("helm", i, "--data", filepath.Join(f.Dir, fmt.Sprintf("helm%d.data", i+1)))
+	}
+	for i := range 4 {
+		f.daemon("gate", i)
+	}
+	for i, m := range f.Town.Workers() {
+		w := f.daemon("ward", i, "--shard", string(m.Shard))
+		b, err := json.Marshal(m)
+		if err != nil {
+			return err
+		}
+		f.add(&proc{name: fmt.Sprintf("worker%d", i+1), role: "worker", loc: Zone(i), ip: fmt.Sprintf("127.0.17.%d", i+1), bin: f.Self,
+			args: []string{"worker", "--ward", w.addr, "--source", fmt.Sprintf("127.0.17.%d", i+1), "--make", string(b)}})
+	}
+	for _, p := range f.procs {
+		if p.role == "worker" {
+			continue
+		}
+		if err := f.net.Relay(ctx, p.addr, fmt.Sprintf("%s:%d", p.ip, f.Port)); err != nil {
+			return err
+		}
+	}
+	for _, p := range f.procs {
+		if err := f.launch(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) add(p *proc) {
+	f.procs = append(f.procs, p)
+	f.by[p.name] = p
+}
+
+func (f *Fleet) daemon(role string, i int, more ...string) *proc {
+	part := map[string]int{"helm": 11, "gate": 13, "ward": 15}[role]
+	p := &proc{name: fmt.Sprintf("%s%d", role, i+1), role: role, loc: Zone(i), ip: fmt.Sprintf("127.0.%d.%d", part, i+1),
+		addr: fmt.Sprintf("127.0.%d.%d:%d", part+1, i+1, f.Port), bin: f.Bin}
+	seed := func(part int) string { return fmt.Sprintf("127.0.%d.1:%d", part, f.Port) }
+	p.args = append([]string{role, "--listen", fmt.Sprintf("%s:%d", p.ip, f.Port), "--address", p.addr, "--source", p.ip,
+		"--locality", string(p.loc), "--seed", seed(12), "--seed", seed(14), "--seed", seed(16)}, more...)
+	f.add(p)
+	return p
+}
+
+// launch starts a process; its log and, for a worker, its history go to files.
+func (f *Fleet) launch(p *proc) error {
+	p.gen++
+	args := p.args
+	log, err := os.OpenFile(filepath.Join(f.Dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	if p.role == "worker" {
+		args = append(args[:len(args):len(args)], "--id", f.id(p), "--history", filepath.Join(f.Dir, p.name+".history"))
+	}
+	p.cmd = exec.Command(p.bin, args...)
+	p.cmd.Stderr, p.cmd.Stdout = log, log
+	p.down, p.ice = false, false
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	cmd := p.cmd
+	go cmd.Wait()
+	return nil
+}
+
+func (f *Fleet) id(p *proc) string { return fmt.Sprintf("%s.%d", p.name, p.gen) }
+
+// Tell adds to the history what the fleet itself sees.
+func (f *Fleet) Tell(h Happening) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h.At = time.Since(f.start).Nanoseconds()
+	f.Hist.Add(h)
+}
+
+func (p *proc) signal(s syscall.Signal) {
+	if p.cmd != nil && p.cmd.Process != nil {
+		p.cmd.Process.Signal(s)
+	}
+}
+
+func (f *Fleet) kill(p *proc) {
+	p.signal(syscall.SIGKILL)
+	p.down = true
+	if p.role == "worker" {
+		f.Tell(Happening{What: Died, Who: f.id(p), Shard: f.shard(p)})
+	}
+}
+
+func (f *Fleet) shard(p *proc) mark.Shard {
+	var i int
+	fmt.Sscanf(p.name, "worker%d", &i)
+	return mark.Shard(fmt.Sprintf("k%d", i))
+}
+
+func (f *Fleet) freeze(p *proc, on bool) {
+	what, sig := Froze, syscall.SIGSTOP
+	if !on {
+		what, sig = Thawed, syscall.SIGCONT
+	}
+	if p.role == "worker" && !on {
+		f.Tell(Happening{What: what, Who: f.id(p), Shard: f.shard(p)})
+	}
+	p.signal(sig)
+	if p.role == "worker" && on {
+		f.Tell(Happening{What: what, Who: f.id(p), Shard: f.shard(p)})
+	}
+	p.ice = on
+}
+
+// Shut stops all processes of the fleet, and only those.
+func (f *Fleet) Shut() {
+	for _, p := range f.procs {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGTERM)
+	}
+	time.Sleep(time.Second)
+	for _, p := range f.procs {
+		p.signal(syscall.SIGKILL)
+	}
+}
+
+// gather reads the workers' histories into the fleet's, in order of time.
+func (f *Fleet) gather() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.procs {
+		if p.role != "worker" {
+			continue
+		}
+		file, err := os.Open(filepath.Join(f.Dir, p.name+".history"))
+		if err != nil {
+			return err
+		}
+		in := bufio.NewScanner(file)
+		in.Buffer(nil, 1<<20)
+		for in.Scan() {
+			var h Happening
+			if json.Unmarshal(in.Bytes(), &h) != nil {
+				continue
+			}
+			h.At -= f.start.UnixNano()
+			f.Hist.Add(h)
+		}
+		file.Close()
+	}
+	sort.SliceStable(f.Hist.List, func(i, k int) bool { return f.Hist.List[i].At < f.Hist.List[k].At })
+	return nil
+}
+
+// ask gets a daemon's page straight from it, round the relays.
+func (f *Fleet) page(p *proc, path string, v any) error {
+	res, err := f.client.Get(fmt.Sprintf("http://%s:%d%s", p.ip, f.Port, path))
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != 200 {
+		return fmt.Errorf("%s", res.Status)
+	}
+	return json.NewDecoder(res.Body).Decode(v)
+}
+
+// leader finds who leads by the helms' own pages, to aim faults.
+func (f *Fleet) leader() *proc {
+	var best *proc
+	var term uint64
+	for _, p := range f.of("helm") {
+		var v struct {
+			Part string `json:"part"`
+			Term uint64 `json:"term"`
+		}
+		if !p.down && !p.ice && f.page(p, "/v1/status", &v) == nil && v.Part == "leader" && v.Term > term {
+			best, term = p, v.Term
+		}
+	}
+	return best
+}
+
+func (f *Fleet) of(role string) (list []*proc) {
+	for _, p := range f.procs {
+		if p.role == role {
+			list = append(list, p)
+		}
+	}
+	return
+}
+
+// Ready waits until all daemons say that they are ready.
+func (f *Fleet) Ready(limit time.Duration) error {
+	until := time.Now().Add(limit)
+	for time.Now().Before(until) {
+		n := 0
+		for _, p := range f.procs {
+			var v any
+			if p.role != "worker" && f.page(p, "/ready", &v) == nil {
+				n++
+			}
+		}
+		if n == 18 {
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return fmt.Errorf("the fleet is not ready after %s; see the logs in %s", limit, f.Dir)
+}
--- a/trial/hist.go
+++ b/trial/hist.go
@@ -14,6 +14,7 @@
 const (
 	Started  What = "started"   // a worker began a leg
 	Ended    What = "ended"     // a worker's leg ended
+	Settled  What = "settled"   // a worker was told that a leg's end is taken
 	Spared   What = "spared"    // a worker refused a leg
 	Died     What = "died"      // a worker process ended, its legs with it
 	Froze    What = "froze"     // a worker process stands still
--- /dev/null
+++ b/trial/work.go
@@ -0,0 +1,68 @@
+// The stand-in worker as a process of its own: it calls its ward over HTTP and
+// appends what happens to a history file, each line written at once.
+package trial
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"coppercourse/door"
+	"coppercourse/mark"
+	"coppercourse/truth"
+	"coppercourse/word"
+)
+
+// WorkerRun runs a worker until ctx ends.
+func WorkerRun(ctx context.Context, m Make, id, ward, source, history string, seed int64) error {
+	file, err := os.OpenFile(history, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	tell := func(h Happening) {
+		h.At = time.Now().UnixNano()
+		file.Write(append(word.Body(h), '\n'))
+	}
+	var mu sync.Mutex
+	w := NewWorker(m, mark.ID(id), rand.New(rand.NewSource(seed)), tell)
+	tell(Happening{What: Staying, Who: id, Shard: m.Shard, Make: &m})
+	go func() {
+		t := time.NewTicker(5 * time.Millisecond)
+		for range t.C {
+			mu.Lock()
+			w.Tick(door.Now().Mono)
+			mu.Unlock()
+		}
+	}()
+	client := door.Client(source, 500*time.Millisecond)
+	for ctx.Err() == nil {
+		mu.Lock()
+		p := w.Call(door.Now().Mono)
+		mu.Unlock()
+		a, ok := post(client, ward, p)
+		if !ok {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		mu.Lock()
+		w.Take(door.Now().Mono, a)
+		mu.Unlock()
+	}
+	return nil
+}
+
+func post(client *http.Client, ward string, p truth.Poll) (a truth.Answer, ok bool) {
+	res, err := client.Post("http://"+ward+"/v1/poll", "application/json", bytes.NewReader(word.Body(p)))
+	if err != nil {
+		return a, false
+	}
+	defer res.Body.Close()
+	ok = json.NewDecoder(res.Body).Decode(&a) == nil && res.StatusCode == 200
+	return
+}
--- a/trial/worker.go
+++ b/trial/worker.go
@@ -115,7 +115,10 @@
 	}
 	w.Ward, w.until = a.Ward, a.Until
 	for _, l := range a.Settled {
-		delete(w.ends, l)
+		if _, ok := w.ends[l]; ok {
+			delete(w.ends, l)
+			w.say(Settled, l, "")
+		}
 	}
 	for _, l := range a.Stop {
 		if r := w.runs[l]; r != nil {
