A settled end names its fate, so a lost one cannot hide one that went well

The leader had counted the leg lost while its ward was cut off; the ward came back between that end's proposal and its commit, and was then told 'settled' without being told as what, so it forgot an end that had gone well. Excluded: the account and the status report, both of which carried the end.

--- a/cmd/trial/sweep.go
+++ b/cmd/trial/sweep.go
@@ -19,6 +19,7 @@
 	seeds       int
 	faults      string
 	verbose     bool
+	job         string
 	mu          sync.Mutex
 	bad, untold int
 	legs        int
@@ -39,6 +40,7 @@
 	c.Flag("settle", "Time for everything to end.").Default("90s").DurationVar(&s.plan.Settle)
 	c.Flag("last", "One more fault at the very end of the traffic.").BoolVar(&s.plan.Last)
 	c.Flag("verbose", "Print each run; with one seed, its time line.").Short('v').BoolVar(&s.verbose)
+	c.Flag("job", "Print all that happened to one job, and to workers.").StringVar(&s.job)
 	runs["sweep"] = s.run
 }
 
@@ -96,6 +98,14 @@
 	if s.seeds == 1 && s.verbose {
 		fmt.Println(trial.Timeline(&r.Hist))
 	}
+	for _, h := range r.Hist.List {
+		if s.job != "" && (string(h.Job) == s.job || string(h.Leg.Job) == s.job || h.Leg.Job == "" && h.Shard != "") {
+			fmt.Printf("  %8.3f s %-10s %s %v %s %s %s\n", float64(h.At)/1e9, h.What, h.Who, h.Leg, h.Fate, h.Stage, h.Text)
+		}
+	}
+	if s.job != "" {
+		fmt.Print(r.Marks(s.job))
+	}
 	if len(v.Breaks) == 0 {
 		return
 	}
--- a/trial/verdict.go
+++ b/trial/verdict.go
@@ -6,6 +6,12 @@
 	"sort"
 	"strings"
 	"time"
+
+	"coppercourse/gate"
+	"coppercourse/helm"
+	"coppercourse/mark"
+	"coppercourse/trail"
+	"coppercourse/ward"
 )
 
 // Near is the part of the calm's rate that service must have come back to.
@@ -81,3 +87,36 @@
 	}
 	return b.String()
 }
+
+// Marks tells what the daemons' own trails say of a job, in order of time, to
+// find causes by; the checker never looks at them.
+func (r *Run) Marks(id string) string {
+	type line struct {
+		at   int64
+		text string
+	}
+	var lines []line
+	for _, a := range r.order {
+		n := r.nodes[a]
+		var ring *trail.Ring
+		switch m := n.m.(type) {
+		case *helm.Helm:
+			ring = m.Trail
+		case *gate.Gate:
+			ring = m.Trail
+		case *ward.Ward:
+			ring = m.Trail
+		default:
+			continue
+		}
+		for _, k := range ring.Of(trail.Job(mark.JobID(id))) {
+			lines = append(lines, line{int64(k.At) - origin - int64(n.wall), string(a) + " " + k.What})
+		}
+	}
+	sort.SliceStable(lines, func(i, k int) bool { return lines[i].at < lines[k].at })
+	var b strings.Builder
+	for _, l := range lines {
+		fmt.Fprintf(&b, "  %8.3f s %s\n", float64(l.at)/1e9, l.text)
+	}
+	return b.String()
+}
--- a/trial/work.go
+++ b/trial/work.go
@@ -32,33 +32,42 @@
 	var mu sync.Mutex
 	w := NewWorker(m, mark.ID(id), rand.New(rand.NewSource(seed)), tell)
 	tell(Happening{What: Staying, Who: id, Shard: m.Shard, Make: &m})
-	go func() {
-		t := time.NewTicker(5 * time.Millisecond)
-		for range t.C {
-			mu.Lock()
-			w.Tick(door.Now().Mono)
-			mu.Unlock()
-		}
-	}()
 	client := door.Client(source, 500*time.Millisecond)
-	for ctx.Err() == nil {
-		mu.Lock()
-		p := w.Call(door.Now().Mono)
-		mu.Unlock()
-		a, ok := post(client, ward, p)
+	call := func(p truth.Poll) {
+		a, ok := post(ctx, client, ward, p)
 		if !ok {
 			time.Sleep(20 * time.Millisecond)
-			continue
 		}
 		mu.Lock()
-		w.Take(door.Now().Mono, a)
+		if ok {
+			w.Take(door.Now().Mono, a)
+		}
+		w.News = w.News || p.Call == w.call
+		mu.Unlock()
+	}
+	t := time.NewTicker(5 * time.Millisecond)
+	defer t.Stop()
+	for {
+		mu.Lock()
+		w.Tick(door.Now().Mono)
+		if w.News || w.call == 0 {
+			go call(w.Call(door.Now().Mono))
+		}
 		mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
 	}
-	return nil
 }
 
-func post(client *http.Client, ward string, p truth.Poll) (a truth.Answer, ok bool) {
-	res, err := client.Post("http://"+ward+"/v1/poll", "application/json", bytes.NewReader(word.Body(p)))
+func post(ctx context.Context, client *http.Client, ward string, p truth.Poll) (a truth.Answer, ok bool) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ward+"/v1/poll", bytes.NewReader(word.Body(p)))
+	if err != nil {
+		return a, false
+	}
+	res, err := client.Do(req)
 	if err != nil {
 		return a, false
 	}
--- a/trial/worker.go
+++ b/trial/worker.go
@@ -49,6 +49,7 @@
 	until mark.Stamp
 	runs  map[mark.Leg]*run
 	ends  map[mark.Leg]truth.Finish
+	News  bool // a leg has ended since the latest call
 	tell  func(Happening)
 }
 
@@ -88,6 +89,7 @@
 
 func (w *Worker) end(r *run, f store.Fate) {
 	delete(w.runs, r.job.Leg)
+	w.News = true
 	w.ends[r.job.Leg] = truth.Finish{Run: truth.Run{Leg: r.job.Leg, Room: r.job.Room}, Fate: f}
 	w.say(Ended, r.job.Leg, f)
 }
@@ -96,6 +98,7 @@
 func (w *Worker) Call(now mark.Stamp) truth.Poll {
 	w.Tick(now)
 	w.call++
+	w.News = false
 	p := truth.Poll{Worker: w.ID, Ward: w.Ward, Call: w.call, Stamp: now, Rack: w.Rack, Kinds: w.Kinds, Room: w.Room, Leave: w.Leave}
 	for _, l := range w.sorted() {
 		p.Runs = append(p.Runs, truth.Run{Leg: l, Room: w.runs[l].job.Room})
--- a/trial/world.go
+++ b/trial/world.go
@@ -259,7 +259,9 @@
 			return
 		}
 		if !n.frozen {
-			h.w.Tick(n.mono())
+			if h.w.Tick(n.mono()); h.w.News {
+				h.call()
+			}
 		}
 		n.w.at(10*time.Millisecond, beat)
 	}
--- a/truth/head.go
+++ b/truth/head.go
@@ -229,17 +229,17 @@
 
 // Settle forgets legs whose end is committed and tells their wards.
 func (h *Head) Settle(list []store.End) {
-	by := map[mark.Shard][]mark.Leg{}
+	by := map[mark.Shard][]store.End{}
 	for _, e := range list {
 		if o := h.holds[e.Leg]; o != nil {
 			h.mark(o, e.Fate)
-			by[o.Shard] = append(by[o.Shard], e.Leg)
+			by[o.Shard] = append(by[o.Shard], e)
 			delete(h.holds, e.Leg)
 		}
 	}
 	for _, s := range h.Seats() {
-		if legs := by[s.Shard]; legs != nil && s.State != MustDie {
-			h.say(s, word.Settled, Settled{h.top(s), legs})
+		if ends := by[s.Shard]; ends != nil && s.State != MustDie {
+			h.say(s, word.Settled, Settled{h.top(s), ends})
 		}
 	}
 }
@@ -288,11 +288,11 @@
 	if s == nil || s.ID == u.ID && s.State == New {
 		return
 	}
-	var done []mark.Leg
+	var done []store.End
 	for _, e := range u.Ends {
 		if h.Taken(e) {
 			delete(h.holds, e.Leg)
-			done = append(done, e.Leg)
+			done = append(done, e)
 		} else {
 			h.ends = append(h.ends, e)
 		}
--- a/truth/heed.go
+++ b/truth/heed.go
@@ -136,12 +136,14 @@
 	if !h.heeds(from, s.Top) {
 		return
 	}
-	for _, k := range s.Legs {
-		if l := h.legs[k]; l != nil && l.part == ended {
-			l.settled, h.news = true, true
-			if h.worker == "" {
-				delete(h.legs, k)
-			}
+	for _, e := range s.Ends {
+		l := h.legs[e.Leg]
+		if l == nil || l.part != ended || l.fate == store.OK && e.Fate != store.OK {
+			continue
+		}
+		l.settled, h.news = true, true
+		if h.worker == "" {
+			delete(h.legs, e.Leg)
 		}
 	}
 }
--- a/truth/say.go
+++ b/truth/say.go
@@ -146,10 +146,10 @@
 	Ends  []store.End `json:"ends"`
 }
 
-// Settled tells a ward which ends are committed.
+// Settled tells a ward which ends are committed, and as what.
 type Settled struct {
 	Top
-	Legs []mark.Leg `json:"legs"`
+	Ends []store.End `json:"ends"`
 }
 
 // Stop is killTask.
