--- a/gate/gate.go
+++ b/gate/gate.go
@@ -104,7 +104,6 @@
 		g.tick()
 	}
 	g.sends = append(g.sends, g.news.Tick(g.now.Mono, g.kin.Lead())...)
-	g.kin.Me(g.card())
 	out := word.Out{Sends: append(g.sends, g.kin.Out()...), Answers: g.outs, Idle: g.drain && len(g.calls) == 0}
 	g.sends, g.outs = nil, nil
 	return out
@@ -125,6 +124,7 @@
 }
 
 func (g *Gate) tick() {
+	g.kin.Me(g.card())
 	g.kin.Tick(g.now.Mono)
 	if g.kin.Lead() != "" {
 		g.lost = 0
--- a/kin/kin.go
+++ b/kin/kin.go
@@ -6,7 +6,7 @@
 
 import (
 	"math/rand"
-	"sort"
+	"slices"
 	"time"
 
 	"coppercourse/mark"
@@ -59,6 +59,7 @@
 	me    Card
 	seeds []mark.Addr
 	all   map[mark.Addr]*entry
+	list  []mark.Addr // the keys of all, in order
 	now   mark.Stamp
 	told  mark.Stamp
 	sends []word.Send
@@ -73,21 +74,12 @@
 	loud := c.Leads && !r.me.Leads
 	r.me = c
 	if loud {
-		for _, a := range r.addrs() {
+		for _, a := range r.list {
 			r.greet(a, false)
 		}
 	}
 }
 
-func (r *Roster) addrs() []mark.Addr {
-	list := make([]mark.Addr, 0, len(r.all))
-	for a := range r.all {
-		list = append(list, a)
-	}
-	sort.Slice(list, func(i, k int) bool { return list[i] < list[k] })
-	return list
-}
-
 func (r *Roster) greet(to mark.Addr, ask bool) {
 	r.sends = append(r.sends, word.Make(r.me.Addr, to, word.Hello, hello{r.me, r.Mates(), ask}))
 }
@@ -104,15 +96,16 @@
 			r.greet(s, true)
 		}
 	}
-	list := r.addrs()
-	for range min(fan, len(list)) {
-		r.greet(list[r.rnd.Intn(len(list))], false)
+	for range min(fan, len(r.list)) {
+		r.greet(r.list[r.rnd.Intn(len(r.list))], false)
 	}
-	for a, e := range r.all {
-		if now.Sub(e.heard) > Forget {
+	r.list = slices.DeleteFunc(r.list, func(a mark.Addr) bool {
+		old := now.Sub(r.all[a].heard) > Forget
+		if old {
 			delete(r.all, a)
 		}
-	}
+		return old
+	})
 }
 
 // Take handles a hello.
@@ -148,6 +141,8 @@
 	}
 	if e == nil {
 		r.all[m.Addr] = &entry{m.Card, at}
+		i, _ := slices.BinarySearch(r.list, m.Addr)
+		r.list = slices.Insert(r.list, i, m.Addr)
 	} else if at > e.heard || m.AgeMS == 0 {
 		e.card, e.heard = m.Card, max(e.heard, at)
 	}
@@ -163,7 +158,7 @@
 // Mates lists all known daemons but this one.
 func (r *Roster) Mates() []Mate {
 	list := make([]Mate, 0, len(r.all))
-	for _, a := range r.addrs() {
+	for _, a := range r.list {
 		e := r.all[a]
 		list = append(list, Mate{e.card, max(0, r.now.Sub(e.heard).Milliseconds())})
 	}
@@ -174,7 +169,7 @@
 
 // Helms lists the sound helms.
 func (r *Roster) Helms() (list []Card) {
-	for _, a := range r.addrs() {
+	for _, a := range r.list {
 		if e := r.all[a]; e.card.Role == "helm" && r.sound(e) {
 			list = append(list, e.card)
 		}
@@ -198,7 +193,7 @@
 	if r.me.Leads {
 		best, term = r.me.Addr, r.me.Term
 	}
-	for _, a := range r.addrs() {
+	for _, a := range r.list {
 		if c := r.all[a].card; c.Leads && c.Term > term && r.sound(r.all[a]) {
 			best, term = c.Addr, c.Term
 		}
--- /dev/null
+++ b/truth/truth_test.go
@@ -0,0 +1,305 @@
+// The hazards that the paper names, and those that terms and grants add, each
+// brought about by hand on the two halves with notes passed one by one.
+package truth
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/word"
+)
+
+const ms = time.Millisecond
+
+// bench is one leader's half and some wards' halves, with a shared clock.
+type bench struct {
+	now    mark.Stamp
+	head   *Head
+	hands  map[mark.Addr]*Hand
+	post   []word.Send // not yet delivered
+	ends   []store.End
+	minted int
+}
+
+func newBench() *bench {
+	b := &bench{now: mark.Stamp(time.Hour), hands: map[mark.Addr]*Hand{}}
+	b.lead(1)
+	return b
+}
+
+func (b *bench) lead(term mark.Term, outs ...Hold) {
+	b.head = NewHead(b.now, Defaults, "h", term, outs)
+	b.head.Taken = func(store.End) bool { return false }
+}
+
+func (b *bench) ward(addr mark.Addr, shard mark.Shard) *Hand {
+	h := NewHand(b.now, Defaults, addr, shard, func() mark.ID {
+		b.minted++
+		return mark.ID(fmt.Sprintf("%s-%d", addr, b.minted))
+	})
+	b.hands[addr] = h
+	return h
+}
+
+func (b *bench) poll(h *Hand, call uint64, runs ...mark.Leg) Answer {
+	p := Poll{Worker: "k", Call: call, Stamp: b.now, Rack: "r", Kinds: []mark.Kind{"x"}, Room: mark.Room{Cores: 4}}
+	for _, l := range runs {
+		p.Runs = append(p.Runs, Run{l, mark.Room{Cores: 1}})
+	}
+	h.Poll(b.now, p)
+	return h.Reply(b.now)
+}
+
+// gather moves all that the machines want sent into the post.
+func (b *bench) gather() {
+	s, e := b.head.Out()
+	b.post, b.ends = append(b.post, s...), append(b.ends, e...)
+	for _, h := range b.hands {
+		b.post = append(b.post, h.Out()...)
+	}
+}
+
+// flow delivers the post until it is empty, but for what keep holds back.
+func (b *bench) flow(keep func(word.Send) bool) (held []word.Send) {
+	b.gather()
+	for len(b.post) > 0 {
+		s := b.post[0]
+		b.post = b.post[1:]
+		if keep != nil && keep(s) {
+			held = append(held, s)
+			continue
+		}
+		b.give(s)
+		b.gather()
+	}
+	return
+}
+
+func (b *bench) give(s word.Send) {
+	if s.To == "h" {
+		b.head.Take(b.now, time.Second, s.Note)
+	} else if h := b.hands[s.To]; h != nil {
+		h.Take(b.now, s.Note)
+	}
+}
+
+// pass lets time go by in small steps, with workers that call all the while.
+func (b *bench) pass(d time.Duration, keep func(word.Send) bool) {
+	for end := b.now.Add(d); b.now < end; {
+		b.now = b.now.Add(50 * ms)
+		for _, h := range b.hands {
+			var runs []mark.Leg
+			for _, l := range h.sorted() {
+				if l.part != ended {
+					runs = append(runs, l.job.Leg)
+				}
+			}
+			b.poll(h, h.call+1, runs...)
+			h.Tick(b.now, "h")
+		}
+		b.head.Tick(b.now, time.Second)
+		b.flow(keep)
+	}
+}
+
+func try(job string, n int) mark.Leg { return mark.Leg{Task: mark.Task{Job: mark.JobID(job)}, Leg: n} }
+
+func order(b *bench, shard mark.Shard, l mark.Leg) {
+	b.head.Order(shard, 0, "", Job{Leg: l, Kind: "x", Room: mark.Room{Cores: 1}})
+}
+
+func kind(k string) func(word.Send) bool { return func(s word.Send) bool { return s.Note.Kind == k } }
+
+func TestDelayedOrderAfterQuery(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	w := b.ward("w", "s")
+	b.pass(4*time.Second, nil)
+	is.Equal(b.head.seats["s"].State, Healthy)
+	order(b, "s", try("j", 1))
+	late := b.flow(kind(word.Order))
+	is.Equal(len(late), 1)
+	b.pass(400*ms, nil) // unanswered, so unsure, so asked about
+	is.True(w.legs[try("j", 1)].part == ended)
+	is.Equal(b.ends[len(b.ends)-1], store.End{Leg: try("j", 1), Fate: store.Unrun})
+	b.give(late[0])
+	is.True(w.legs[try("j", 1)].part == ended) // it stays what the ward said
+	// An order for a leg that was not asked about, sent before the query, is refused by its number.
+	o, _ := word.Read[Order](late[0].Note)
+	o.Job.Leg, o.Until = try("k", 1), b.now.Add(time.Second)
+	w.Take(b.now, word.Make("h", "w", word.Order, o).Note)
+	is.Equal(w.legs[try("k", 1)], nil)
+}
+
+func TestRedundantNotRunningIsLetPass(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	w := b.ward("w", "s")
+	b.pass(4*time.Second, nil)
+	order(b, "s", try("j", 1))
+	b.flow(nil)
+	w.finish(w.legs[try("j", 1)], store.OK)
+	b.head.Settle([]store.End{{Leg: try("j", 1), Fate: store.OK}})
+	b.head.Taken = func(store.End) bool { return true }
+	b.flow(nil)
+	b.poll(w, w.call+1)
+	b.poll(w, w.call+1) // the worker has let go of it, so the ward has too
+	is.Equal(len(w.legs), 0)
+	s := b.head.seats["s"]
+	s.seq++
+	b.give(word.Make("h", "w", word.Query, Query{b.head.top(s), s.seq, []mark.Leg{try("j", 1)}}))
+	is.Equal(w.legs[try("j", 1)].fate, store.Unrun)
+	b.ends = nil
+	b.pass(time.Second, nil)
+	is.Equal(len(b.ends), 0) // the redundant report changes nothing
+	is.Equal(w.owed(), 0)    // and is settled
+}
+
+func TestEndReportWhileNew(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	w := b.ward("w", "s")
+	b.pass(4*time.Second, nil)
+	order(b, "s", try("j", 1))
+	b.flow(nil)
+	b.lead(2, Hold{Leg: try("j", 1), Shard: "s", Room: mark.Room{Cores: 1}})
+	b.ends = nil
+	w.finish(w.legs[try("j", 1)], store.OK)
+	b.pass(600*ms, kind(word.AskRun)) // the new leader's question does not arrive
+	is.Equal(b.head.seats["s"].State, New)
+	is.Equal(len(b.ends), 0)
+	b.pass(600*ms, nil)
+	is.Equal(b.ends[0], store.End{Leg: try("j", 1), Fate: store.OK})
+}
+
+// The paper's example: a lone worker w1 is unhealthy with a set of just itself,
+// a second comes, and a leader that starts then must not believe w1 alone.
+func TestSpuriousConsensusOfLoneWorker(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.ward("w1", "s1")
+	b.pass(4*time.Second, nil)
+	is.Equal(b.head.seats["s1"].State, Healthy)
+	mute := func(s word.Send) bool { return s.Note.From == "w1" || s.To == "w1" }
+	b.pass(1200*ms, mute)
+	is.Equal(b.head.seats["s1"].State, Unhealthy)
+	b.ward("w2", "s2")
+	b.pass(900*ms, mute)
+	is.Equal(b.head.seats["s2"].State, Unhealthy) // for lack of consensus: w1 does not know of w2
+	b.pass(900*ms, mute)
+	is.Equal(b.head.seats["s1"].State, MustDie)
+	b.pass(600*ms, mute)
+	is.Equal(b.head.seats["s2"].State, Healthy) // w1 is lost, its set binds nobody
+}
+
+// A leg in the log on a worker that has not come holds the wait up even where
+// all worker sets agree.
+func TestWaitHoldsForLegsNotHeardOf(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	b.ward("w1", "s1")
+	b.pass(4*time.Second, nil)
+	b.lead(2)
+	b.pass(700*ms, nil)
+	is.Equal(b.head.Wait, false) // the one ward agrees with itself
+	b.lead(3, Hold{Leg: try("j", 1), Shard: "s2", Room: mark.Room{Cores: 1}})
+	b.pass(700*ms, nil)
+	is.Equal(b.head.Wait, true)
+	b.ends = nil
+	b.pass(2500*ms, nil)
+	is.Equal(b.head.Wait, false)
+	is.Equal(b.ends[0], store.End{Leg: try("j", 1), Fate: store.Lost})
+}
+
+func TestReplacedWorkerComesBack(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	old := b.ward("w", "s")
+	b.pass(4*time.Second, nil)
+	was := old.id
+	delete(b.hands, "w")
+	fresh := b.ward("v", "s")
+	b.pass(600*ms, nil)
+	is.Equal(b.head.seats["s"].ID, was) // only a lost one may be replaced
+	b.pass(3500*ms, nil)
+	is.Equal(b.head.seats["s"].ID, fresh.id)
+	b.hands["w"] = old
+	old.good, old.until = b.now, b.now.Add(time.Second) // it believes itself well
+	b.now = b.now.Add(400 * ms)
+	old.Tick(b.now, "h")
+	b.flow(nil)
+	is.Equal(old.state, MustDie)
+	is.Equal(b.head.seats["s"].ID, fresh.id)
+}
+
+func TestOldLeaderIsRefused(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	w := b.ward("w", "s")
+	b.pass(4*time.Second, nil)
+	old := b.head
+	b.lead(2)
+	b.pass(time.Second, nil)
+	is.Equal(w.term, mark.Term(2))
+	b.head, old = old, b.head
+	order(b, "s", try("j", 1))
+	b.flow(nil)
+	is.Equal(len(w.legs), 0)
+	is.Equal(w.lead, mark.Addr("h"))
+}
+
+func TestSettledLostKeepsAGoodEnd(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	w := b.ward("w", "s")
+	b.pass(4*time.Second, nil)
+	order(b, "s", try("j", 1))
+	b.flow(nil)
+	w.finish(w.legs[try("j", 1)], store.OK)
+	b.head.Settle([]store.End{{Leg: try("j", 1), Fate: store.Lost}})
+	b.flow(nil)
+	is.Equal(w.owed(), 1)
+}
+
+// A grant counts from the ward's own stamp: however late the answer comes, the
+// grant ends when it would have.
+func TestLateGrantIsStale(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	w := b.ward("w", "s")
+	b.pass(4*time.Second, nil)
+	w.beat, b.now = never, b.now.Add(10*ms)
+	w.Tick(b.now, "h")
+	at := b.now
+	late := b.flow(kind(word.Beaten))
+	is.True(len(late) > 0)
+	b.now = at.Add(3 * time.Second)
+	b.give(late[len(late)-1])
+	is.True(w.until <= at.Add(Defaults.Grant))
+	is.Equal(b.poll(w, w.call+1).Until, b.now) // nothing is left to give on
+}
+
+func TestFrozenWardIsLostBeforeItsWorkIsGivenAgain(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	w := b.ward("w", "s")
+	b.pass(4*time.Second, nil)
+	order(b, "s", try("j", 1))
+	b.flow(nil)
+	until, given := w.until, w.given
+	mute := func(s word.Send) bool { return s.Note.From == "w" || s.To == "w" }
+	b.ends = nil
+	for len(b.ends) == 0 {
+		b.now = b.now.Add(50 * ms)
+		b.head.Tick(b.now, time.Second)
+		b.flow(mute)
+	}
+	is.Equal(b.ends[0].Fate, store.Lost)
+	is.True(b.now > until)
+	is.True(b.now > given.Add(Defaults.Worker))
+}
--- a/ward/ward.go
+++ b/ward/ward.go
@@ -84,6 +84,7 @@
 	case e.Close:
 		w.drain = true
 	default:
+		w.kin.Me(w.card())
 		w.kin.Tick(w.now.Mono)
 		w.hand.Tick(w.now.Mono, w.kin.Lead())
 	}
@@ -91,7 +92,6 @@
 		w.outs = append(w.outs, word.Answer{Token: w.token, Code: 200, Body: word.Body(w.hand.Reply(w.now.Mono))})
 		w.token = 0
 	}
-	w.kin.Me(w.card())
 	out := word.Out{Sends: append(w.hand.Out(), w.kin.Out()...), Answers: w.outs, Idle: w.drain && w.token == 0}
 	w.outs = nil
 	return out
