A lost leg stays in doubt until its worker itself is heard again

The leader ended a leg's doubt on a heartbeat that told of a sound worker and no unsettled ends, but that beat had been made before the ward stood still. Excluded: the fate named in 'settled' (mended before) and the patience of the queue, which was never reached. Now the ward keeps a leg that it counts lost until the worker speaks and tells its true end, and the leader ends a doubt only by an account that has the worker's word. Conclusion: word about a worker that does not come from the worker itself proves nothing.

--- a/helm/helm.go
+++ b/helm/helm.go
@@ -250,7 +250,7 @@
 		}
 		h.Sums.Elected++
 		h.head = truth.NewHead(h.now.Mono, h.place.Truth, h.place.Addr, h.core.Term(), h.outs())
-		h.head.Taken = h.taken
+		h.head.Taken, h.head.Doubts = h.taken, func(x mark.Shard) []mark.Leg { return h.state.Doubts(x) }
 	}
 	h.head.Tick(h.now.Mono, h.core.Grace())
 	h.plan()
--- a/helm/plan.go
+++ b/helm/plan.go
@@ -20,17 +20,9 @@
 
 func (h *Helm) plan() {
 	var doom []mark.Leg
-	var clear []store.End
 	for _, j := range h.state.Live() {
 		doom = append(doom, j.Doomed()...)
-		for n, t := range j.Tasks {
-			l := mark.Leg{Task: mark.Task{Job: j.ID, N: n}, Leg: t.Leg}
-			if t.Doubt != "" && t.Out == nil && h.head.Clears(t.Doubt, l) {
-				clear = append(clear, store.End{Leg: l, Fate: store.Unrun})
-			}
-		}
 	}
-	h.propose(clear)
 	h.head.Halt(append(doom, h.head.Strays()...))
 	if !h.core.Firm() || h.drain {
 		return
--- a/store/state.go
+++ b/store/state.go
@@ -146,6 +146,18 @@
 	return kept
 }
 
+// Doubts lists the legs lost on a shard whose true ends are still awaited.
+func (s *State) Doubts(shard mark.Shard) (list []mark.Leg) {
+	for _, j := range s.Live() {
+		for n, t := range j.Tasks {
+			if t.Doubt == shard && t.Out == nil {
+				list = append(list, mark.Leg{Task: mark.Task{Job: j.ID, N: n}, Leg: t.Leg})
+			}
+		}
+	}
+	return
+}
+
 // Load is how many unfinished jobs a queue has.
 func (s *State) Load(q mark.Queue) int { return s.load[q] }
 
--- a/truth/hand.go
+++ b/truth/hand.go
@@ -94,12 +94,13 @@
 	}
 }
 
-// finish ends a leg in the account and has it told.
+// finish ends a leg in the account and has it told. Lost is not the last word:
+// the leg stays until the worker is heard again and says what became of it.
 func (h *Hand) finish(l *leg, f store.Fate) {
 	if l.over && f != store.OK {
 		f = store.Bad
 	}
-	l.part, l.fate, h.status = ended, f, never
+	l.part, l.fate, l.settled, h.status = ended, f, false, never
 }
 
 // halt has a leg stopped. One that the worker was never shown ends at once.
@@ -168,7 +169,7 @@
 	}
 	if h.now.Sub(h.beat) >= h.pace.Beat && h.ready() {
 		h.beat = h.now
-		h.say(h.lead, word.Beat, Beat{h.shard, h.id, h.past, h.now, h.set, h.owed(), h.rep})
+		h.say(h.lead, word.Beat, Beat{h.shard, h.id, h.past, h.now, h.set, h.rep})
 	}
 	if h.now.Sub(h.status) < h.pace.Again {
 		return
@@ -185,16 +186,6 @@
 	}
 }
 
-// owed counts the ends that the leader has not settled.
-func (h *Hand) owed() (n int) {
-	for _, l := range h.legs {
-		if l.part == ended && !l.settled {
-			n++
-		}
-	}
-	return
-}
-
 // ready is false while the ward can't tell what runs: its worker has not
 // called yet and could still hold a grant of an earlier ward.
 func (h *Hand) ready() bool { return h.told || h.now.Sub(h.boot) > h.pace.Loss }
--- a/truth/head.go
+++ b/truth/head.go
@@ -45,8 +45,6 @@
 	Good  mark.Stamp
 	stamp mark.Stamp
 	seq   mark.Seq
-	owed  int  // ends the ward has told of and not had settled; -1 before its account
-	whole bool // the account came from the worker itself
 	asked mark.Stamp
 	query mark.Stamp
 	quest map[mark.Seq][]mark.Leg
@@ -73,6 +71,8 @@
 	ends  []store.End
 	norm  map[string]float64
 	sends []word.Send
+	// Doubts lists the legs lost on a shard whose true ends are still awaited.
+	Doubts func(mark.Shard) []mark.Leg
 	// Taken tells whether the log already has an end, or has no use for it.
 	Taken func(store.End) bool
 }
@@ -129,9 +129,6 @@
 	if b.Sound {
 		s.Good = h.now
 	}
-	if s.State != New {
-		s.owed = b.Owed
-	}
 	if b.Set.Born == h.term && b.Set.Ver > s.ver {
 		s.ver = b.Set.Ver
 	}
@@ -155,7 +152,7 @@
 
 func (h *Head) sit(from mark.Addr, b Beat) *Seat {
 	s := &Seat{Shard: b.Shard, ID: b.ID, Addr: from, State: New, Since: h.now, Good: h.now, old: b.Set, Worth: Worth{Slow: 1},
-		asked: -1 << 62, stamp: -1 << 62, owed: -1, quest: map[mark.Seq][]mark.Leg{}}
+		asked: -1 << 62, stamp: -1 << 62, quest: map[mark.Seq][]mark.Leg{}}
 	h.seats[b.Shard] = s
 	h.reset()
 	return s
@@ -199,20 +196,31 @@
 			h.holds[r.Leg] = &Hold{Leg: r.Leg, Shard: s.Shard, Step: -1, Room: r.Room, Phase: sure, At: h.now}
 		}
 	}
-	fate := store.Unrun
-	if !a.Whole {
-		fate = store.Lost
+	fate := store.Lost
+	if a.Whole {
+		fate = store.Unrun
+		h.clear(s.Shard, told)
 	}
 	for _, o := range h.sorted() {
 		if o.Shard == s.Shard && !told[o.Leg] {
 			h.drop(o.Leg, fate)
 		}
 	}
-	s.State, s.Since, s.whole = Unhealthy, h.now, a.Whole
+	s.State, s.Since = Unhealthy, h.now
 	h.judge(s)
 	h.answer(s, s.Sound)
 }
 
+// clear ends the doubt about legs that were lost on a shard and are not in its
+// worker's own account: they did not end well and never will.
+func (h *Head) clear(shard mark.Shard, told map[mark.Leg]bool) {
+	for _, l := range h.Doubts(shard) {
+		if !told[l] {
+			h.drop(l, store.Unrun)
+		}
+	}
+}
+
 func (h *Head) sorted() []*Hold {
 	list := make([]*Hold, 0, len(h.holds))
 	for _, o := range h.holds {
--- a/truth/heed.go
+++ b/truth/heed.go
@@ -56,7 +56,7 @@
 	}
 	list := []Run{}
 	for _, l := range h.sorted() {
-		if !l.settled {
+		if !l.settled || l.fate == store.Lost {
 			list = append(list, Run{l.job.Leg, l.job.Room})
 		}
 	}
--- a/truth/poll.go
+++ b/truth/poll.go
@@ -75,8 +75,7 @@
 			l = &leg{job: Job{Leg: e.Leg, Room: e.Room}, part: going}
 			h.legs[e.Leg] = l
 		}
-		if l.part != ended || e.Fate == store.OK && l.fate != store.OK {
-			l.settled = false
+		if l.part != ended || l.fate == store.Lost || e.Fate == store.OK && l.fate != store.OK {
 			h.finish(l, e.Fate)
 		}
 		l.ghost, runs[e.Leg] = false, true
@@ -92,6 +91,8 @@
 			h.finish(l, store.Unrun)
 		case l.part == waiting && now >= l.until:
 			h.finish(l, store.Unrun)
+		case l.part == ended && l.fate == store.Lost:
+			h.finish(l, store.Gone)
 		case l.part == ended && l.settled:
 			delete(h.legs, l.job.Leg)
 		}
@@ -103,7 +104,7 @@
 // have ended with it.
 func (h *Hand) fresh(p Poll) {
 	for _, l := range h.sorted() {
-		if l.part != ended {
+		if l.part != ended || l.fate == store.Lost {
 			h.finish(l, store.Gone)
 		}
 		if l.settled {
--- a/truth/say.go
+++ b/truth/say.go
@@ -61,7 +61,6 @@
 	Past  mark.ID    `json:"past,omitempty"`
 	Stamp mark.Stamp `json:"stamp"`
 	Set   SetID      `json:"set"`
-	Owed  int        `json:"owed"` // ends told but not yet settled
 	Report
 }
 
--- a/truth/truth_test.go
+++ b/truth/truth_test.go
@@ -35,6 +35,7 @@
 func (b *bench) lead(term mark.Term, outs ...Hold) {
 	b.head = NewHead(b.now, Defaults, "h", term, outs)
 	b.head.Taken = func(store.End) bool { return false }
+	b.head.Doubts = func(mark.Shard) []mark.Leg { return nil }
 }
 
 func (b *bench) ward(addr mark.Addr, shard mark.Shard) *Hand {
@@ -157,7 +158,7 @@
 	b.ends = nil
 	b.pass(time.Second, nil)
 	is.Equal(len(b.ends), 0) // the redundant report changes nothing
-	is.Equal(w.owed(), 0)    // and is settled
+	is.Equal(len(w.legs), 0) // and is settled
 }
 
 func TestEndReportWhileNew(t *testing.T) {
@@ -263,7 +264,7 @@
 	w.finish(w.legs[try("j", 1)], store.OK)
 	b.head.Settle([]store.End{{Leg: try("j", 1), Fate: store.Lost}})
 	b.flow(nil)
-	is.Equal(w.owed(), 1)
+	is.Equal(w.legs[try("j", 1)].settled, false)
 }
 
 // A grant counts from the ward's own stamp: however late the answer comes, the
@@ -303,3 +304,27 @@
 	is.True(b.now > until)
 	is.True(b.now > given.Add(Defaults.Worker))
 }
+
+// A leg that its ward counts lost is in doubt until the worker is heard again:
+// then it went well, or is known to be gone, and both are told.
+func TestLostIsNotTheLastWord(t *testing.T) {
+	for _, end := range []struct {
+		told []Finish
+		want store.Fate
+	}{{nil, store.Gone}, {[]Finish{{Run{try("j", 1), mark.Room{}}, store.OK}}, store.OK}} {
+		is := is.New(t)
+		b := newBench()
+		w := b.ward("w", "s")
+		b.pass(4*time.Second, nil)
+		order(b, "s", try("j", 1))
+		b.flow(nil)
+		b.poll(w, w.call+1, try("j", 1))
+		b.now = b.now.Add(Defaults.Worker + 10*ms)
+		w.Tick(b.now, "h")
+		is.Equal(w.legs[try("j", 1)].fate, store.Lost)
+		w.legs[try("j", 1)].settled = true
+		w.Poll(b.now, Poll{Worker: "k", Call: w.call + 1, Stamp: b.now, Ends: end.told})
+		is.Equal(w.legs[try("j", 1)].fate, end.want)
+		is.Equal(w.legs[try("j", 1)].settled, false)
+	}
+}
--- a/truth/watch.go
+++ b/truth/watch.go
@@ -168,13 +168,6 @@
 	return
 }
 
-// Clears tells whether a leg lost on a shard is known not to have ended well
-// there: the worker itself is heard again and all its ends are settled.
-func (h *Head) Clears(shard mark.Shard, l mark.Leg) bool {
-	s := h.seats[shard]
-	return s != nil && (s.State == Healthy || s.State == Unhealthy) && s.Sound && s.whole && s.owed == 0 && h.holds[l] == nil
-}
-
 // Holds lists the legs that possibly run.
 func (h *Head) Holds() []*Hold { return h.sorted() }
 
