A failure told late counts against the tries; planted bugs for every checker

Excluded: the count itself, which is right for ends in time. Now a task keeps the numbers of its lost legs, and a failure of one of them counts whenever it comes.

--- a/helm/helm.go
+++ b/helm/helm.go
@@ -306,12 +306,5 @@
 	if j == nil || j.Over() || e.Leg.N >= len(j.Tasks) {
 		return true
 	}
-	t := j.Tasks[e.Leg.N]
-	if t.Out != nil && t.Leg == e.Leg.Leg {
-		return false
-	}
-	if t.Doubt != "" && t.Leg == e.Leg.Leg {
-		return e.Fate == store.Lost
-	}
-	return e.Fate != store.OK || t.Done
+	return j.Tasks[e.Leg.N].Knows(e.Leg.Leg, e.Fate)
 }
--- a/store/job.go
+++ b/store/job.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"coppercourse/blueprint"
@@ -52,6 +53,7 @@
 	// Doubt is the worker whose word is awaited: the last leg was lost there,
 	// and may yet turn out to have ended well.
 	Doubt mark.Shard `json:"doubt,omitempty"`
+	Limbo []int      `json:"limbo,omitempty"` // legs lost whose true end is not known
 }
 
 // Job is one accepted job.
@@ -74,6 +76,17 @@
 	Legs   int          `json:"legs"`
 }
 
+// Knows tells whether an end of a leg would change nothing any more.
+func (t Task) Knows(leg int, f Fate) bool {
+	switch {
+	case t.Out != nil && t.Leg == leg:
+		return false
+	case slices.Contains(t.Limbo, leg):
+		return f == Lost
+	}
+	return f != OK || t.Done
+}
+
 // Over is true once the job has ended for good.
 func (j *Job) Over() bool { return j.State == Done || j.State == Failed || j.State == Stopped }
 
@@ -178,16 +191,23 @@
 		t.Done, t.Dead, t.Doubt = true, false, ""
 		j.Fine++
 	}
+	late := slices.Index(t.Limbo, leg)
 	switch {
 	case mine:
 		from := t.Out.Shard
 		t.Out = nil
 		if f == Lost && !t.Done {
-			t.Doubt = from
+			t.Doubt, t.Limbo = from, append(t.Limbo, leg)
 		}
 		j.count(n, t, f, row, now)
-	case t.Leg == leg && t.Doubt != "" && f != Lost:
-		t.Doubt, t.Ready = "", now
+	case late >= 0 && f != Lost:
+		t.Limbo = slices.Delete(t.Limbo, late, late+1)
+		if t.Leg == leg {
+			t.Doubt, t.Ready = "", now
+		}
+		if f == Bad {
+			j.fail(n, t, row, now)
+		}
 	}
 	j.turn(now)
 }
@@ -195,12 +215,7 @@
 func (j *Job) count(n int, t *Task, f Fate, row blueprint.Row, now mark.Tick) {
 	switch f {
 	case Bad:
-		t.Fails++
-		t.Ready = now.Add(pause(t.Fails))
-		if t.Fails >= row.Tries && !t.Done {
-			t.Dead = true
-			j.Why = fmt.Sprintf("task %d failed %d times", n, t.Fails)
-		}
+		j.fail(n, t, row, now)
 	case Lost:
 		t.Lost++
 		t.Ready = now.Add(max(row.Wait(), pause(t.Lost)))
@@ -230,6 +245,16 @@
 	}
 }
 
+// fail counts a failure against the queue's tries.
+func (j *Job) fail(n int, t *Task, row blueprint.Row, now mark.Tick) {
+	t.Fails++
+	t.Ready = now.Add(pause(t.Fails))
+	if t.Fails >= row.Tries && !t.Done {
+		t.Dead = true
+		j.Why = fmt.Sprintf("task %d failed %d times", n, t.Fails)
+	}
+}
+
 // pause is how long a task rests after its n-th bad end.
 func pause(n int) time.Duration {
 	return min(10*time.Second, 100*time.Millisecond<<min(n, 10))
--- a/trial/net.go
+++ b/trial/net.go
@@ -95,7 +95,8 @@
 	stall  int64 // until this time nothing is synced
 	busy   bool
 	queue  []write
-	broken int // a generation; writes of an earlier one do not finish
+	liar   bool // a planted bug: says synced, and is not
+	broken int  // a generation; writes of an earlier one do not finish
 }
 
 type write struct {
@@ -152,6 +153,12 @@
 		if gen != d.broken {
 			return
 		}
+		if d.liar {
+			last := group[len(group)-1]
+			last.done(last.seq)
+			d.next()
+			return
+		}
 		if whole {
 			d.safe = lore.Pack(b, []byte("{}"), lore.Whole)
 		} else {
--- /dev/null
+++ b/trial/planted_test.go
@@ -0,0 +1,158 @@
+// Every rule of the checker is shown to catch a planted bug: the machines are
+// the real ones, and what lies between them lies. The same run without the bug
+// breaks nothing.
+package trial
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"coppercourse/blueprint"
+	"coppercourse/fault"
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/truth"
+	"coppercourse/word"
+)
+
+// alter reads a body, changes it and writes it back.
+func alter[T any](b *json.RawMessage, f func(*T)) {
+	var t T
+	if json.Unmarshal(*b, &t) == nil {
+		f(&t)
+		*b = word.Body(t)
+	}
+}
+
+func onNote[T any](kind string, f func(*T)) func(*Run) {
+	return func(r *Run) {
+		r.Tamper = func(s *word.Send) bool {
+			if s.Note.Kind == kind {
+				alter(&s.Note.Body, f)
+			}
+			return true
+		}
+	}
+}
+
+// onJob changes jobs on their way from the gates to the leader.
+func onJob(f func(*store.Step)) func(*Run) {
+	return onNote(word.Call, func(c *word.CallBody) {
+		if c.Verb == "job.put" {
+			alter(&c.Body, func(s *store.Spec) {
+				for i := range s.Steps {
+					f(&s.Steps[i])
+				}
+			})
+		}
+	})
+}
+
+func onPoll(f func(*truth.Poll)) func(*Run) {
+	return func(r *Run) {
+		r.Bend = func(verb string, b *json.RawMessage) {
+			if verb == "poll" {
+				alter(b, f)
+			}
+		}
+		for _, h := range r.hands {
+			h.willing = true
+		}
+	}
+}
+
+func mute(kind string) func(*Run) {
+	return func(r *Run) { r.Tamper = func(s *word.Send) bool { return s.Note.Kind != kind } }
+}
+
+var planted = []struct {
+	name   string
+	faults []string
+	rules  []string
+	plant  func(*Run)
+}{
+	{"workers heed no grant", []string{"cut-worker", "cut-zone", "cut-ward"}, []string{"twice"}, func(r *Run) {
+		for _, h := range r.hands {
+			h.deaf = true
+		}
+	}},
+	{"accounts hide what runs", []string{"kill-leader"}, []string{"twice"}, onNote(word.Account, func(a *truth.Account) { a.Runs = nil })},
+	{"good ends told as stops", nil, []string{"again"}, onPoll(func(p *truth.Poll) {
+		for i := range p.Ends {
+			p.Ends[i].Fate = store.Halted
+		}
+	})},
+	{"failures told as losses", nil, []string{"tries"}, onPoll(func(p *truth.Poll) {
+		for i := range p.Ends {
+			if p.Ends[i].Fate == store.Bad {
+				p.Ends[i].Fate = store.Gone
+			}
+		}
+	})},
+	{"workers report what they are not", nil, []string{"service", "rack", "room"}, onPoll(func(p *truth.Poll) {
+		p.Kinds, p.Room, p.Rack = []mark.Kind{"quote", "menu", "pay"}, mark.Room{Cores: 4000, Memory: 4_000_000}, "r1"
+	})},
+	{"nobody hears that a worker leaves", []string{"leave-worker"}, []string{"leaving"}, onPoll(func(p *truth.Poll) { p.Leave = false })},
+	{"spread is forgotten", nil, []string{"spread"}, onJob(func(s *store.Step) { s.Spread = 0 })},
+	{"times are forgotten", nil, []string{"early"}, onJob(func(s *store.Step) { s.Delay, s.Not = 0, "" })},
+	{"dependencies are forgotten", nil, []string{"order"}, onJob(func(s *store.Step) { s.After = nil })},
+	{"stops get lost", []string{"kill-machine"}, []string{"cancel-run", "gang"}, func(r *Run) { mute(word.Stop)(r); r.Crew.Cancel = 0.5 }},
+	{"open jobs shown done", nil, []string{"shown"}, func(r *Run) {
+		r.Twist = func(verb string, a *word.Answer) {
+			if verb == "job.get" && a.Fault == nil {
+				alter(&a.Body, func(v *map[string]any) { (*v)["state"] = "done" })
+			}
+		}
+	}},
+	{"jobs denied after acceptance", nil, []string{"forgotten"}, func(r *Run) {
+		r.Twist = func(verb string, a *word.Answer) {
+			if verb == "job.get" {
+				*a = word.Answer{Fault: fault.New(fault.NoJob, "id", "")}
+			}
+		}
+	}},
+	{"old tables read", nil, []string{"table"}, func(r *Run) {
+		r.Twist = func(verb string, a *word.Answer) {
+			if verb == "table.get" && a.Fault == nil {
+				alter(&a.Body, func(t *blueprint.Table) { t.Edition-- })
+			}
+		}
+	}},
+	{"disks say synced and are not", []string{"power-all"}, []string{"forgotten"}, func(r *Run) {
+		r.at(10*time.Second, func() {
+			for _, h := range r.helms {
+				h.disk.liar = true
+			}
+		})
+	}},
+	{"orders end with the faults", []string{"kill-gate"}, []string{"recovery"}, func(r *Run) {
+		r.at(26*time.Second, func() { mute(word.Order)(r) })
+		r.at(52*time.Second, func() { r.Tamper = nil })
+	}},
+}
+
+func TestPlantedBugsAreCaught(t *testing.T) {
+	for _, p := range planted {
+		t.Run(p.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			plan := Plan{Seed: 77, Town: "kingston", Faults: p.faults, Calm: 6 * time.Second, Storm: 12 * time.Second,
+				After: 24 * time.Second, Settle: 40 * time.Second}
+			if p.faults != nil {
+				plan.Count = 6
+			}
+			r := Build(plan)
+			p.plant(r)
+			got := map[string]bool{}
+			for _, b := range r.Go().Verdict().Breaks {
+				got[b.Rule] = true
+			}
+			for _, rule := range p.rules {
+				is.True(got[rule]) // the rule must be seen broken
+			}
+		})
+	}
+}
--- a/trial/town.go
+++ b/trial/town.go
@@ -112,3 +112,12 @@
 
 // Zone names the locality of the i-th of something.
 func Zone(i int) mark.Locality { return mark.Locality(fmt.Sprintf("z%d", i%3+1)) }
+
+// Parade is a stream of gangs of long tasks. No town sends it; the simulator
+// does, so that faults meet gangs that run for long.
+func (t Town) Parade() Flow {
+	return Flow{t.Flows[1].Queue, 5 * time.Second, func(r *rand.Rand) store.Spec {
+		return store.Spec{Queue: t.Flows[1].Queue, Steps: []store.Step{{Name: "parade", Kind: "menu", Room: mark.Room{Cores: 1, Memory: 64},
+			Tasks: 3, Gang: true, Spread: 1, Work: work(r, 7000, 9000)}}}
+	}}
+}
--- a/trial/world.go
+++ b/trial/world.go
@@ -59,6 +59,11 @@
 	hands []*hand
 	Hist  History
 	seeds []mark.Addr
+	// Planted bugs: what is sent, asked and answered may be changed on its way,
+	// and a note for which Tamper is false is never sent.
+	Tamper func(s *word.Send) bool
+	Bend   func(verb string, body *json.RawMessage)
+	Twist  func(verb string, a *word.Answer)
 }
 
 func NewWorld(seed int64) *World {
@@ -160,6 +165,9 @@
 	out := n.m.Step(e)
 	w, gen := n.w, n.gen
 	for _, s := range out.Sends {
+		if w.Tamper != nil && !w.Tamper(&s) {
+			continue
+		}
 		w.carry(n.addr, s.To, func() {
 			if t := w.nodes[s.To]; t != nil {
 				note := s.Note
@@ -187,6 +195,9 @@
 
 // ask carries a request from an address to a node and the answer back.
 func (w *World) ask(from, to mark.Addr, verb, arg string, body json.RawMessage, back func(word.Answer)) {
+	if w.Bend != nil {
+		w.Bend(verb, &body)
+	}
 	w.carry(from, to, func() {
 		n := w.nodes[to]
 		if n == nil {
@@ -194,7 +205,12 @@
 		}
 		n.deliver(func() {
 			n.token++
-			n.asks[n.token] = func(a word.Answer) { w.carry(to, from, func() { back(a) }) }
+			n.asks[n.token] = func(a word.Answer) {
+				if w.Twist != nil {
+					w.Twist(verb, &a)
+				}
+				w.carry(to, from, func() { back(a) })
+			}
 			n.step(word.Event{Ask: &word.Ask{Token: n.token, Verb: verb, Arg: arg, Body: body}})
 		})
 	})
@@ -231,12 +247,12 @@
 
 // hand is a worker process in the world, and its calls.
 type hand struct {
-	node *node // its clocks; it carries no machine
-	ward mark.Addr
-	make Make
-	w    *Worker
-	gen  int
-	seen uint64
+	node          *node // its clocks; it carries no machine
+	ward          mark.Addr
+	make          Make
+	w             *Worker
+	gen           int
+	deaf, willing bool
 }
 
 func (w *World) worker(addr, ward mark.Addr, loc mark.Locality, m Make) *hand {
@@ -251,6 +267,7 @@
 	h.gen++
 	n.frozen, n.queue = false, nil
 	h.w = NewWorker(h.make, mark.ID(fmt.Sprintf("%s.%d", n.addr, h.gen)), n.w.chance(), n.w.tell)
+	h.w.Deaf, h.w.Willing = h.deaf, h.willing
 	n.w.tell(Happening{What: Staying, Who: string(h.w.ID), Shard: h.make.Shard, Make: &h.make})
 	gen := h.gen
 	var beat func()
