Every checker shown to catch a planted bug; refusals and silence are told at once

Cause: after a worker was cut off, its ward refused orders for 400 ms while the leader, who still took it for healthy, went on placing gangs there, which broke again and again. Now a refusal takes the worker out of the choice until its next beat, and a ward beats at once when its worker falls silent, returns or leaves. Excluded: the grants, which held throughout. The checker also took an end told after the re-run for one told before it; mended. A leader no longer answers a follower's refusal with the same entries at once, again and again.

--- a/accord/push.go
+++ b/accord/push.go
@@ -193,7 +193,8 @@
 	t := c.mate(a.ID)
 	t.heard, t.round, t.off = c.now.Mono, max(t.round, a.Round), a.Off
 	if !a.OK {
-		t.next = max(t.match, a.Match) + 1
+		t.match = min(t.match, a.Match)
+		t.next = a.Match + 1
 		return
 	}
 	t.match = max(t.match, a.Match)
--- a/cmd/trial/sweep.go
+++ b/cmd/trial/sweep.go
@@ -38,6 +38,7 @@
 	c.Flag("storm", "How long faults come.").Default("30s").DurationVar(&s.plan.Storm)
 	c.Flag("after", "Traffic after they are healed.").Default("24s").DurationVar(&s.plan.After)
 	c.Flag("settle", "Time for everything to end.").Default("90s").DurationVar(&s.plan.Settle)
+	c.Flag("patience", "Every queue's patience; little of it shows that grants alone keep legs apart.").Default("30s").DurationVar(&s.plan.Patience)
 	c.Flag("last", "One more fault at the very end of the traffic.").BoolVar(&s.plan.Last)
 	c.Flag("verbose", "Print each run; with one seed, its time line.").Short('v').BoolVar(&s.verbose)
 	c.Flag("job", "Print all that happened to one job, and to workers.").StringVar(&s.job)
--- a/helm/plan.go
+++ b/helm/plan.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		total += s.Room.Cores
-		if !s.Leaving {
+		if !s.Leaving && s.Sound {
 			at[s.Shard] = len(list)
 			list = append(list, choice.Slot{Shard: s.Shard, Rack: s.Rack, Kinds: s.Kinds, Free: s.Room,
 				Bad: s.Worth.Bad, Slow: s.Worth.Slow, Load: map[choice.Part]int{}})
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,206 @@
+// The rules of jobs and tables, on the state alone.
+package store
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"coppercourse/blueprint"
+	"coppercourse/fault"
+	"coppercourse/mark"
+)
+
+const sec = mark.Tick(time.Second)
+
+func town(t *testing.T) *State {
+	is := is.New(t)
+	s := New()
+	_, bad := s.Apply(Fact{Tick: sec, Table: &blueprint.Table{Rows: []blueprint.Row{
+		{Name: "q", Weight: 1, Running: 10, Waiting: 2, Tries: 2, TaskMS: 1000, Patience: 5000}}}})
+	is.True(bad == nil)
+	return s
+}
+
+func read(t *testing.T, text string) Spec {
+	var h fault.Heap
+	s := ReadSpec([]byte(text), &h)
+	if h.Err() != nil {
+		t.Fatal(h.Err())
+	}
+	return s
+}
+
+func leg(n, l int) mark.Leg { return mark.Leg{Task: mark.Task{Job: "j", N: n}, Leg: l} }
+
+func (s *State) must(at mark.Tick, f Fact) []Give {
+	f.Tick = at
+	legs, _ := s.Apply(f)
+	return legs
+}
+
+func give(n int) []Give         { return []Give{{leg(n, 0), "k"}} }
+func end(n, l int, f Fate) Fact { return Fact{Ends: []End{{leg(n, l), f}}} }
+
+func TestLegNumbersAndTries(t *testing.T) {
+	is := is.New(t)
+	s := town(t)
+	s.must(sec, Fact{Job: &Submit{"j", read(t, `{"queue":"q","steps":[{"name":"a","kind":"x","tasks":2}]}`)}})
+	is.Equal(s.must(2*sec, Fact{Legs: give(0)})[0].Leg.Leg, 1)
+	is.Equal(len(s.must(2*sec, Fact{Legs: give(0)})), 0) // one leg at a time
+	s.must(2*sec, end(0, 1, Bad))
+	is.Equal(len(s.must(2*sec, Fact{Legs: give(0)})), 0) // it rests first
+	is.Equal(s.must(9*sec, Fact{Legs: give(0)})[0].Leg.Leg, 2)
+	s.must(9*sec, Fact{Legs: give(1)})
+	s.must(9*sec, end(0, 2, Bad))
+	j := s.Jobs["j"]
+	is.Equal(j.State, Ending) // failed, but the other task still runs
+	is.Equal(len(j.Doomed()), 1)
+	s.must(10*sec, end(1, 1, Halted))
+	is.Equal(j.State, Failed)
+	is.Equal(s.Load("q"), 0)
+}
+
+func TestLateEndsOfLostLegs(t *testing.T) {
+	is := is.New(t)
+	s := town(t)
+	s.must(sec, Fact{Job: &Submit{"j", read(t, `{"queue":"q","steps":[{"name":"a","kind":"x"}]}`)}})
+	j := s.Jobs["j"]
+	s.must(2*sec, Fact{Legs: give(0)})
+	s.must(3*sec, end(0, 1, Lost))
+	is.Equal(s.Doubts("k"), []mark.Leg{leg(0, 1)})
+	is.Equal(len(s.must(4*sec, Fact{Legs: give(0)})), 0) // within the queue's patience
+	is.Equal(len(s.must(9*sec, Fact{Legs: give(0)})), 1) // past it
+	s.must(9*sec, end(0, 1, Bad))
+	is.Equal(j.Tasks[0].Fails, 1) // a failure told late counts
+	s.must(9*sec, end(0, 1, Bad))
+	is.Equal(j.Tasks[0].Fails, 1) // once
+	s.must(10*sec, end(0, 2, Lost))
+	s.must(17*sec, Fact{Legs: give(0)})
+	s.must(18*sec, end(0, 2, OK)) // ended well after all: the newer leg is stopped
+	is.Equal(j.State, Ending)
+	is.Equal(j.Doomed(), []mark.Leg{leg(0, 3)})
+	s.must(18*sec, end(0, 3, Halted))
+	is.Equal(j.State, Done)
+}
+
+func TestGangBreaksAndGoesAgainAsOne(t *testing.T) {
+	is := is.New(t)
+	s := town(t)
+	s.must(sec, Fact{Job: &Submit{"j", read(t, `{"queue":"q","steps":[{"name":"a","kind":"x","tasks":3,"gang":true}]}`)}})
+	j := s.Jobs["j"]
+	for n := range 3 {
+		s.must(2*sec, Fact{Legs: give(n)})
+	}
+	s.must(3*sec, end(0, 1, OK))
+	is.Equal(len(j.Doomed()), 0) // one that ended well leaves nobody alone
+	s.must(3*sec, end(1, 1, Gone))
+	is.Equal(j.Doomed(), []mark.Leg{leg(2, 1)})
+	s.must(3*sec, end(2, 1, Halted))
+	is.Equal(len(j.Broken), 0)
+	is.True(j.Tasks[0].Done) // and does not go again
+}
+
+func TestCancelIsKeptUntilNothingRuns(t *testing.T) {
+	is := is.New(t)
+	s := town(t)
+	s.must(sec, Fact{Job: &Submit{"j", read(t, `{"queue":"q","steps":[{"name":"a","kind":"x"}]}`)}})
+	s.must(2*sec, Fact{Legs: give(0)})
+	s.must(2*sec, Fact{Cancel: "j"})
+	is.Equal(s.Jobs["j"].State, Ending)
+	is.Equal(len(s.must(3*sec, Fact{Legs: give(0)})), 0)
+	s.must(3*sec, end(0, 1, Lost))
+	is.Equal(s.Jobs["j"].State, Stopped)
+	_, bad := s.Apply(Fact{Tick: 4 * sec, Cancel: "j"})
+	is.True(bad == nil) // again is fine
+	_, bad = s.Apply(Fact{Tick: 4 * sec, Cancel: "nobody"})
+	is.Equal(bad.Kind, fault.NoJob)
+}
+
+func TestTablesAreConditionalAndRepeatable(t *testing.T) {
+	is := is.New(t)
+	s := town(t)
+	row := s.Table.Rows[0]
+	row.Weight = 7
+	mine := blueprint.Table{Edition: 1, Rows: []blueprint.Row{row}}
+	row.Weight = 9
+	theirs := blueprint.Table{Edition: 1, Rows: []blueprint.Row{row}}
+	_, bad := s.Apply(Fact{Tick: sec, Table: &mine})
+	is.True(bad == nil)
+	_, bad = s.Apply(Fact{Tick: sec, Table: &theirs})
+	is.Equal(bad.Kind, fault.Stale) // the loser is told so
+	theirs.Edition = 2
+	_, bad = s.Apply(Fact{Tick: sec, Table: &theirs})
+	is.True(bad == nil)
+	_, bad = s.Apply(Fact{Tick: sec, Table: &mine})
+	is.True(bad == nil) // a repeat of what was taken is told the truth, however late
+	is.Equal(s.Table.Edition, mark.Edition(3))
+	is.Equal(s.Table.Rows[0].Weight, 9) // and changes nothing
+	s.must(sec, Fact{Job: &Submit{"j", read(t, `{"queue":"q","steps":[{"name":"a","kind":"x"}]}`)}})
+	_, bad = s.Apply(Fact{Tick: sec, Table: &blueprint.Table{Edition: 3, Rows: []blueprint.Row{}}})
+	is.Equal(bad.Kind, fault.InUse)
+	is.Equal(bad.Field, "queues[0].name")
+}
+
+func TestAcceptanceIsBoundedAndIdempotent(t *testing.T) {
+	is := is.New(t)
+	s := town(t)
+	spec := read(t, `{"queue":"q","steps":[{"name":"a","kind":"x"}]}`)
+	for _, id := range []mark.JobID{"a", "b", "a"} {
+		_, bad := s.Apply(Fact{Tick: sec, Job: &Submit{id, spec}})
+		is.True(bad == nil)
+	}
+	_, bad := s.Apply(Fact{Tick: sec, Job: &Submit{"c", spec}})
+	is.Equal(bad.Kind, fault.Full)
+	spec.Urgency = 3
+	_, bad = s.Apply(Fact{Tick: sec, Job: &Submit{"a", spec}})
+	is.Equal(bad.Kind, fault.Conflict)
+	again, err := Load(s.Save())
+	is.NoErr(err)
+	is.Equal(again.Load("q"), 2)
+	is.Equal(len(again.Live()), 2)
+}
+
+func TestBadJobsAreToldByField(t *testing.T) {
+	is := is.New(t)
+	step := func(more string) string {
+		return `{"queue":"q","steps":[{"name":"a","kind":"x"` + more + `}]}`
+	}
+	for text, field := range map[string]string{
+		`{"steps":[{"name":"a","kind":"x"}]}`:                "queue",
+		`{"queue":"q"}`:                                      "steps",
+		`{"queue":"q","steps":[]}`:                           "steps",
+		`{"queue":"q q","steps":[]}`:                         "queue",
+		step(`,"tasks":0`):                                   "steps[0].tasks",
+		step(`,"tasks":-4`):                                  "steps[0].tasks",
+		step(`,"tasks":1e99`):                                "steps[0].tasks",
+		step(`,"tasks":1.5`):                                 "steps[0].tasks",
+		step(`,"room":{"cores":99999}`):                      "steps[0].room.cores",
+		step(`,"room":{"gpus":1}`):                           "steps[0].room.gpus",
+		step(`,"colour":1`):                                  "steps[0].colour",
+		step(`,"kind":"y"`):                                  "steps[0].kind",
+		step(`,"not_before":"soon"`):                         "steps[0].not_before",
+		step(`,"after":["z"]`):                               "steps[0].after[0]",
+		step(`,"after":["a"]`):                               "steps[0].after",
+		step(`,"gang":"yes"`):                                "steps[0].gang",
+		step(`},{"name":"a","kind":"x"`):                     "steps[1].name",
+		step(`,"work":"` + strings.Repeat("x", 20000) + `"`): "steps[0].work",
+	} {
+		var h fault.Heap
+		ReadSpec([]byte(text), &h)
+		is.True(h.First() != nil)
+		is.Equal(h.First().Field, field)
+		is.Equal(h.First().Code(), 422)
+	}
+	for _, text := range []string{``, `{`, `{"queue":"q"}{}`, `{"queue":"q",}`, "\x00", `{"queue":"\ud800`} {
+		var h fault.Heap
+		ReadSpec([]byte(text), &h)
+		is.True(h.First() != nil)
+		is.Equal(h.First().Code(), 400)
+	}
+	var h fault.Heap
+	is.Equal(len(ReadSpec([]byte(`[]`), &h).Steps), 0)
+	is.Equal(h.First().Code(), 422)
+}
--- a/trial/check.go
+++ b/trial/check.go
@@ -31,7 +31,7 @@
 	from  int64
 	to    int64 // the end of the history if it never ended
 	fate  store.Fate
-	told  bool       // the system has acknowledged the end
+	told  int64      // when the system acknowledged the end
 	died  int64      // when its worker process ended
 	ice   [][2]int64 // when its worker stood still
 }
@@ -152,7 +152,9 @@
 			}
 		case Settled:
 			for _, s := range c.job(h.Leg.Job).spans[h.Leg.N] {
-				s.told = s.told || s.leg == h.Leg
+				if s.told == 0 && s.leg == h.Leg {
+					s.told = h.At
+				}
 			}
 		case Died:
 			for _, s := range live[h.Who] {
@@ -216,7 +218,7 @@
 		for i, s := range list {
 			fails := 0
 			for _, o := range list[:i] {
-				untold := !o.told && (o.died > 0 && o.died <= s.from || s.from-o.to >= patience)
+				untold := (o.told == 0 || o.told > s.from) && (o.died > 0 && o.died <= s.from || s.from-o.to >= patience)
 				if o.fate == store.Bad && o.to <= s.from && !untold {
 					fails++
 				}
--- a/trial/planted_test.go
+++ b/trial/planted_test.go
@@ -69,66 +69,68 @@
 }
 
 var planted = []struct {
-	name   string
-	faults []string
-	rules  []string
-	plant  func(*Run)
+	name     string
+	faults   []string
+	rules    []string
+	patience time.Duration
+	short    bool // the bug piles work up; a few seconds show it
+	plant    func(*Run)
 }{
-	{"workers heed no grant", []string{"cut-worker", "cut-zone", "cut-ward"}, []string{"twice"}, func(r *Run) {
+	{"workers heed no grant", []string{"cut-worker"}, []string{"twice"}, time.Millisecond, false, func(r *Run) {
 		for _, h := range r.hands {
 			h.deaf = true
 		}
 	}},
-	{"accounts hide what runs", []string{"kill-leader"}, []string{"twice"}, onNote(word.Account, func(a *truth.Account) { a.Runs = nil })},
-	{"good ends told as stops", nil, []string{"again"}, onPoll(func(p *truth.Poll) {
+	{"accounts hide what runs", []string{"kill-leader"}, []string{"twice"}, 30 * time.Second, false, onNote(word.Account, func(a *truth.Account) { a.Runs = nil })},
+	{"good ends told as stops", nil, []string{"again"}, 30 * time.Second, true, onPoll(func(p *truth.Poll) {
 		for i := range p.Ends {
 			p.Ends[i].Fate = store.Halted
 		}
 	})},
-	{"failures told as losses", nil, []string{"tries"}, onPoll(func(p *truth.Poll) {
+	{"failures told as losses", nil, []string{"tries"}, 30 * time.Second, false, onPoll(func(p *truth.Poll) {
 		for i := range p.Ends {
 			if p.Ends[i].Fate == store.Bad {
 				p.Ends[i].Fate = store.Gone
 			}
 		}
 	})},
-	{"workers report what they are not", nil, []string{"service", "rack", "room"}, onPoll(func(p *truth.Poll) {
+	{"workers report what they are not", nil, []string{"service", "rack", "room"}, 30 * time.Second, false, onPoll(func(p *truth.Poll) {
 		p.Kinds, p.Room, p.Rack = []mark.Kind{"quote", "menu", "pay"}, mark.Room{Cores: 4000, Memory: 4_000_000}, "r1"
 	})},
-	{"nobody hears that a worker leaves", []string{"leave-worker"}, []string{"leaving"}, onPoll(func(p *truth.Poll) { p.Leave = false })},
-	{"spread is forgotten", nil, []string{"spread"}, onJob(func(s *store.Step) { s.Spread = 0 })},
-	{"times are forgotten", nil, []string{"early"}, onJob(func(s *store.Step) { s.Delay, s.Not = 0, "" })},
-	{"dependencies are forgotten", nil, []string{"order"}, onJob(func(s *store.Step) { s.After = nil })},
-	{"stops get lost", []string{"kill-machine"}, []string{"cancel-run", "gang"}, func(r *Run) { mute(word.Stop)(r); r.Crew.Cancel = 0.5 }},
-	{"open jobs shown done", nil, []string{"shown"}, func(r *Run) {
+	{"nobody hears that a worker leaves", []string{"leave-worker"}, []string{"leaving"}, 30 * time.Second, false, onPoll(func(p *truth.Poll) { p.Leave = false })},
+	{"spread is forgotten", nil, []string{"spread"}, 30 * time.Second, false, onJob(func(s *store.Step) { s.Spread = 0 })},
+	{"times are forgotten", nil, []string{"early"}, 30 * time.Second, false, onJob(func(s *store.Step) { s.Delay, s.Not = 0, "" })},
+	{"dependencies are forgotten", nil, []string{"order"}, 30 * time.Second, false, onJob(func(s *store.Step) { s.After = nil })},
+	{"stops get lost", []string{"kill-machine"}, []string{"cancel-run", "gang"}, 30 * time.Second, false, func(r *Run) { mute(word.Stop)(r); r.Crew.Cancel = 0.5 }},
+	{"open jobs shown done", nil, []string{"shown"}, 30 * time.Second, false, func(r *Run) {
 		r.Twist = func(verb string, a *word.Answer) {
 			if verb == "job.get" && a.Fault == nil {
 				alter(&a.Body, func(v *map[string]any) { (*v)["state"] = "done" })
 			}
 		}
 	}},
-	{"jobs denied after acceptance", nil, []string{"forgotten"}, func(r *Run) {
+	{"jobs denied after acceptance", nil, []string{"forgotten"}, 30 * time.Second, false, func(r *Run) {
 		r.Twist = func(verb string, a *word.Answer) {
 			if verb == "job.get" {
 				*a = word.Answer{Fault: fault.New(fault.NoJob, "id", "")}
 			}
 		}
 	}},
-	{"old tables read", nil, []string{"table"}, func(r *Run) {
+	{"old tables read", nil, []string{"table"}, 30 * time.Second, false, func(r *Run) {
 		r.Twist = func(verb string, a *word.Answer) {
 			if verb == "table.get" && a.Fault == nil {
 				alter(&a.Body, func(t *blueprint.Table) { t.Edition-- })
 			}
 		}
 	}},
-	{"disks say synced and are not", []string{"power-all"}, []string{"forgotten"}, func(r *Run) {
+	{"disks say synced and are not", []string{"power-all"}, []string{"forgotten"}, 30 * time.Second, false, func(r *Run) {
 		r.at(10*time.Second, func() {
 			for _, h := range r.helms {
 				h.disk.liar = true
 			}
 		})
 	}},
-	{"orders end with the faults", []string{"kill-gate"}, []string{"recovery"}, func(r *Run) {
+	{"orders end with the faults", []string{"kill-gate"}, []string{"recovery"}, 30 * time.Second, false, func(r *Run) {
 		r.at(26*time.Second, func() { mute(word.Order)(r) })
 		r.at(52*time.Second, func() { r.Tamper = nil })
 	}},
@@ -140,16 +142,20 @@
 			t.Parallel()
 			is := is.New(t)
 			plan := Plan{Seed: 77, Town: "kingston", Faults: p.faults, Calm: 6 * time.Second, Storm: 12 * time.Second,
-				After: 24 * time.Second, Settle: 40 * time.Second}
+				After: 24 * time.Second, Settle: 40 * time.Second, Patience: p.patience}
 			if p.faults != nil {
 				plan.Count = 6
 			}
+			if p.short {
+				plan.Calm, plan.Storm, plan.After, plan.Settle = time.Second, 0, 0, time.Second
+			}
 			r := Build(plan)
 			p.plant(r)
 			got := map[string]bool{}
 			for _, b := range r.Go().Verdict().Breaks {
 				got[b.Rule] = true
 			}
+			t.Log(got, Summary(&r.Hist))
 			for _, rule := range p.rules {
 				is.True(got[rule]) // the rule must be seen broken
 			}
--- a/trial/storm.go
+++ b/trial/storm.go
@@ -14,15 +14,16 @@
 
 // Plan is what a run does.
 type Plan struct {
-	Seed   int64
-	Town   string
-	Faults []string // names from the table of faults; none: no faults
-	Count  int      // how many faults
-	Calm   time.Duration
-	Storm  time.Duration
-	After  time.Duration // traffic goes on after the faults
-	Settle time.Duration // no new traffic; all must end
-	Last   bool          // one more fault at the very end of the traffic
+	Seed     int64
+	Town     string
+	Faults   []string // names from the table of faults; none: no faults
+	Count    int      // how many faults
+	Calm     time.Duration
+	Storm    time.Duration
+	After    time.Duration // traffic goes on after the faults
+	Settle   time.Duration // no new traffic; all must end
+	Patience time.Duration // of every queue
+	Last     bool          // one more fault at the very end of the traffic
 }
 
 // Run is a world with a town in it.
@@ -78,6 +79,9 @@
 func (r *Run) Go() *Run {
 	p := r.Plan
 	t := r.Crew.town.Table()
+	for i := range t.Rows {
+		t.Rows[i].Patience = int(p.Patience.Milliseconds())
+	}
 	r.at(3*time.Second, func() { r.Crew.put(t, r.Crew.any(), 0, func(bool) {}) })
 	r.at(6*time.Second, func() {
 		for _, f := range append(r.Crew.town.Flows[:3:3], r.Crew.town.Parade()) {
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -10,7 +10,7 @@
 
 func TestCalm(t *testing.T) {
 	is := is.New(t)
-	r := Build(Plan{Seed: 1, Town: "kingston", Calm: 20 * time.Second, Settle: 30 * time.Second}).Go()
+	r := Build(Plan{Seed: 1, Town: "kingston", Calm: 20 * time.Second, Settle: 30 * time.Second, Patience: 30 * time.Second}).Go()
 	breaks, untold := Check(&r.Hist, Rules, r.done, 3, 30*time.Second)
 	t.Log(Summary(&r.Hist), r.Crew.Count)
 	for _, b := range breaks {
--- a/trial/verdict.go
+++ b/trial/verdict.go
@@ -28,7 +28,7 @@
 // Verdict checks the run's history. The ratio is of jobs done a second: from 12
 // seconds after healing to the end of the traffic, beside the calm before.
 func (r *Run) Verdict() (v Verdict) {
-	v.Breaks, v.Untold = Check(&r.Hist, Rules, r.done, 3, 30*time.Second)
+	v.Breaks, v.Untold = Check(&r.Hist, Rules, r.done, 3, r.Plan.Patience)
 	for _, h := range r.Hist.List {
 		if h.What == Started {
 			v.Legs++
--- a/truth/hand.go
+++ b/truth/hand.go
@@ -116,7 +116,11 @@
 // Tick lets time pass; lead is whom the roster holds for the leader.
 func (h *Hand) Tick(now mark.Stamp, lead mark.Addr) {
 	h.now, h.lead = now, lead
+	was := h.rep.Sound
 	h.rep.Sound = h.told && now.Sub(h.heard) < h.pace.Ill*6/10
+	if was != h.rep.Sound {
+		h.beat = never
+	}
 	quiet := now.Sub(h.good)
 	switch {
 	case h.state == MustDie:
--- a/truth/head.go
+++ b/truth/head.go
@@ -270,6 +270,7 @@
 		return
 	}
 	if r.Why != "" {
+		s.Sound = false // until the next beat says otherwise
 		h.drop(r.Leg, store.Unrun)
 		return
 	}
--- a/truth/poll.go
+++ b/truth/poll.go
@@ -55,6 +55,9 @@
 		return false
 	}
 	h.call, h.heard, h.stamp, h.told = p.Call, now, p.Stamp, true
+	if p.Leave != h.rep.Leaving || !h.rep.Sound {
+		h.beat = never
+	}
 	h.rep = Report{Rack: p.Rack, Kinds: p.Kinds, Room: p.Room, Leaving: p.Leave, Sound: true}
 	runs := map[mark.Leg]bool{}
 	for _, r := range p.Runs {
