--- a/trial/core_test.go
+++ b/trial/core_test.go
@@ -46,7 +46,7 @@
 			lost.boot() // comes back empty, with only one that knows
 			r.Run(time.Duration(r.now) + 12*time.Second)
 			_, served := r.edition(5 * time.Second)
-			is.Equal(served, false) // no majority of those who acknowledged: no answer, rather than an old one
+			is.Equal(served, false)                                                     // no majority of those who acknowledged: no answer, rather than an old one
 			is.True(r.status(lost).Part == "empty" || r.status(lost).Part == "learner") // it has no vote
 			down.boot()
 			r.Run(time.Duration(r.now) + 10*time.Second)
