A helm that is about to stop takes no duty

Cause: when two helms were warned together, the leader could name as successor the other one that was stopping, and the duty changed hands twice. Excluded: the hand-over itself. Before: TestDutyGoesToOneThatStays fails; after: it passes. Also a test that the count of dropped requests catches one.

--- a/accord/ballot.go
+++ b/accord/ballot.go
@@ -147,6 +147,12 @@
 	return max(0, c.round().Add(c.pace.Hold).Sub(c.now.Mono))
 }
 
+// Leave takes no duty from now on and hands over the one held.
+func (c *Core) Leave(now mark.Now) {
+	c.going = true
+	c.HandOver(now)
+}
+
 // HandOver names a successor: the voter that is furthest on and heard of last.
 func (c *Core) HandOver(now mark.Now) bool {
 	c.now = now
@@ -165,7 +171,7 @@
 }
 
 func (c *Core) onHeir(_ mark.Addr, h heir) {
-	if h.Name == c.name && h.To == c.self.ID && h.Term == c.vow.Term && c.role == follow && !c.stuck() {
+	if h.Name == c.name && h.To == c.self.ID && h.Term == c.vow.Term && c.role == follow && !c.stuck() && !c.going {
 		c.campaign(false, true)
 	}
 }
--- a/accord/core.go
+++ b/accord/core.go
@@ -79,6 +79,7 @@
 	pulse   mark.Stamp
 	heir    mark.ID
 	heirBy  mark.Stamp
+	going   bool // this member is about to stop and takes no duty
 	pledge  *Charter
 	pledged mark.Stamp
 	offers  map[mark.ID]bool
@@ -278,7 +279,7 @@
 		c.asked = now.Mono
 		c.knock()
 	}
-	if (c.role == follow || c.role == stand) && now.Mono >= c.wait && !c.stuck() {
+	if (c.role == follow || c.role == stand) && now.Mono >= c.wait && !c.stuck() && !c.going {
 		c.campaign(true, false)
 	}
 }
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -165,7 +165,7 @@
 func (h *Helm) close() {
 	h.drain = true
 	h.late = h.now.Mono.Add(3 * time.Second)
-	h.core.HandOver(h.now)
+	h.core.Leave(h.now)
 }
 
 // catch brings the state up to what is committed.
--- a/trial/core_test.go
+++ b/trial/core_test.go
@@ -12,6 +12,7 @@
 	"coppercourse/blueprint"
 	"coppercourse/helm"
 	"coppercourse/mark"
+	"coppercourse/word"
 )
 
 func (r *Run) status(n *node) helm.StatusView { return n.m.(*helm.Helm).Status() }
@@ -153,3 +154,28 @@
 		is.True(off > -300*time.Millisecond)
 	}
 }
+
+// Two of three are warned at once: the third takes the duty, not the one that
+// is about to stop as well.
+func TestDutyGoesToOneThatStays(t *testing.T) {
+	is := is.New(t)
+	for seed := range int64(6) {
+		r, _ := core(t, 50+seed)
+		r.Run(8 * time.Second)
+		l := r.leader()
+		var stays *node
+		for _, h := range r.helms {
+			if h != l && stays == nil {
+				stays = h
+				continue
+			}
+			h.step(word.Event{Close: true})
+		}
+		r.Run(9500 * time.Millisecond)
+		for _, h := range r.helms {
+			if h != stays && h.m != nil {
+				is.True(r.status(h).Part != "leader")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/trial/street_test.go
@@ -0,0 +1,42 @@
+// The fleet's own count of dropped requests is shown to catch one.
+package trial
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestDroppedRequestIsCounted(t *testing.T) {
+	is := is.New(t)
+	drop := true
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !drop {
+			w.WriteHeader(503)
+			return
+		}
+		c, _, err := w.(http.Hijacker).Hijack()
+		is.NoErr(err)
+		c.Close() // read, and never answered
+	}))
+	defer srv.Close()
+	port := srv.Listener.Addr().(*net.TCPAddr).Port
+	f := &Fleet{Port: port, ctx: context.Background(), start: time.Now(), procs: []*proc{{name: "gate1", role: "gate", ip: "127.0.0.1"}}}
+	s := NewStreet(f, 1, 1)
+	code, _ := s.try("PUT", "/v1/jobs/a", nil)
+	is.Equal(code, 0)
+	is.Equal(s.Drops.Load(), int64(1))
+	is.Equal(f.Hist.List[0].What, Dropped)
+	drop = false
+	code, _ = s.try("PUT", "/v1/jobs/a", nil)
+	is.Equal(code, 503) // a refusal is an answer
+	is.Equal(s.Drops.Load(), int64(1))
+	srv.Close()
+	s.try("PUT", "/v1/jobs/a", nil)
+	is.Equal(s.Drops.Load(), int64(1)) // one that was never read is not dropped
+}
