--- a/kin/kin.go
+++ b/kin/kin.go
@@ -43,7 +43,7 @@
 const (
 	Beat   = 500 * time.Millisecond
 	Sound  = 3 * time.Second
-	Forget = time.Hour
+	Forget = 24 * time.Hour
 	fan    = 3
 	bound  = 2000
 )
--- /dev/null
+++ b/trial/hours_test.go
@@ -0,0 +1,77 @@
+// A zone cut off for long, with its helm, gate, wards and workers: the rest
+// serves all the while, the cut side refuses, and after the link is back service
+// is what it was. CI cuts for ten minutes; -cut takes any time.
+package trial
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"coppercourse/fault"
+	"coppercourse/helm"
+	"coppercourse/truth"
+	"coppercourse/word"
+)
+
+var long = flag.Duration("cut", 10*time.Minute, "how long the zone is cut off")
+
+func TestZoneCutForHours(t *testing.T) {
+	if testing.Short() {
+		t.Skip("run without the race detector")
+	}
+	is := is.New(t)
+	r := Build(Plan{Seed: 11, Town: "kingston", Patience: 30 * time.Second})
+	r.Crew.Cancel = 0
+	r.at(3*time.Second, func() { r.Crew.put(r.Crew.town.Table(), "g1", 0, func(bool) {}) })
+	traffic := func() {
+		r.Crew.open = true
+		for _, f := range r.Crew.town.Flows {
+			r.Crew.flow(f)
+		}
+	}
+	r.at(6*time.Second, traffic)
+	r.Run(20 * time.Second)
+	zone := r.zones["z1"]
+	rest := r.rest(append(zone, r.Crew.me)...)
+	r.Split(zone, rest, true, true)
+	cut := r.now
+	r.Run(30 * time.Second)
+	var f *fault.Fault
+	r.ask(r.Crew.me, "g1", "job.cancel", "quotes-1", nil, func(a word.Answer) { f = a.Fault })
+	r.Run(32 * time.Second)
+	is.Equal(f.Kind, fault.NoLead) // the cut side's own gate refuses at once
+	is.True(f.Retry > 1)
+	r.Crew.open = false // hours of little traffic: a burst every two minutes
+	for end := cut + int64(*long); r.now < end; {
+		r.Run(time.Duration(min(end, r.now+int64(110*time.Second))))
+		traffic()
+		r.Run(time.Duration(r.now) + 10*time.Second)
+		r.Crew.open = false
+	}
+	r.Run(time.Duration(r.now) + 12*time.Second) // all streams have ended, so that they are not doubled
+	traffic()
+	r.Run(time.Duration(r.now) + 10*time.Second)
+	r.Split(zone, rest, true, false)
+	heal := r.now
+	r.Run(time.Duration(heal) + 27*time.Second)
+	before := Rate(&r.Hist, int64(8*time.Second), int64(20*time.Second))
+	after := Rate(&r.Hist, heal+int64(12*time.Second), heal+int64(27*time.Second))
+	healthy := 0
+	for _, w := range r.leader().m.(*helm.Helm).Workers() {
+		if w.State == truth.Healthy {
+			healthy++
+		}
+	}
+	is.Equal(healthy, 11)
+	t.Logf("cut for %s: jobs done a second %.2f before, %.2f from 12 s after, %d workers healthy", *long, before, after, healthy)
+	is.True(after > Near*before)
+	r.Crew.open = false
+	r.Run(time.Duration(r.now) + 40*time.Second)
+	breaks, _ := Check(&r.Hist, Rules, r.now, 3, 30*time.Second)
+	for _, b := range breaks {
+		t.Error(b)
+	}
+}
