A worker's call is checked whole before anything of it is taken

Cause: by reading. A call with a leg of a negative number went through the ward to the leader, whose owner would have ended on it, and through the log to every helm; a room below nothing made room. Excluded: callers' jobs, which were checked. Before: such calls were taken; after: 422 with the field. A repeated call no longer has the held one answered, and a worker set of a version that this leader never made is let fall.

--- a/accord/push.go
+++ b/accord/push.go
@@ -98,6 +98,11 @@
 }
 
 func (c *Core) onPush(from mark.Addr, p push) {
+	for i, e := range p.Entries {
+		if e.Index != p.Prev+mark.Index(i)+1 {
+			return // not what a leader says
+		}
+	}
 	if !c.meet(from, p) {
 		return
 	}
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -299,7 +299,7 @@
 // taken tells whether the state already has an end, or has no use for it.
 func (h *Helm) taken(e store.End) bool {
 	j := h.state.Jobs[e.Leg.Job]
-	if j == nil || j.Over() || e.Leg.N >= len(j.Tasks) {
+	if j == nil || j.Over() || e.Leg.N < 0 || e.Leg.N >= len(j.Tasks) {
 		return true
 	}
 	return j.Tasks[e.Leg.N].Knows(e.Leg.Leg, e.Fate)
--- a/store/job.go
+++ b/store/job.go
@@ -165,7 +165,7 @@
 
 // give hands out the next leg of a task, if the task may still have one.
 func (j *Job) give(n int, shard mark.Shard, now mark.Tick) bool {
-	if j.State != Open || n >= len(j.Tasks) {
+	if j.State != Open || n < 0 || n >= len(j.Tasks) {
 		return false
 	}
 	t := &j.Tasks[n]
@@ -182,7 +182,7 @@
 // end takes a leg's end. A late one, of a leg already counted lost, matters
 // only if it ended well.
 func (j *Job) end(n, leg int, f Fate, row blueprint.Row, now mark.Tick) {
-	if j.Over() || n >= len(j.Tasks) {
+	if j.Over() || n < 0 || n >= len(j.Tasks) {
 		return
 	}
 	t := &j.Tasks[n]
--- a/truth/head.go
+++ b/truth/head.go
@@ -129,7 +129,7 @@
 	if b.Sound {
 		s.Good = h.now
 	}
-	if b.Set.Born == h.term && b.Set.Ver > s.ver {
+	if b.Set.Born == h.term && b.Set.Ver > s.ver && b.Set.Ver < len(h.hist) {
 		s.ver = b.Set.Ver
 	}
 	h.spread()
--- a/truth/poll.go
+++ b/truth/poll.go
@@ -6,8 +6,12 @@
 package truth
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
+	"coppercourse/blueprint"
+	"coppercourse/fault"
 	"coppercourse/mark"
 	"coppercourse/store"
 )
@@ -43,6 +47,31 @@
 	Settled []mark.Leg `json:"settled"`
 }
 
+// Check tells what is wrong with a call; nothing of a bad one is taken.
+func (p Poll) Check(h *fault.Heap) {
+	h.Check(p.Worker != "" && len(p.Worker) <= 128, "worker", "want 1 to 128 characters")
+	h.Check(p.Room.Holds(mark.Room{}), "room", "want no negative numbers")
+	h.Check(len(p.Kinds) <= 64, "kinds", "more than 64")
+	h.Check(len(p.Runs)+len(p.Ends) <= 2000, "running", "more than 2000 legs")
+	for i, k := range p.Kinds {
+		h.Check(blueprint.Name(string(k)) == "", fmt.Sprintf("kinds[%d]", i), "not a name")
+	}
+	leg := func(at string, r Run) {
+		h.Check(blueprint.Name(string(r.Leg.Job)) == "" && r.Leg.N >= 0 && r.Leg.Leg >= 1, at+".leg", "no such leg can be")
+		h.Check(r.Room.Holds(mark.Room{}), at+".room", "want no negative numbers")
+	}
+	for i, r := range p.Runs {
+		leg(fmt.Sprintf("running[%d]", i), r)
+	}
+	for i, e := range p.Ends {
+		at := fmt.Sprintf("ended[%d]", i)
+		leg(at, e.Run)
+		h.Check(slices.Contains(fates, e.Fate), at+".fate", "want ok, failed, stopped or refused")
+	}
+}
+
+var fates = []store.Fate{store.OK, store.Bad, store.Halted, store.Unrun}
+
 // Poll takes a worker's call; false means that it is not to be answered.
 func (h *Hand) Poll(now mark.Stamp, p Poll) bool {
 	h.now = now
--- a/ward/ward.go
+++ b/ward/ward.go
@@ -111,23 +111,28 @@
 	}
 }
 
-// poll takes a worker's call; the one held before it is answered as stale.
+// poll takes a worker's call; the one held before it is then answered as stale.
 func (w *Ward) poll(a word.Ask) {
 	w.Sums.Polls++
 	var p truth.Poll
-	if a.Verb != "poll" || json.Unmarshal(a.Body, &p) != nil || p.Worker == "" {
-		w.outs = append(w.outs, word.Answer{Token: a.Token, Fault: fault.New(fault.BadBody, "", "not a worker's call")})
-		return
+	var heap fault.Heap
+	if a.Verb != "poll" || json.Unmarshal(a.Body, &p) != nil {
+		heap.Add(fault.BadBody, "", "not a worker's call")
+	} else {
+		p.Check(&heap)
 	}
-	if w.token != 0 {
-		w.outs = append(w.outs, word.Answer{Token: w.token, Fault: fault.New(fault.Stale, "call", "a newer call has come")})
-		w.token = 0
+	if bad := heap.First(); bad != nil {
+		w.outs = append(w.outs, word.Answer{Token: a.Token, Fault: bad})
+		return
 	}
 	if !w.hand.Poll(w.now.Mono, p) {
 		w.Sums.Stale++
 		w.outs = append(w.outs, word.Answer{Token: a.Token, Fault: fault.New(fault.Stale, "call", "older than the latest call, or another worker still holds a grant")})
 		return
 	}
+	if w.token != 0 {
+		w.outs = append(w.outs, word.Answer{Token: w.token, Fault: fault.New(fault.Stale, "call", "a newer call has come")})
+	}
 	for _, e := range p.Ends {
 		w.Trail.Add(w.now.Wall, trail.Job(e.Leg.Job), "worker told an end", "leg", e.Leg, "fate", e.Fate)
 	}
--- /dev/null
+++ b/ward/ward_test.go
@@ -0,0 +1,52 @@
+// A worker that talks nonsense is refused by field and harms nobody: nothing of
+// a bad call reaches the account or the leader.
+package ward
+
+import (
+	"math/rand"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"coppercourse/fault"
+	"coppercourse/mark"
+	"coppercourse/truth"
+	"coppercourse/word"
+)
+
+func TestBadCallsAreRefusedWhole(t *testing.T) {
+	is := is.New(t)
+	now := mark.Now{Mono: 1 << 40}
+	w := New(now, rand.New(rand.NewSource(1)), Place{Addr: "w", Shard: "k", Truth: truth.Defaults})
+	token := uint64(0)
+	ask := func(body string) word.Answer {
+		token++
+		out := w.Step(word.Event{Now: now, Ask: &word.Ask{Token: token, Verb: "poll", Body: []byte(body)}})
+		if len(out.Answers) == 0 {
+			return word.Answer{}
+		}
+		return out.Answers[len(out.Answers)-1]
+	}
+	for body, field := range map[string]string{
+		`nonsense`:   "",
+		`{"call":1}`: "worker",
+		`{"worker":"a","call":1,"room":{"cores":-1}}`:                                           "room",
+		`{"worker":"a","call":1,"kinds":["a b"]}`:                                               "kinds[0]",
+		`{"worker":"a","call":1,"running":[{"leg":{"job":"j","n":-1,"leg":1}}]}`:                "running[0].leg",
+		`{"worker":"a","call":1,"running":[{"leg":{"job":"j","leg":1},"room":{"cores":-9}}]}`:   "running[0].room",
+		`{"worker":"a","call":1,"ended":[{"leg":{"job":"j","n":0,"leg":0},"fate":"ok"}]}`:       "ended[0].leg",
+		`{"worker":"a","call":1,"ended":[{"leg":{"job":"j","n":0,"leg":1},"fate":"splendid"}]}`: "ended[0].fate",
+		`{"worker":"a","call":1,"ended":[{"leg":{"job":"j","n":0,"leg":1},"fate":"lost"}]}`:     "ended[0].fate",
+	} {
+		a := ask(body)
+		is.True(a.Fault != nil)
+		is.Equal(a.Fault.Field, field)
+	}
+	is.Equal(len(w.Status().Account.Legs), 0)
+	is.Equal(w.Status().Account.Worker, mark.ID(""))                  // none of it was taken
+	is.Equal(ask(`{"worker":"a","call":1,"stamp":5}`), word.Answer{}) // a good one is held
+	a := ask(`{"worker":"a","call":1,"stamp":5}`)
+	is.Equal(a.Fault.Kind, fault.Stale)
+	is.Equal(a.Token, token) // the call held before it is still held
+	is.True(w.token != 0)
+}
