--- a/trial/planted_test.go
+++ b/trial/planted_test.go
@@ -81,7 +81,7 @@
 			h.deaf = true
 		}
 	}},
-	{"accounts hide what runs", []string{"handover"}, []string{"twice"}, 30 * time.Second, false, onNote(word.Account, func(a *truth.Account) { a.Runs = nil })},
+	{"accounts hide what runs", []string{"handover"}, []string{"again"}, 30 * time.Second, false, onNote(word.Account, func(a *truth.Account) { a.Runs = nil })},
 	{"good ends told as stops", nil, []string{"again"}, 30 * time.Second, true, onPoll(func(p *truth.Poll) {
 		for i := range p.Ends {
 			p.Ends[i].Fate = store.Halted
