--- a/helm/helm.go
+++ b/helm/helm.go
@@ -35,8 +35,6 @@
 	from mark.Addr
 	id   uint64
 	term mark.Term
-	job  mark.JobID
-	made bool
 }
 
 // Helm is one control daemon.
--- a/trial/check.go
+++ b/trial/check.go
@@ -72,7 +72,6 @@
 	leave  map[mark.Shard][][2]int64
 	breaks []Break
 	Open   int // re-runs after an end that nobody could be told of in time
-	rows   map[mark.Queue]store.Spec
 	hist   *History
 	tries  int
 }
--- a/trial/core_test.go
+++ b/trial/core_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"coppercourse/blueprint"
+	"coppercourse/fault"
 	"coppercourse/helm"
 	"coppercourse/mark"
 	"coppercourse/word"
@@ -179,3 +180,52 @@
 		}
 	}
 }
+
+// What the leader refuses, it refuses at once, by kind and field; repeats have
+// the answers that the interface promises.
+func TestLeaderRefusesExactly(t *testing.T) {
+	is := is.New(t)
+	r, _ := core(t, 61)
+	r.Run(9 * time.Second)
+	ask := func(verb, id, body string) (a word.Answer) {
+		r.ask(r.Crew.me, "g2", verb, id, []byte(body), func(b word.Answer) { a = b })
+		r.Run(time.Duration(r.now) + 300*time.Millisecond)
+		return
+	}
+	step := func(more string) string { return `{"queue":"quotes","steps":[{"name":"a",` + more + `}]}` }
+	good := step(`"kind":"quote","room":{"cores":1,"memory":0},"tasks":1`)
+	for _, c := range []struct {
+		verb, id, body string
+		kind           fault.Kind
+		field          string
+	}{
+		{"job.put", "a", `{"queue":"none","steps":[]}`, fault.NoQueue, "queue"},
+		{"job.put", "a", step(`"kind":"none","room":{"cores":1,"memory":0},"tasks":1`), fault.Unplaced, "steps[0].kind"},
+		{"job.put", "a", step(`"kind":"quote","rack":"r9","room":{"cores":1,"memory":0},"tasks":1`), fault.Unplaced, "steps[0].rack"},
+		{"job.put", "a", step(`"kind":"quote","room":{"cores":17,"memory":0},"tasks":1`), fault.Unplaced, "steps[0].room"},
+		{"job.put", "a", step(`"kind":"quote","room":{"cores":9,"memory":0},"tasks":12,"gang":true`), fault.Unplaced, "steps[0].gang"},
+		{"job.put", "a", step(`"kind":"quote","room":{"cores":1,"memory":0},"tasks":12,"gang":true,"spread":1`), fault.Unplaced, "steps[0].gang"},
+		{"job.put", "a", good, "", ""},
+		{"job.put", "a", good, "", ""},
+		{"job.put", "a", step(`"kind":"quote","room":{"cores":2,"memory":0},"tasks":1`), fault.Conflict, "id"},
+		{"job.get", "b", "", fault.NoJob, "id"},
+		{"job.cancel", "b", "", fault.NoJob, "id"},
+		{"job.cancel", "a", "", fault.Ended, "id"},
+		{"job.put", "c", step(`"kind":"quote","room":{"cores":1,"memory":0},"tasks":1,"delay_ms":60000`), "", ""},
+		{"job.cancel", "c", "", "", ""},
+		{"job.cancel", "c", "", "", ""},
+		{"table.put", "", `{"edition":0,"queues":[]}`, fault.Stale, "edition"},
+		{"table.put", "", `{"edition":7,"queues":[]}`, fault.Stale, "edition"},
+		{"made.up", "", "", fault.NoPath, ""},
+	} {
+		a := ask(c.verb, c.id, c.body)
+		if c.kind == "" {
+			is.True(a.Fault == nil)
+			is.True(a.Code >= 200 && a.Code < 300)
+			continue
+		}
+		is.True(a.Fault != nil)
+		is.Equal(a.Fault.Kind, c.kind)
+		is.Equal(a.Fault.Field, c.field)
+	}
+}
--- a/trial/day.go
+++ b/trial/day.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -29,8 +30,9 @@
 				e.Long, err = time.ParseDuration(long)
 			}
 		}
-		if !ok || !ok2 || err != nil || days[name] == nil {
-			return nil, fmt.Errorf("fault %q: want name@at+long, with a name of: %s", one, strings.Join(DayNames(), ", "))
+		if !ok || !ok2 || err != nil || find(name) == nil {
+			return nil, fmt.Errorf("fault %q: want name@at+long, with a name of: %s; or kill:P, freeze:P, wipe:P, cut:P, cut:P:Q, "+
+				"where P and Q are helm1 to 3, gate1 to 4, ward1 to 11, worker1 to 11", one, strings.Join(DayNames(), ", "))
 		}
 		list = append(list, e)
 	}
@@ -49,6 +51,31 @@
 
 type day func(f *Fleet, s *Street) (end func())
 
+var counts = map[string]int{"helm": 3, "gate": 4, "ward": 11, "worker": 11}
+
+// find gives a fault by its name, or one aimed at named processes.
+func find(name string) day {
+	kind, rest, ok := strings.Cut(name, ":")
+	if !ok {
+		return days[name]
+	}
+	names := strings.Split(rest, ":")
+	for _, n := range names {
+		role := strings.TrimRight(n, "0123456789")
+		if i, err := strconv.Atoi(n[len(role):]); err != nil || i < 1 || i > counts[role] {
+			return nil
+		}
+	}
+	first := func(f *Fleet, _ *Street) []*proc { return []*proc{f.by[names[0]]} }
+	switch {
+	case kind == "cut" && len(names) == 2:
+		return dayCut(first, func(f *Fleet, p *proc) bool { return p.name == names[1] })
+	case len(names) != 1:
+		return nil
+	}
+	return map[string]day{"kill": dayKill(first, false), "wipe": dayKill(first, true), "freeze": dayFreeze(first), "cut": dayCut(first, all)}[kind]
+}
+
 func dayKill(pick func(*Fleet, *Street) []*proc, wipe bool) day {
 	return func(f *Fleet, s *Street) func() {
 		list := pick(f, s)
@@ -207,7 +234,7 @@
 	for _, e := range list {
 		wait(from.Add(e.At))
 		f.Tell(Happening{What: Trouble, Text: fmt.Sprintf("%s for %s", e.Name, e.Long)})
-		ends = append(ends, ending{time.Now().Add(e.Long), days[e.Name](f, s)})
+		ends = append(ends, ending{time.Now().Add(e.Long), find(e.Name)(f, s)})
 		sort.Slice(ends, func(i, k int) bool { return ends[i].at.Before(ends[k].at) })
 	}
 	wait(from.Add(long))
--- a/trial/storm.go
+++ b/trial/storm.go
@@ -36,7 +36,6 @@
 	wards []*node
 	zones map[mark.Locality][]mark.Addr
 	spare int
-	begun int64
 	done  int64
 	Notes []string
 }
--- a/truth/truth_test.go
+++ b/truth/truth_test.go
@@ -243,7 +243,7 @@
 	b.lead(2)
 	b.pass(time.Second, nil)
 	is.Equal(w.term, mark.Term(2))
-	b.head, old = old, b.head
+	b.head = old
 	order(b, "s", try("j", 1))
 	b.flow(nil)
 	is.Equal(len(w.legs), 0)
--- a/truth/watch.go
+++ b/truth/watch.go
@@ -29,7 +29,7 @@
 // judge moves one seat through the health machine.
 func (h *Head) judge(s *Seat) {
 	quiet := h.now.Sub(s.Good)
-	to := s.State
+	var to Soundness
 	switch {
 	case s.State == MustDie:
 		return
