The fleet runner waits for its processes without a race of its own

Cause: a fleet built with the race detector told of one race, in the runner, which read a process's state while another goroutine waited for it. Excluded: the daemons, none of whose 18 logs told of any.

--- a/trial/day.go
+++ b/trial/day.go
@@ -166,9 +166,9 @@
 // restart warns a process, as the platform does, and starts it again.
 func restart(f *Fleet, p *proc) {
 	p.signal(syscall.SIGTERM)
-	until := time.Now().Add(6 * time.Second)
-	for time.Now().Before(until) && p.cmd.ProcessState == nil {
-		time.Sleep(20 * time.Millisecond)
+	select {
+	case <-p.gone:
+	case <-time.After(6 * time.Second):
 	}
 	p.signal(syscall.SIGKILL)
 	f.launch(p)
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,8 +31,9 @@
 	bin  string
 	gen  int
 	cmd  *exec.Cmd
-	down bool
-	ice  bool
+	gone chan struct{} // closed when the process has ended
+	down atomic.Bool
+	ice  atomic.Bool
 }
 
 // Fleet is the whole of them.
@@ -119,12 +121,17 @@
 	}
 	p.cmd = exec.Command(p.bin, args...)
 	p.cmd.Stderr, p.cmd.Stdout = log, log
-	p.down, p.ice = false, false
+	p.down.Store(false)
+	p.ice.Store(false)
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
-	cmd := p.cmd
-	go cmd.Wait()
+	cmd, gone := p.cmd, make(chan struct{})
+	p.gone = gone
+	go func() {
+		cmd.Wait()
+		close(gone)
+	}()
 	return nil
 }
 
@@ -146,7 +153,7 @@
 
 func (f *Fleet) kill(p *proc) {
 	p.signal(syscall.SIGKILL)
-	p.down = true
+	p.down.Store(true)
 	if p.role == "worker" {
 		f.Tell(Happening{What: Died, Who: f.id(p), Shard: f.shard(p)})
 	}
@@ -170,7 +177,7 @@
 	if p.role == "worker" && on {
 		f.Tell(Happening{What: what, Who: f.id(p), Shard: f.shard(p)})
 	}
-	p.ice = on
+	p.ice.Store(on)
 }
 
 // Shut stops all processes of the fleet, and only those.
@@ -235,7 +242,7 @@
 			Part string `json:"part"`
 			Term uint64 `json:"term"`
 		}
-		if !p.down && !p.ice && f.page(p, "/v1/status", &v) == nil && v.Part == "leader" && v.Term > term {
+		if !p.down.Load() && !p.ice.Load() && f.page(p, "/v1/status", &v) == nil && v.Part == "leader" && v.Term > term {
 			best, term = p, v.Term
 		}
 	}
--- a/trial/street.go
+++ b/trial/street.go
@@ -60,7 +60,7 @@
 		var list []*proc
 		for _, p := range s.f.of("gate") {
 			var v any
-			if !p.down && !p.ice && s.f.page(p, "/ready", &v) == nil {
+			if !p.down.Load() && !p.ice.Load() && s.f.page(p, "/ready", &v) == nil {
 				list = append(list, p)
 			}
 		}
@@ -123,7 +123,7 @@
 		code = res.StatusCode
 	}
 	if err != nil {
-		if (errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)) && !g.down && !g.ice {
+		if (errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)) && !g.down.Load() && !g.ice.Load() {
 			s.Drops.Add(1)
 			s.f.Tell(Happening{What: Dropped, Who: g.name, Text: err.Error()})
 		}
