--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,7 +21,7 @@
 	Bad   float64
 	Slow  float64
 	Busy  int
-	Load  map[Part]int
+	Has   map[Part]int
 }
 
 // Part is one step of one job.
@@ -102,7 +102,7 @@
 			s := &slots[at]
 			s.Free = s.Free.Minus(w.Room)
 			s.Busy++
-			s.Load[w.Part]++
+			s.Has[w.Part]++
 			picks = append(picks, Pick{mark.Task{Job: w.Job, N: w.Tasks[i]}, s.Shard})
 		}
 		t.due.Running += n
@@ -179,7 +179,7 @@
 		for i := range slots {
 			s := &slots[i]
 			if !free[i].Holds(w.Room) || w.Rack != "" && w.Rack != s.Rack || !slices.Contains(s.Kinds, w.Kind) ||
-				w.Spread > 0 && s.Load[w.Part]+more[i] >= w.Spread {
+				w.Spread > 0 && s.Has[w.Part]+more[i] >= w.Spread {
 				continue
 			}
 			if s.Bad > mean+shun && s.Busy+more[i] > 0 {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -14,7 +14,7 @@
 func slots(n, cores int) (list []Slot) {
 	for i := range n {
 		list = append(list, Slot{Shard: mark.Shard(fmt.Sprintf("k%d", i)), Rack: mark.Rack(fmt.Sprintf("r%d", i/3)),
-			Kinds: []mark.Kind{"x"}, Free: mark.Room{Cores: cores, Memory: 1000}, Slow: 1, Load: map[Part]int{}})
+			Kinds: []mark.Kind{"x"}, Free: mark.Room{Cores: cores, Memory: 1000}, Slow: 1, Has: map[Part]int{}})
 	}
 	return
 }
--- a/helm/calls.go
+++ b/helm/calls.go
@@ -95,7 +95,7 @@
 
 func (h *Helm) when(bad *fault.Fault, f store.Fact) *fault.Fault {
 	if bad.Kind == fault.Full && f.Job != nil {
-		bad.After(h.rate(f.Job.Spec.Queue).eta(h.now.Mono, h.state.Load(f.Job.Spec.Queue)))
+		bad.After(h.rate(f.Job.Spec.Queue).eta(h.now.Mono, h.state.Held(f.Job.Spec.Queue)))
 	}
 	return bad
 }
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -83,7 +83,7 @@
 
 func (h *Helm) load() {
 	s := h.core.State()
-	st, err := store.Load(s.State)
+	st, err := store.Restore(s.State)
 	if err != nil {
 		panic(err)
 	}
--- a/helm/plan.go
+++ b/helm/plan.go
@@ -101,7 +101,7 @@
 		if !s.Leaving && s.Sound {
 			at[s.Shard] = len(list)
 			list = append(list, choice.Slot{Shard: s.Shard, Rack: s.Rack, Kinds: s.Kinds, Free: s.Room,
-				Bad: s.Worth.Bad, Slow: s.Worth.Slow, Load: map[choice.Part]int{}})
+				Bad: s.Worth.Bad, Slow: s.Worth.Slow, Has: map[choice.Part]int{}})
 		}
 	}
 	for _, o := range h.head.Holds() {
@@ -113,7 +113,7 @@
 		x.Free = x.Free.Minus(o.Room)
 		x.Busy++
 		if o.Step >= 0 {
-			x.Load[choice.Part{Job: o.Leg.Job, Step: o.Step}]++
+			x.Has[choice.Part{Job: o.Leg.Job, Step: o.Step}]++
 		}
 	}
 	return
--- a/helm/view.go
+++ b/helm/view.go
@@ -74,7 +74,7 @@
 	}
 	list = []QueueView{}
 	for _, r := range h.state.Table.Rows {
-		v := QueueView{Name: r.Name, Weight: r.Weight, Share: r.Share, Jobs: h.state.Load(r.Name), Limit: r.Waiting,
+		v := QueueView{Name: r.Name, Weight: r.Weight, Share: r.Share, Jobs: h.state.Held(r.Name), Limit: r.Waiting,
 			Running: dues[r.Name].Running, Cores: dues[r.Name].Cores, Ready: ready[r.Name]}
 		if at, ok := oldest[r.Name]; ok {
 			v.Oldest = h.core.Clock().Sub(at).Milliseconds()
--- a/store/state.go
+++ b/store/state.go
@@ -68,7 +68,7 @@
 	Past   []Put                  `json:"past"`
 	live   map[mark.JobID]*Job    // not over
 	order  []*Job                 // the same, oldest first, some over
-	load   map[mark.Queue]int     // live jobs a queue
+	held   map[mark.Queue]int     // live jobs a queue
 	done   []*Job                 // over, oldest first
 	Count  map[mark.Queue]*Counts `json:"count"`
 }
@@ -96,8 +96,8 @@
 	return s
 }
 
-// Load reads a snapshot; nothing gives the state before the first fact.
-func Load(b json.RawMessage) (*State, error) {
+// Restore reads a snapshot; nothing gives the state before the first fact.
+func Restore(b json.RawMessage) (*State, error) {
 	s := New()
 	if len(b) == 0 {
 		return s, nil
@@ -118,13 +118,13 @@
 }
 
 func (s *State) index() {
-	s.live, s.load, s.done, s.order = map[mark.JobID]*Job{}, map[mark.Queue]int{}, nil, nil
+	s.live, s.held, s.done, s.order = map[mark.JobID]*Job{}, map[mark.Queue]int{}, nil, nil
 	for id, j := range s.Jobs {
 		if j.Over() {
 			s.done = append(s.done, j)
 		} else {
 			s.live[id], s.order = j, append(s.order, j)
-			s.load[j.Queue]++
+			s.held[j.Queue]++
 		}
 	}
 	sort.Slice(s.done, func(i, k int) bool {
@@ -158,8 +158,8 @@
 	return
 }
 
-// Load is how many unfinished jobs a queue has.
-func (s *State) Load(q mark.Queue) int { return s.load[q] }
+// Held is how many unfinished jobs a queue has.
+func (s *State) Held(q mark.Queue) int { return s.held[q] }
 
 // Apply takes a fact. The fault is the answer to whoever proposed it; legs are
 // those that were really given out.
@@ -212,9 +212,9 @@
 		return fault.New(fault.Stale, "edition", fmt.Sprintf("based on edition %d, but %d is in force", t.Edition, s.Table.Edition))
 	}
 	for i, r := range s.Table.Rows {
-		if _, ok := t.Find(r.Name); !ok && s.load[r.Name] > 0 {
+		if _, ok := t.Find(r.Name); !ok && s.held[r.Name] > 0 {
 			return fault.New(fault.InUse, fmt.Sprintf("queues[%d].name", i),
-				fmt.Sprintf("queue %s of the table in force has %d unfinished jobs and may not be left out", r.Name, s.load[r.Name]))
+				fmt.Sprintf("queue %s of the table in force has %d unfinished jobs and may not be left out", r.Name, s.held[r.Name]))
 		}
 	}
 	return nil
@@ -233,7 +233,7 @@
 	if !ok {
 		return nil, fault.New(fault.NoQueue, "queue", "no queue is called "+string(spec.Queue))
 	}
-	if n := s.load[spec.Queue]; n >= row.Waiting {
+	if n := s.held[spec.Queue]; n >= row.Waiting {
 		return nil, fault.New(fault.Full, "queue", fmt.Sprintf("%d unfinished jobs, as many as the queue may hold", n))
 	}
 	return nil, nil
@@ -249,7 +249,7 @@
 		State: Open, Spec: &m.Spec, Size: m.Spec.Total()}
 	j.Tasks = make([]Task, j.Size)
 	s.Jobs[m.ID], s.live[m.ID], s.order = j, j, append(s.order, j)
-	s.load[j.Queue]++
+	s.held[j.Queue]++
 	s.count(j.Queue).Accepted++
 	return nil
 }
@@ -300,7 +300,7 @@
 		return
 	}
 	delete(s.live, j.ID)
-	s.load[j.Queue]--
+	s.held[j.Queue]--
 	s.done = append(s.done, j)
 	c := s.count(j.Queue)
 	switch j.State {
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -60,7 +60,7 @@
 	is.Equal(len(j.Doomed()), 1)
 	s.must(10*sec, end(1, 1, Halted))
 	is.Equal(j.State, Failed)
-	is.Equal(s.Load("q"), 0)
+	is.Equal(s.Held("q"), 0)
 }
 
 func TestLateEndsOfLostLegs(t *testing.T) {
@@ -157,9 +157,9 @@
 	spec.Urgency = 3
 	_, bad = s.Apply(Fact{Tick: sec, Job: &Submit{"a", spec}})
 	is.Equal(bad.Kind, fault.Conflict)
-	again, err := Load(s.Save())
+	again, err := Restore(s.Save())
 	is.NoErr(err)
-	is.Equal(again.Load("q"), 2)
+	is.Equal(again.Held("q"), 2)
 	is.Equal(len(again.Live()), 2)
 }
 
