One piece for what stood twice: note handlers, the cancel's rule, a table's base

Three packages had the same adapter from a note to a method; word.On serves them. The leader repeated the state's rule for cancels; both now ask CheckCancel. The verb that puts a table on another base went round the table it had just read, and a gate kept a flag that its count of legs tells. Behaviour is as it was.

--- a/accord/roll.go
+++ b/accord/roll.go
@@ -17,24 +17,16 @@
 	idle  = 30 * time.Second
 )
 
-func take[T any](f func(*Core, mark.Addr, T)) func(*Core, word.Note) {
-	return func(c *Core, n word.Note) {
-		if b, ok := word.Read[T](n); ok {
-			f(c, n.From, b)
-		}
-	}
-}
-
 var table = map[string]func(*Core, word.Note){
-	word.Found:   take((*Core).onFound),
-	word.Join:    take((*Core).onJoin),
-	word.Ballot:  take((*Core).onBallot),
-	word.Vote:    take((*Core).onVote),
-	word.Append:  take((*Core).onPush),
-	word.Append2: take((*Core).onTaken),
-	word.Snap:    take((*Core).onSnap),
-	word.Heir:    take((*Core).onHeir),
-	word.Gone:    take((*Core).onGone),
+	word.Found:   word.On((*Core).onFound),
+	word.Join:    word.On((*Core).onJoin),
+	word.Ballot:  word.On((*Core).onBallot),
+	word.Vote:    word.On((*Core).onVote),
+	word.Append:  word.On((*Core).onPush),
+	word.Append2: word.On((*Core).onTaken),
+	word.Snap:    word.On((*Core).onSnap),
+	word.Heir:    word.On((*Core).onHeir),
+	word.Gone:    word.On((*Core).onGone),
 }
 
 // Take handles a note; false when it is not one for this machine.
--- a/cmd/coppercourse/verbs.go
+++ b/cmd/coppercourse/verbs.go
@@ -15,6 +15,7 @@
 
 	"coppercourse/blueprint"
 	"coppercourse/fault"
+	"coppercourse/mark"
 	"coppercourse/store"
 )
 
@@ -88,13 +89,8 @@
 	if base < 0 {
 		return b, nil
 	}
-	var rest map[string]json.RawMessage
-	if err := json.Unmarshal(b, &rest); err != nil {
-		return nil, err
-	}
-	_ = t
-	rest["edition"], _ = json.Marshal(base)
-	return json.Marshal(rest)
+	t.Edition = mark.Edition(base)
+	return json.Marshal(t)
 }
 
 // fetch asks a daemon and gives its answer, or its refusal as an error.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -35,12 +35,11 @@
 )
 
 type call struct {
-	ask   word.Ask
-	from  mark.Stamp
-	sent  mark.Stamp
-	to    mark.Addr
-	legs  int
-	shown bool
+	ask  word.Ask
+	from mark.Stamp
+	sent mark.Stamp
+	to   mark.Addr
+	legs int
 }
 
 // Gate is one door.
@@ -145,7 +144,7 @@
 
 // giveUp says which it is: nobody has seen the request, or somebody may have.
 func (g *Gate) giveUp(c *call) *fault.Fault {
-	if c.shown {
+	if c.legs > 0 {
 		return fault.New(fault.Unsure, "", "no answer from the leader; the request may have been taken; send the same again").After(g.back())
 	}
 	return fault.New(fault.NoLead, "", "no leader can be reached from here").After(g.back())
@@ -210,7 +209,6 @@
 	}
 	c.to, c.sent = to, g.now.Mono
 	c.legs++
-	c.shown = true
 	g.Sums.Legs++
 	g.sends = append(g.sends, word.Make(g.place.Addr, to, word.Call, word.CallBody{ID: id, Verb: c.ask.Verb, Arg: c.ask.Arg, Body: c.ask.Body}))
 }
--- a/helm/calls.go
+++ b/helm/calls.go
@@ -135,14 +135,11 @@
 
 func (h *Helm) cancelJob(w waiter, c word.CallBody) {
 	id := mark.JobID(c.Arg)
-	j := h.state.Jobs[id]
-	switch {
-	case j == nil:
-		h.bad(w, fault.New(fault.NoJob, "id", "no such job"))
-	case j.State == store.Stopped || j.Halt && !j.Over():
+	switch repeat, bad := h.state.CheckCancel(id); {
+	case bad != nil:
+		h.bad(w, bad)
+	case repeat:
 		h.good(w, 200, h.View(id))
-	case j.Over():
-		h.bad(w, fault.New(fault.Ended, "id", "the job has ended: "+string(j.State)))
 	default:
 		h.wait(w, store.Fact{Cancel: id})
 	}
--- a/store/state.go
+++ b/store/state.go
@@ -263,18 +263,27 @@
 	return c
 }
 
-// cancel stops a job. Once cancelled it stays so and a repeat is fine; one
-// that ended otherwise can't be cancelled.
-func (s *State) cancel(id mark.JobID) *fault.Fault {
+// CheckCancel tells whether a job may be cancelled now; repeat is true when it
+// already is, which is fine. One that ended otherwise can't be.
+func (s *State) CheckCancel(id mark.JobID) (repeat bool, bad *fault.Fault) {
 	j := s.Jobs[id]
 	switch {
 	case j == nil:
-		return fault.New(fault.NoJob, "id", "no such job")
+		return false, fault.New(fault.NoJob, "id", "no such job")
 	case j.State == Stopped || j.Halt && !j.Over():
-		return nil
+		return true, nil
 	case j.Over():
-		return fault.New(fault.Ended, "id", "the job has ended: "+string(j.State))
+		return false, fault.New(fault.Ended, "id", "the job has ended: "+string(j.State))
+	}
+	return false, nil
+}
+
+func (s *State) cancel(id mark.JobID) *fault.Fault {
+	repeat, bad := s.CheckCancel(id)
+	if repeat || bad != nil {
+		return bad
 	}
+	j := s.Jobs[id]
 	j.Halt, j.Why = true, "cancelled"
 	j.turn(s.Tick)
 	s.close(j)
--- a/truth/heed.go
+++ b/truth/heed.go
@@ -168,22 +168,14 @@
 	}
 }
 
-func heed[T any](f func(*Hand, mark.Addr, T)) func(*Hand, word.Note) {
-	return func(h *Hand, n word.Note) {
-		if b, ok := word.Read[T](n); ok {
-			f(h, n.From, b)
-		}
-	}
-}
-
 var hands = map[string]func(*Hand, word.Note){
-	word.Beaten:  heed((*Hand).onBeaten),
-	word.AskRun:  heed((*Hand).onAsk),
-	word.Order:   heed((*Hand).onOrder),
-	word.Query:   heed((*Hand).onQuery),
-	word.Settled: heed((*Hand).onSettled),
-	word.Stop:    heed((*Hand).onStop),
-	word.Quit:    heed((*Hand).onQuit),
+	word.Beaten:  word.On((*Hand).onBeaten),
+	word.AskRun:  word.On((*Hand).onAsk),
+	word.Order:   word.On((*Hand).onOrder),
+	word.Query:   word.On((*Hand).onQuery),
+	word.Settled: word.On((*Hand).onSettled),
+	word.Stop:    word.On((*Hand).onStop),
+	word.Quit:    word.On((*Hand).onQuit),
 }
 
 // Take handles a scheduler's note.
--- a/truth/watch.go
+++ b/truth/watch.go
@@ -182,20 +182,12 @@
 	return r
 }
 
-func take[T any](f func(*Head, mark.Addr, T)) func(*Head, word.Note) {
-	return func(h *Head, n word.Note) {
-		if b, ok := word.Read[T](n); ok {
-			f(h, n.From, b)
-		}
-	}
-}
-
 var heads = map[string]func(*Head, word.Note){
-	word.Beat:    take((*Head).onBeat),
-	word.Account: take((*Head).onAccount),
-	word.Ordered: take((*Head).onOrdered),
-	word.Queried: take((*Head).onQueried),
-	word.Status:  take((*Head).onStatus),
+	word.Beat:    word.On((*Head).onBeat),
+	word.Account: word.On((*Head).onAccount),
+	word.Ordered: word.On((*Head).onOrdered),
+	word.Queried: word.On((*Head).onQueried),
+	word.Status:  word.On((*Head).onStatus),
 }
 
 // Take handles a ward's note.
--- a/word/word.go
+++ b/word/word.go
@@ -37,6 +37,16 @@
 	return t, json.Unmarshal(n.Body, &t) == nil
 }
 
+// On makes a handler of notes out of a machine's method for one kind of body;
+// a body that does not fit is let fall.
+func On[M, T any](f func(*M, mark.Addr, T)) func(*M, Note) {
+	return func(m *M, n Note) {
+		if b, ok := Read[T](n); ok {
+			f(m, n.From, b)
+		}
+	}
+}
+
 // The kinds of note.
 const (
 	Hello   = "hello"   // kin: who is there
