A cut-off helm's clock is given up; the last synced record has a witness

Clock: a helm cut off during a whole leadership kept a clock ahead of that leader's by a message's delay, and led with it. A follower takes its leader's clock anew with each term, and a leader never winds its own by what a mate says.

--- a/accord/core.go
+++ b/accord/core.go
@@ -67,6 +67,7 @@
 	now     mark.Now
 	tick    mark.Tick
 	tickAt  mark.Stamp
+	tickOf  mark.Term // whose clock it follows
 	boot    mark.Stamp
 	heard   mark.Stamp
 	wait    mark.Stamp
@@ -287,6 +288,19 @@
 // Clock is the cluster's own time as this member knows it.
 func (c *Core) Clock() mark.Tick { return c.tick.Add(c.now.Mono.Sub(c.tickAt)) }
 
+// follow takes the clock of the leader of a term. What a leader says is older
+// by its way here, so a follower's clock is never ahead of its leader's; one
+// kept from an earlier leader might be, and is given up. Whoever leads next has
+// followed the last leader that committed anything, so the cluster's clock may
+// fall behind at a change of leader, by a message's delay, and never runs ahead.
+func (c *Core) follow(t mark.Term, tick mark.Tick) {
+	if t != c.tickOf {
+		c.tickOf, c.tick, c.tickAt = t, tick, c.now.Mono
+		return
+	}
+	c.Wind(tick)
+}
+
 // Wind moves the clock forward to at least t; what mates told of their walls
 // was counted from where the clock stood, and moves with it.
 func (c *Core) Wind(t mark.Tick) {
--- a/accord/kinds.go
+++ b/accord/kinds.go
@@ -123,7 +123,6 @@
 	Match mark.Index `json:"match"`
 	Round mark.Stamp `json:"round"`
 	Wall  mark.Wall  `json:"wall"`
-	Tick  mark.Tick  `json:"tick"`
 }
 
 type snap struct {
--- a/accord/push.go
+++ b/accord/push.go
@@ -106,7 +106,7 @@
 	if !c.meet(from, p) {
 		return
 	}
-	a := taken{Name: c.name, ID: c.self.ID, Term: c.vow.Term, Round: p.Round, Wall: c.now.Wall, Tick: c.Clock()}
+	a := taken{Name: c.name, ID: c.self.ID, Term: c.vow.Term, Round: p.Round, Wall: c.now.Wall}
 	t, ok := c.term(p.Prev)
 	if p.Prev < c.snap.Index {
 		skip := min(int(c.snap.Index-p.Prev), len(p.Entries))
@@ -163,7 +163,7 @@
 	}
 	c.settle()
 	c.leader, c.leadAt, c.heard = p.ID, from, c.now.Mono
-	c.Wind(p.Tick)
+	c.follow(p.Term, p.Tick)
 	c.rest()
 	return true
 }
@@ -181,7 +181,7 @@
 		c.marked()
 	}
 	c.hold(c.wrote, from, word.Append2, taken{Name: c.name, ID: c.self.ID, Term: c.vow.Term, OK: true,
-		Match: s.Snap.Index, Round: s.Round, Wall: c.now.Wall, Tick: c.Clock()})
+		Match: s.Snap.Index, Round: s.Round, Wall: c.now.Wall})
 }
 
 func (c *Core) onTaken(_ mark.Addr, a taken) {
@@ -196,7 +196,6 @@
 		return
 	}
 	t := c.mate(a.ID)
-	c.Wind(a.Tick) // a mate may have followed an earlier leader more closely
 	if a.Round > t.round {
 		t.round, t.off = a.Round, a.Wall-mark.Wall(c.Clock())
 	}
--- a/door/owner.go
+++ b/door/owner.go
@@ -179,10 +179,16 @@
 var errDisk = errors.New("disk")
 
 func (d *Disk) Run(ctx context.Context) error {
+	rest := time.NewTimer(lore.Rest)
+	defer rest.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return d.file.Close()
+		case <-rest.C:
+			if err := d.file.Seal(); err != nil {
+				return errors.Join(errDisk, err)
+			}
 		case b := <-d.in:
 			group := []batch{b}
 			for len(d.in) > 0 {
@@ -192,6 +198,7 @@
 				return errors.Join(errDisk, err)
 			}
 			d.done(group[len(group)-1].seq)
+			rest.Reset(lore.Rest)
 		}
 	}
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -115,6 +115,10 @@
 		if g.news.Take(n) {
 			g.Trail.Add(g.now.Wall, trail.Table(g.news.Table.Edition), "in use here")
 		}
+	case n.Kind == word.Status: // a helm that is cut off from the leader was told of ends
+		if to := g.kin.Lead(); to != "" {
+			g.sends = append(g.sends, word.Send{To: to, Note: n})
+		}
 	case n.Kind == word.Reply:
 		if r, ok := word.Read[word.ReplyBody](n); ok {
 			g.reply(n.From, r)
--- /dev/null
+++ b/helm/early.go
@@ -0,0 +1,82 @@
+// What wards told of their workers' legs is kept by every helm that heard it
+// until the log has it: a leader may lose its duty before the end is committed,
+// and the ward may be gone by then. "Rebuilt from those who told it first."
+package helm
+
+import (
+	"slices"
+	"time"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/truth"
+	"coppercourse/word"
+)
+
+type early struct {
+	from mark.Addr
+	truth.Status
+	at   mark.Stamp
+	sent mark.Stamp
+}
+
+// lag is how long a report of a leg that this helm's log does not have yet is
+// kept.
+const lag = 10 * time.Second
+
+// logged tells whether an end need not be kept any longer.
+func (h *Helm) logged(e store.End, at mark.Stamp) bool {
+	if j := h.state.Jobs[e.Leg.Job]; j == nil || !j.Over() && e.Leg.N < len(j.Tasks) && e.Leg.Leg > j.Tasks[e.Leg.N].Leg {
+		return h.now.Mono.Sub(at) > lag
+	}
+	return h.taken(e)
+}
+
+// keep holds on to a report until its ends are in the log.
+func (h *Helm) keep(n word.Note) {
+	u, ok := word.Read[truth.Status](n)
+	if !ok || len(h.early) >= Crowd {
+		return
+	}
+	u.Ends = slices.DeleteFunc(u.Ends, func(e store.End) bool { return !e.Fate.Fact() || h.logged(e, h.now.Mono) })
+	for _, x := range h.early {
+		u.Ends = slices.DeleteFunc(u.Ends, func(e store.End) bool { return slices.Contains(x.Ends, e) })
+	}
+	if len(u.Ends) > 0 {
+		h.early = append(h.early, early{n.From, u, h.now.Mono, h.now.Mono})
+	}
+}
+
+// pass tells the leader, or this helm's own dispatcher, what is not in the log.
+func (h *Helm) pass() {
+	h.early = slices.DeleteFunc(h.early, func(x early) bool {
+		return !slices.ContainsFunc(x.Ends, func(e store.End) bool { return !h.logged(e, x.at) })
+	})
+	for i := range h.early {
+		x := &h.early[i]
+		if h.now.Mono.Sub(x.sent) < h.place.Truth.Again {
+			continue
+		}
+		to := h.core.Leader()
+		if h.head != nil {
+			to = h.place.Addr
+		}
+		if s := word.Make(x.from, to, word.Status, x.Status); h.head != nil {
+			h.head.Take(h.now.Mono, h.core.Grace(), s.Note)
+		} else {
+			h.relay(s, to)
+		}
+		x.sent = h.now.Mono
+	}
+}
+
+// relay sends a report to the leader, and by way of the gates: this helm may be
+// cut off from the leader alone.
+func (h *Helm) relay(s word.Send, to mark.Addr) {
+	if to != "" {
+		h.sends = append(h.sends, s)
+	}
+	for _, c := range h.kin.Of("gate") {
+		h.sends = append(h.sends, word.Send{To: c.Addr, Note: s.Note})
+	}
+}
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -31,11 +31,6 @@
 	Truth truth.Pace
 }
 
-type heard struct {
-	note word.Note
-	at   mark.Stamp
-}
-
 type waiter struct {
 	from mark.Addr
 	id   uint64
@@ -63,7 +58,7 @@
 	late   mark.Stamp
 	moved  bool // something was applied, or time passed, since work was last placed
 	rates  map[mark.Queue]*rate
-	early  []heard
+	early  []early
 	sends  []word.Send
 	Sums   Sums
 }
@@ -147,35 +142,14 @@
 		if h.core.Firm() {
 			h.desk.Take(h.now.Mono, n)
 		}
-	case h.head != nil:
-		h.head.Take(h.now.Mono, h.core.Grace(), n)
-	case n.Kind == word.Status:
-		h.keep(n)
-	}
-}
-
-// keep holds on to what a ward told a helm that does not lead: the ward may be
-// gone by the time a leader is found.
-func (h *Helm) keep(n word.Note) {
-	if len(h.early) < Crowd {
-		h.early = append(h.early, heard{n, h.now.Mono})
-	}
-}
-
-// pass gives what was kept to this helm's own dispatcher or to the leader.
-func (h *Helm) pass() {
-	to := h.core.Leader()
-	for _, x := range h.early {
-		switch {
-		case h.head != nil:
-			h.head.Take(h.now.Mono, h.core.Grace(), x.note)
-		case to != "" && !h.core.Leads():
-			h.sends = append(h.sends, word.Send{To: to, Note: x.note})
-		case h.now.Mono.Sub(x.at) < 2*h.place.Truth.Loss:
-			return
+	default:
+		if n.Kind == word.Status {
+			h.keep(n)
+		}
+		if h.head != nil {
+			h.head.Take(h.now.Mono, h.core.Grace(), n)
 		}
 	}
-	h.early = nil
 }
 
 func (h *Helm) tick() {
--- a/kin/kin.go
+++ b/kin/kin.go
@@ -168,9 +168,12 @@
 func (r *Roster) sound(e *entry) bool { return r.now.Sub(e.heard) <= Sound }
 
 // Helms lists the sound helms.
-func (r *Roster) Helms() (list []Card) {
+func (r *Roster) Helms() []Card { return r.Of("helm") }
+
+// Of lists the sound daemons of a role.
+func (r *Roster) Of(role string) (list []Card) {
 	for _, a := range r.list {
-		if e := r.all[a]; e.card.Role == "helm" && r.sound(e) {
+		if e := r.all[a]; e.card.Role == role && r.sound(e) {
 			list = append(list, e.card)
 		}
 	}
--- a/lore/file.go
+++ b/lore/file.go
@@ -5,6 +5,7 @@
 import (
 	"os"
 	"path/filepath"
+	"time"
 
 	"coppercourse/fault"
 )
@@ -16,8 +17,12 @@
 	f      *os.File
 	size   int64
 	synced int64
+	sealed bool
 }
 
+// Rest is how long nothing is written before the file is sealed.
+const Rest = 50 * time.Millisecond
+
 // Open reads the file of a data folder. A damaged file is put aside under
 // another name and told in spoilt; the daemon then starts as a new member.
 func Open(dir string) (file *File, list [][]byte, spoilt string, err error) {
@@ -80,10 +85,22 @@
 	if err := x.f.Sync(); err != nil {
 		return fault.Wrap(fault.Unfit, err, "sync")
 	}
-	x.synced = x.size
+	x.synced, x.sealed = x.size, false
 	return nil
 }
 
+// Seal writes an empty record behind the last one, unless it is there already:
+// the witness that all before it was synced, so that damage to the last record
+// is told from a torn tail.
+func (x *File) Seal() error {
+	if x.sealed || x.size == 0 {
+		return nil
+	}
+	err := x.Append([][]byte{[]byte("{}")})
+	x.sealed = err == nil
+	return err
+}
+
 // Rewrite puts the given records in place of the whole file.
 func (x *File) Rewrite(group [][]byte) error {
 	path := filepath.Join(x.dir, name)
@@ -106,8 +123,14 @@
 		return fault.Wrap(fault.Unfit, err, "rewrite")
 	}
 	x.f.Close()
-	x.f, x.size = f, int64(len(b))
+	x.f, x.size, x.sealed = f, int64(len(b)), true
 	return x.sync()
 }
 
-func (x *File) Close() error { return x.f.Close() }
+func (x *File) Close() error {
+	if err := x.Seal(); err != nil {
+		x.f.Close()
+		return err
+	}
+	return x.f.Close()
+}
--- a/trial/check2.go
+++ b/trial/check2.go
@@ -109,7 +109,9 @@
 	for _, o := range j.spans[m] {
 		if o.fate != store.OK && o.to < c.end && o.to > s.from && s.runs(o.to, c.end) && !newer(j.spans[m], o) {
 			c.seen["gang: a member lost while a mate ran"]++
-			c.seen.most("gang: longest alone, ms", int(min(s.to, c.end)-o.to)/1e6)
+			if len(s.ice) == 0 {
+				c.seen.most("gang: longest alone, ms", int(min(s.to, c.end)-o.to)/1e6)
+			}
 		}
 	}
 	if !s.runs(s.from+alone, c.end) {
--- a/trial/core_test.go
+++ b/trial/core_test.go
@@ -235,3 +235,62 @@
 		is.Equal(a.Fault.Field, c.field)
 	}
 }
+
+// A helm cut off during a whole leadership has followed a clock that ran ahead
+// of that leader's by a message's delay. When it leads, nothing starts early.
+func TestClockOfACutOffHelmIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	hits := 0
+	for seed := range int64(16) {
+		r, _ := core(t, 70+seed)
+		r.Crew.Cancel = 0
+		r.Run(8 * time.Second)
+		first := r.leader()
+		var heir, away *node
+		for _, h := range r.helms {
+			switch {
+			case h == first:
+			case heir == nil:
+				heir = h
+			default:
+				away = h
+			}
+		}
+		heir.kill() // started again, it knows the time from what comes late only
+		r.lag[pair{first.addr, heir.addr}] = 350 * time.Millisecond
+		heir.boot()
+		r.Run(11 * time.Second)
+		r.Split([]mark.Addr{away.addr}, r.rest(away.addr), true, true)
+		r.Close(first)
+		r.Run(12 * time.Second)
+		clear(r.lag)
+		if first.m == nil {
+			first.boot()
+		}
+		r.Run(15 * time.Second)
+		if r.leader() != heir {
+			continue
+		}
+		hits++
+		for i, at := range []string{"delay", "time"} {
+			s := duo("payments", "pay")(r.rnd)
+			s.Steps = s.Steps[:1]
+			if s.Steps[0].Delay = 3000; i > 0 {
+				s.Steps[0].Delay, s.Steps[0].Not = 0, time.Unix(0, origin+r.now+3e9).UTC().Format(time.RFC3339Nano)
+			}
+			r.tell(Happening{What: Sent, Job: mark.JobID(at), Spec: &s})
+			r.Crew.send(mark.JobID(at), word.Body(s), "g1", 0)
+		}
+		r.Run(16 * time.Second)
+		clear(r.cut)
+		r.Run(16300 * time.Millisecond)
+		heir.freeze()
+		r.Run(30 * time.Second)
+		breaks, seen := Check(&r.Hist, Rules, r.now, 30*time.Second)
+		for _, b := range breaks {
+			t.Error(seed, b)
+		}
+		is.Equal(seen["early: started a step with a time"], 2)
+	}
+	is.True(hits > 3)
+}
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -95,7 +95,7 @@
 	return nil
 }
 
-func alone(r *Run, n *node) (a, b []mark.Addr) {
+func apart(r *Run, n *node) (a, b []mark.Addr) {
 	if n == nil {
 		return nil, nil
 	}
@@ -127,17 +127,17 @@
 	"freeze-helm":    freezer(func(r *Run) []*node { return r.helms }),
 	"freeze-gate":    freezer(func(r *Run) []*node { return r.gates }),
 	"freeze-ward":    freezer(func(r *Run) []*node { return r.wards }),
-	"cut-leader":     cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) { return alone(r, r.leader()) }),
+	"cut-leader":     cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) { return apart(r, r.leader()) }),
 	"cut-core":       cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) { return mates(r, r.leader()) }),
 	"cut-core-in":    cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { a, b := mates(r, r.leader()); return b, a }),
 	"cut-core-out":   cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { return mates(r, r.leader()) }),
-	"cut-helm":       cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) { return alone(r, one(r.rnd, r.helms)) }),
-	"cut-ward":       cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) { return alone(r, one(r.rnd, r.wards)) }),
-	"cut-ward-in":    cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { a, b := alone(r, one(r.rnd, r.wards)); return b, a }),
-	"cut-ward-out":   cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { return alone(r, one(r.rnd, r.wards)) }),
-	"cut-worker":     cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) { return alone(r, r.hand().node) }),
-	"cut-worker-in":  cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { a, b := alone(r, r.hand().node); return b, a }),
-	"cut-worker-out": cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { return alone(r, r.hand().node) }),
+	"cut-helm":       cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) { return apart(r, one(r.rnd, r.helms)) }),
+	"cut-ward":       cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) { return apart(r, one(r.rnd, r.wards)) }),
+	"cut-ward-in":    cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { a, b := apart(r, one(r.rnd, r.wards)); return b, a }),
+	"cut-ward-out":   cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { return apart(r, one(r.rnd, r.wards)) }),
+	"cut-worker":     cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) { return apart(r, r.hand().node) }),
+	"cut-worker-in":  cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { a, b := apart(r, r.hand().node); return b, a }),
+	"cut-worker-out": cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { return apart(r, r.hand().node) }),
 	"cut-zone": cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) {
 		z := r.zones[Zone(r.rnd.Intn(3))]
 		return z, r.rest(z...)
--- a/trial/net.go
+++ b/trial/net.go
@@ -55,6 +55,7 @@
 			continue
 		}
 		d := 200*time.Microsecond + time.Duration(w.rnd.Int63n(int64(2*time.Millisecond)))
+		d += w.lag[pair{from, to}]
 		if w.rnd.Float64() < w.sky.Late {
 			d += time.Duration(w.rnd.Int63n(int64(900 * time.Millisecond)))
 		}
@@ -96,7 +97,8 @@
 	busy   bool
 	queue  []write
 	liar   bool // a planted bug: says synced, and is not
-	broken int  // a generation; writes of an earlier one do not finish
+	sealed bool
+	broken int // a generation; writes of an earlier one do not finish
 }
 
 type write struct {
@@ -167,7 +169,21 @@
 		d.loose = nil
 		last := group[len(group)-1]
 		last.done(last.seq)
+		d.sealed = whole
 		d.next()
+		d.seal()
+	})
+}
+
+// seal has a last small record witness what was synced, once the disk rests.
+func (d *disk) seal() {
+	gen := d.broken
+	d.w.at(lore.Rest, func() {
+		if gen != d.broken || d.busy || d.sealed {
+			return
+		}
+		d.safe = lore.Pack(d.safe, []byte("{}"), int64(len(d.safe)))
+		d.sealed = true
 	})
 }
 
