--- a/accord/core.go
+++ b/accord/core.go
@@ -36,6 +36,7 @@
 	heard       mark.Stamp
 	off         mark.Wall
 	sent        mark.Stamp
+	part        int // of the snapshot that it has
 }
 
 // Core is one member. It is owned by one goroutine and does no I/O.
@@ -49,6 +50,8 @@
 	role   role
 	why    string
 	snap   Snap
+	coming Snap // a leader's, not whole yet
+	grown  int  // bytes of entries since the snapshot
 	log    []Entry
 	roll   Roll
 	rollAt mark.Index
@@ -100,7 +103,9 @@
 	c.self.ID = ""
 	for _, b := range recs {
 		var r Record
-		if json.Unmarshal(b, &r) == nil {
+		if len(c.snap.Parts) < c.snap.Count {
+			c.snap.Parts = append(c.snap.Parts, b)
+		} else if json.Unmarshal(b, &r) == nil {
 			c.load(r)
 		}
 	}
@@ -149,13 +154,21 @@
 	if i <= c.snap.Index {
 		return
 	}
-	c.log = append(c.log[:i-c.snap.Index-1:i-c.snap.Index-1], list...)
-	c.reroll()
+	c.log = append(c.log[:i-c.snap.Index-1], list...)
+	if i <= c.rollAt {
+		c.reroll()
+		return
+	}
+	c.enroll(list)
 }
 
 func (c *Core) reroll() {
 	c.roll, c.rollAt = c.snap.Roll, c.snap.Index
-	for _, e := range c.log {
+	c.enroll(c.log)
+}
+
+func (c *Core) enroll(list []Entry) {
+	for _, e := range list {
 		if e.Roll != nil {
 			c.roll, c.rollAt = e.Roll, e.Index
 		}
@@ -250,6 +263,10 @@
 		c.flush()
 	}
 	for _, r := range c.writes {
+		if r.part != nil {
+			batch = append(batch, r.part)
+			continue
+		}
 		b, err := json.Marshal(r)
 		if err != nil {
 			panic(err)
@@ -338,4 +355,5 @@
 func (c *Core) RollAt() mark.Index       { return c.rollAt }
 func (c *Core) Commit() mark.Index       { return c.commit }
 func (c *Core) State() Snap              { return c.snap }
+func (c *Core) Grown() int               { return c.grown }
 func (c *Core) Entry(i mark.Index) Entry { return c.log[i-c.snap.Index-1] }
--- a/accord/kinds.go
+++ b/accord/kinds.go
@@ -48,12 +48,14 @@
 	Roll  Roll            `json:"roll,omitempty"`
 }
 
-// Snap is the state as of one entry.
+// Snap is the state as of one entry, in so many parts, each a record of its own
+// and a message of its own.
 type Snap struct {
-	Index mark.Index      `json:"index"`
-	Term  mark.Term       `json:"term"`
-	Roll  Roll            `json:"roll"`
-	State json.RawMessage `json:"state"`
+	Index mark.Index `json:"index"`
+	Term  mark.Term  `json:"term"`
+	Roll  Roll       `json:"roll"`
+	Count int        `json:"parts"`
+	Parts [][]byte   `json:"-"`
 }
 
 // Record is what one disk record holds; each field stands for itself.
@@ -64,6 +66,7 @@
 	Vow     *Vow     `json:"vow,omitempty"`
 	Entries []Entry  `json:"entries,omitempty"`
 	Snap    *Snap    `json:"snap,omitempty"`
+	part    []byte   // in place of all else: a part of the snapshot before it
 }
 
 // Self is minted with an empty folder and never used again after its loss.
@@ -123,11 +126,14 @@
 	Match mark.Index `json:"match"`
 	Round mark.Stamp `json:"round"`
 	Wall  mark.Wall  `json:"wall"`
+	Parts int        `json:"parts,omitempty"` // of a snapshot that is coming
 }
 
 type snap struct {
 	push
-	Snap Snap `json:"snap"`
+	Snap Snap            `json:"snap"`
+	No   int             `json:"no"`
+	Part json.RawMessage `json:"part"`
 }
 
 type heir struct {
--- a/accord/push.go
+++ b/accord/push.go
@@ -12,7 +12,12 @@
 	"coppercourse/word"
 )
 
-const most = 256
+const (
+	most    = 256
+	longest = 120_000 // entries that a log may have before it takes no more
+)
+
+const never = mark.Stamp(-1 << 62)
 
 func (c *Core) span(d time.Duration) time.Duration { return time.Duration(c.rnd.Int63n(int64(d))) }
 
@@ -30,6 +35,7 @@
 
 func (c *Core) append(e Entry) mark.Index {
 	e.Term, e.Index = c.vow.Term, c.last()+1
+	c.grown += len(e.Fact)
 	c.put([]Entry{e})
 	c.write(Record{Entries: []Entry{e}})
 	c.marked()
@@ -45,7 +51,7 @@
 
 // Propose puts a fact into the log; false when this member may not.
 func (c *Core) Propose(fact json.RawMessage) (mark.Index, bool) {
-	if c.role != lead || c.heir != "" || len(c.log) > 20000 {
+	if c.role != lead || c.heir != "" || len(c.log) > longest {
 		return 0, false
 	}
 	return c.append(Entry{Fact: fact}), true
@@ -81,9 +87,10 @@
 	p := push{Name: c.name, ID: c.self.ID, To: m.ID, Term: c.vow.Term, Prev: t.next - 1, Commit: c.commit,
 		Round: c.now.Mono, Tick: c.Clock()}
 	if t.next <= c.snap.Index {
-		if c.now.Mono.Sub(t.sent) > 5*c.pace.Beat {
+		if c.now.Mono.Sub(t.sent) > 5*c.pace.Beat && c.snap.Count > 0 {
 			t.sent, p.Prev, p.PrevT = c.now.Mono, c.snap.Index, c.snap.Term
-			c.say(m.Addr, word.Snap, snap{p, c.snap})
+			t.part = min(t.part, c.snap.Count-1)
+			c.say(m.Addr, word.Snap, snap{p, c.snap, t.part, c.snap.Parts[t.part]})
 		}
 		return
 	}
@@ -132,6 +139,9 @@
 			break
 		}
 	}
+	for _, e := range p.Entries {
+		c.grown += len(e.Fact)
+	}
 	c.commit = max(c.commit, min(p.Commit, tip))
 	a.OK, a.Match = true, min(tip, c.synced)
 	c.say(from, word.Append2, a)
@@ -172,16 +182,28 @@
 	if !c.meet(from, s.push) {
 		return
 	}
+	a := taken{Name: c.name, ID: c.self.ID, Term: c.vow.Term, OK: true, Match: s.Snap.Index, Round: s.Round, Wall: c.now.Wall}
 	if s.Snap.Index > c.commit {
-		c.snap, c.log, c.marks = s.Snap, nil, nil
+		if x := &c.coming; x.Index != s.Snap.Index || x.Term != s.Snap.Term {
+			*x = s.Snap
+		}
+		if s.No == len(c.coming.Parts) {
+			c.coming.Parts = append(c.coming.Parts, s.Part)
+		}
+		if len(c.coming.Parts) < s.Snap.Count {
+			a.Match, a.Parts = 0, len(c.coming.Parts)
+			c.say(from, word.Append2, a)
+			return
+		}
+		c.snap, c.log, c.marks = c.coming, nil, nil
+		c.coming, c.grown = Snap{}, 0
 		c.commit, c.synced = s.Snap.Index, 0
 		c.reroll()
 		c.settle()
 		c.rewrite()
 		c.marked()
 	}
-	c.hold(c.wrote, from, word.Append2, taken{Name: c.name, ID: c.self.ID, Term: c.vow.Term, OK: true,
-		Match: s.Snap.Index, Round: s.Round, Wall: c.now.Wall})
+	c.hold(c.wrote, from, word.Append2, a)
 }
 
 func (c *Core) onTaken(_ mark.Addr, a taken) {
@@ -200,7 +222,12 @@
 		t.round, t.off = a.Round, a.Wall-mark.Wall(c.Clock())
 	}
 	t.heard = c.now.Mono
+	if a.Parts > 0 {
+		t.part, t.sent = a.Parts, never
+		return
+	}
 	if !a.OK {
+		t.part = 0
 		t.match = min(t.match, a.Match)
 		t.next = a.Match + 1
 		return
@@ -223,7 +250,7 @@
 }
 
 // Compact takes a state as of index i in place of the log up to it.
-func (c *Core) Compact(i mark.Index, state json.RawMessage) {
+func (c *Core) Compact(i mark.Index, parts [][]byte) {
 	if i <= c.snap.Index || i > c.commit {
 		return
 	}
@@ -235,7 +262,11 @@
 		}
 	}
 	c.log = slices.Clone(c.log[i-c.snap.Index:])
-	c.snap = Snap{Index: i, Term: t, Roll: roll, State: state}
+	c.snap = Snap{Index: i, Term: t, Roll: roll, Count: len(parts), Parts: parts}
+	c.grown = 0
+	for _, m := range c.mates {
+		m.part = 0
+	}
 	c.rewrite()
 	c.marked()
 }
@@ -248,6 +279,9 @@
 	c.write(Record{Charter: &Charter{Name: c.name, Roll: s.Roll}})
 	c.write(Record{Vow: &v})
 	c.write(Record{Snap: &s})
+	for _, b := range s.Parts {
+		c.write(Record{part: b})
+	}
 	if len(c.log) > 0 {
 		c.write(Record{Entries: c.log})
 	}
--- a/blueprint/table.go
+++ b/blueprint/table.go
@@ -32,9 +32,32 @@
 // Table is the whole of them under one edition.
 type Table struct {
 	Edition mark.Edition `json:"edition"`
+	Tasks   int          `json:"tasks,omitempty"`
+	MB      int          `json:"megabytes,omitempty"`
 	Rows    []Row        `json:"queues"`
 }
 
+// Ours, where a table does not say how much unfinished work there may be.
+const (
+	mostTasks = 100_000
+	mostMB    = 64
+)
+
+// MostTasks and MostBytes bound the unfinished work of all queues together.
+func (t Table) MostTasks() int {
+	if t.Tasks == 0 {
+		return mostTasks
+	}
+	return t.Tasks
+}
+
+func (t Table) MostBytes() int {
+	if t.MB == 0 {
+		return mostMB << 20
+	}
+	return t.MB << 20
+}
+
 func (t Table) Find(q mark.Queue) (Row, bool) {
 	for _, r := range t.Rows {
 		if r.Name == q {
@@ -46,7 +69,7 @@
 
 // Same tells whether two tables say the same, whatever their edition.
 func (t Table) Same(o Table) bool {
-	if len(t.Rows) != len(o.Rows) {
+	if len(t.Rows) != len(o.Rows) || t.MostTasks() != o.MostTasks() || t.MostBytes() != o.MostBytes() {
 		return false
 	}
 	for i := range t.Rows {
@@ -59,7 +82,7 @@
 
 // Hash stands for what a table says, whatever its edition.
 func (t Table) Hash() string {
-	b, _ := json.Marshal(t.Rows)
+	b, _ := json.Marshal([]any{t.MostTasks(), t.MostBytes(), t.Rows})
 	sum := sha256.Sum256(b)
 	return hex.EncodeToString(sum[:8])
 }
@@ -72,7 +95,9 @@
 	r := NewReader(b, heap)
 	base := false
 	r.Whole(map[string]Field{
-		"edition": func(at string) { base = true; Num(r, &t.Edition, 0, 1<<53)(at) },
+		"edition":   func(at string) { base = true; Num(r, &t.Edition, 0, 1<<53)(at) },
+		"tasks":     Num(r, &t.Tasks, 1000, 1_000_000),
+		"megabytes": Num(r, &t.MB, 8, 512),
 		"queues": func(at string) {
 			t.Rows = []Row{}
 			r.List(at, rows, func(at string, _ int) { t.Rows = append(t.Rows, readRow(r, at)) })
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -27,6 +27,7 @@
 	Stale      Kind = "stale_edition"
 	InUse      Kind = "queue_in_use"
 	Full       Kind = "queue_full"
+	Kept       Kind = "too_many_ids"
 	Crowd      Kind = "too_busy"
 	NoLead     Kind = "no_leader"
 	NotReady   Kind = "not_ready"
@@ -44,14 +45,14 @@
 	NoQueue: http.StatusUnprocessableEntity, Conflict: http.StatusConflict,
 	Ended: http.StatusConflict, Unplaced: http.StatusUnprocessableEntity,
 	Stale: http.StatusConflict, InUse: http.StatusConflict,
-	Full: http.StatusTooManyRequests, Crowd: http.StatusServiceUnavailable,
+	Full: http.StatusTooManyRequests, Kept: http.StatusServiceUnavailable, Crowd: http.StatusServiceUnavailable,
 	NoLead: http.StatusServiceUnavailable, NotReady: http.StatusServiceUnavailable,
 	Unsure: http.StatusServiceUnavailable, Closing: http.StatusServiceUnavailable,
 	Unfit: http.StatusConflict, BadSetting: http.StatusUnprocessableEntity,
 }
 
 // Later names the kinds whose answer tells when to come back.
-var Later = map[Kind]bool{Full: true, Crowd: true, NoLead: true, NotReady: true, Unsure: true, Closing: true}
+var Later = map[Kind]bool{Full: true, Kept: true, Crowd: true, NoLead: true, NotReady: true, Unsure: true, Closing: true}
 
 // Fault is the body of every refusal.
 type Fault struct {
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -29,6 +29,7 @@
 	Issue string
 	Core  accord.Pace
 	Truth truth.Pace
+	Every mark.Index // entries between two snapshots at least; 0 is Every
 }
 
 type waiter struct {
@@ -53,7 +54,8 @@
 	giving mark.Index
 	shaped mark.Index
 	timed  mark.Stamp
-	since  mark.Index
+	since  mark.Index // the entry of the latest snapshot, or of the one under way
+	shot   int        // bytes of the latest snapshot
 	drain  bool
 	late   mark.Stamp
 	moved  bool // something was applied, or time passed, since work was last placed
@@ -68,8 +70,15 @@
 	Steps, Applied, Calls, Refused, Orders, Ends, Elected, Lost uint64
 }
 
-// Every is how many entries the log may grow before it is put together.
-const Every = 4096
+// Every is how many entries the log grows at least before it is put together,
+// and it must have grown to a good part of what it would be put together to, so
+// that the file is not rewritten more often than it is worth. Slice is about
+// how many bytes of a snapshot one step writes out.
+const (
+	Every = 4096
+	Far   = 50_000
+	slice = 64 << 10
+)
 
 // New starts a helm from the records of its disk.
 func New(now mark.Now, rnd *rand.Rand, p Place, recs [][]byte) *Helm {
@@ -84,11 +93,15 @@
 
 func (h *Helm) load() {
 	s := h.core.State()
-	st, err := store.Restore(s.State)
+	st, err := store.Restore(s.Parts)
 	if err != nil {
 		panic(err)
 	}
 	h.state, h.done, h.since = st, s.Index, s.Index
+	h.shot = 0
+	for _, b := range s.Parts {
+		h.shot += len(b)
+	}
 	h.core.Wind(st.Tick)
 }
 
@@ -120,10 +133,7 @@
 	h.catch()
 	h.lead()
 	var out word.Out
-	if h.core.Commit()-h.since > Every && h.done > h.since {
-		h.core.Compact(h.done, h.state.Save())
-		h.since = h.done
-	}
+	h.shoot()
 	h.kin.Me(h.card())
 	out.Sends, out.Batch, out.Seq, out.Whole = h.core.Out()
 	out.Sends = append(append(out.Sends, h.sends...), h.kin.Out()...)
@@ -132,6 +142,29 @@
 	return out
 }
 
+// shoot puts the log together, a little a step.
+func (h *Helm) shoot() {
+	if !h.state.Shooting() {
+		n := h.done - h.since
+		every := h.place.Every
+		if every == 0 {
+			every = Every
+		}
+		if n <= every || h.core.Grown() < h.shot/2 && n < Far {
+			return
+		}
+		h.since = h.done
+		h.state.Begin()
+	}
+	if parts := h.state.Shoot(slice); parts != nil {
+		h.shot = 0
+		for _, b := range parts {
+			h.shot += len(b)
+		}
+		h.core.Compact(h.since, parts)
+	}
+}
+
 func (h *Helm) take(n word.Note) {
 	switch {
 	case h.kin.Take(h.now.Mono, n):
--- a/helm/plan.go
+++ b/helm/plan.go
@@ -22,9 +22,8 @@
 	var doom []mark.Leg
 	var spent []store.End
 	for _, j := range h.state.Live() {
-		doom = append(doom, j.Doomed()...)
-		row, _ := h.state.Table.Find(j.Queue)
-		spent = append(spent, j.Spent(row.Tries, h.core.Clock())...)
+		x := h.state.Heat(j, h.core.Clock())
+		doom, spent = append(doom, x.Doomed...), append(spent, x.Spent...)
 	}
 	h.propose(spent)
 	h.head.Halt(append(doom, h.head.Strays()...))
@@ -66,29 +65,13 @@
 		if d == nil {
 			continue
 		}
-		for n, t := range j.Tasks {
-			if t.Out != nil {
-				d.Running++
-				d.Cores += j.Spec.Steps[j.Spec.Step(n)].Room.Cores
-			}
-		}
-		for _, i := range j.Ready(now, h.state.Off) {
-			p := j.Spec.Steps[i]
-			w := choice.Want{Part: choice.Part{Job: j.ID, Step: i}, Queue: j.Queue, Urgency: j.Spec.Urgency,
-				Kind: p.Kind, Rack: p.Rack, Room: p.Room, Spread: p.Spread, Gang: p.Gang}
-			base, whole := j.Spec.Base(i), true
-			for n, t := range j.Part(i) {
-				switch {
-				case t.Done:
-				case t.Out == nil && !t.Dead && t.Ready <= now && t.Fails < d.Row.Tries:
-					w.Tasks = append(w.Tasks, base+n)
-				default:
-					whole = false
-				}
-			}
-			if len(w.Tasks) > 0 && (whole || !p.Gang) {
-				list = append(list, w)
-			}
+		x := h.state.Heat(j, now)
+		d.Running += x.Running
+		d.Cores += x.Cores
+		for _, b := range x.Batches {
+			p := j.Spec.Steps[b.Step]
+			list = append(list, choice.Want{Part: choice.Part{Job: j.ID, Step: b.Step}, Queue: j.Queue, Urgency: j.Spec.Urgency,
+				Kind: p.Kind, Rack: p.Rack, Room: p.Room, Spread: p.Spread, Gang: p.Gang, Tasks: b.Tasks})
 		}
 	}
 	return
--- a/helm/view.go
+++ b/helm/view.go
@@ -15,10 +15,10 @@
 // JobView is a job as callers see it.
 type JobView struct {
 	ID        mark.JobID   `json:"id"`
-	Queue     mark.Queue   `json:"queue"`
+	Queue     mark.Queue   `json:"queue,omitempty"`
 	State     store.Stage  `json:"state"`
 	Why       string       `json:"reason,omitempty"`
-	Accepted  string       `json:"accepted_at"`
+	Accepted  string       `json:"accepted_at,omitempty"`
 	Cancelled bool         `json:"cancel_accepted,omitempty"`
 	Tasks     int          `json:"tasks"`
 	Done      int          `json:"tasks_done"`
@@ -29,12 +29,15 @@
 
 // View shows a job, or nil.
 func (h *Helm) View(id mark.JobID) *JobView {
-	j := h.state.Jobs[id]
+	j := h.state.Find(id)
 	if j == nil {
 		return nil
 	}
 	v := &JobView{ID: j.ID, Queue: j.Queue, State: j.State, Why: j.Why, Cancelled: j.Halt, Tasks: j.Size, Done: j.Fine,
-		Legs: j.Legs, Accepted: time.Unix(0, int64(j.Wall)).UTC().Format(time.RFC3339Nano)}
+		Legs: j.Legs}
+	if j.Wall != 0 {
+		v.Accepted = time.Unix(0, int64(j.Wall)).UTC().Format(time.RFC3339Nano)
+	}
 	for _, t := range j.Tasks {
 		if t.Out != nil {
 			v.Running++
--- a/store/job.go
+++ b/store/job.go
@@ -80,8 +80,13 @@
 	Halt   bool         `json:"halt,omitempty"`
 	End    mark.Tick    `json:"end,omitempty"`
 	Size   int          `json:"size"`
+	Bytes  int          `json:"bytes"`
 	Fine   int          `json:"fine"`
 	Legs   int          `json:"legs"`
+	shot   uint64
+	hot    *Heat
+	off    mark.Wall // as of which the heat is
+	row    mark.Edition
 }
 
 // Knows tells whether an end of a leg would change nothing any more.
--- /dev/null
+++ b/store/rules.go
@@ -0,0 +1,111 @@
+// What may be taken: the rules for tables, jobs and cancels, each told without
+// changing anything, and the budget that all queues share.
+package store
+
+import (
+	"fmt"
+	"slices"
+
+	"coppercourse/blueprint"
+	"coppercourse/fault"
+	"coppercourse/mark"
+)
+
+// Known tells whether a table is a repeat: it says just what the edition after
+// its base said.
+func (s *State) Known(t blueprint.Table) bool {
+	return slices.Contains(s.Past, Put{t.Edition + 1, t.Hash()})
+}
+
+// CheckTable tells whether a table may be put now, or is a repeat.
+func (s *State) CheckTable(t blueprint.Table) *fault.Fault {
+	if s.Known(t) {
+		return nil
+	}
+	if t.Edition != s.Table.Edition {
+		return fault.New(fault.Stale, "edition", fmt.Sprintf("based on edition %d, but %d is in force", t.Edition, s.Table.Edition))
+	}
+	for i, r := range s.Table.Rows {
+		if _, ok := t.Find(r.Name); !ok && s.held[r.Name].jobs > 0 {
+			return fault.New(fault.InUse, fmt.Sprintf("queues[%d].name", i),
+				fmt.Sprintf("queue %s of the table in force has %d unfinished jobs and may not be left out", r.Name, s.held[r.Name].jobs))
+		}
+	}
+	return nil
+}
+
+// CheckJob tells whether a job may be accepted now; known is an earlier one of
+// the same id and body.
+func (s *State) CheckJob(id mark.JobID, spec Spec) (known *Job, bad *fault.Fault) {
+	if j := s.Find(id); j != nil {
+		if j.Hash != spec.Hash() {
+			return nil, fault.New(fault.Conflict, "id", "another job has this id")
+		}
+		return j, nil
+	}
+	row, ok := s.Table.Find(spec.Queue)
+	if !ok {
+		return nil, fault.New(fault.NoQueue, "queue", "no queue is called "+string(spec.Queue))
+	}
+	if n := s.held[spec.Queue].jobs; n >= row.Waiting {
+		return nil, fault.New(fault.Full, "queue", fmt.Sprintf("%d unfinished jobs, as many as the queue may hold", n))
+	}
+	if bad = s.full(); bad != nil {
+		return nil, bad
+	}
+	return nil, s.afford(spec)
+}
+
+// CheckCancel tells whether a job may be cancelled now; repeat is true when it
+// already is, which is fine. One that ended otherwise can't be.
+func (s *State) CheckCancel(id mark.JobID) (repeat bool, bad *fault.Fault) {
+	j := s.Find(id)
+	switch {
+	case j == nil:
+		return false, fault.New(fault.NoJob, "id", "no such job")
+	case j.State == Stopped || j.Halt && !j.Over():
+		return true, nil
+	case j.Over():
+		return false, fault.New(fault.Ended, "id", "the job has ended: "+string(j.State))
+	}
+	return false, nil
+}
+
+// held is what a queue's unfinished jobs hold.
+type held struct{ jobs, tasks, bytes int }
+
+func (s *State) hold(j *Job, by int) {
+	h := s.held[j.Queue]
+	s.held[j.Queue] = held{h.jobs + by, h.tasks + by*j.Size, h.bytes + by*j.Bytes}
+}
+
+// Held is how many unfinished jobs a queue has.
+func (s *State) Held(q mark.Queue) int { return s.held[q].jobs }
+
+// afford keeps all unfinished work within the table's budget. Half of it is
+// kept apart in equal parts, one a queue, so that a flooded queue leaves every
+// other room for its first jobs; the other half is first come, first served.
+func (s *State) afford(spec Spec) *fault.Fault {
+	for _, c := range []struct {
+		what string
+		most int
+		add  int
+		of   func(held) int
+	}{
+		{"tasks", s.Table.MostTasks(), spec.Total(), func(h held) int { return h.tasks }},
+		{"bytes", s.Table.MostBytes(), spec.Bytes(), func(h held) int { return h.bytes }},
+	} {
+		part := c.most / 2 / max(1, len(s.Table.Rows))
+		own := c.of(s.held[spec.Queue]) + c.add
+		over := max(0, own-part)
+		for q, h := range s.held {
+			if q != spec.Queue {
+				over += max(0, c.of(h)-part)
+			}
+		}
+		if own > part && over > c.most/2 {
+			return fault.New(fault.Full, "queue", fmt.Sprintf("the cluster holds as many unfinished %s as it may (%d), and the queue has more than its own part (%d)", c.what, c.most, part))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/store/shot.go
@@ -0,0 +1,121 @@
+// The snapshot, put together a little a step. Every job is written as it was
+// when the snapshot began: one that is about to change before its turn is
+// written first. So no step ever writes out everything, no second copy of the
+// state is held, and all runs in one goroutine, in the simulator too.
+package store
+
+import (
+	"encoding/json"
+
+	"coppercourse/blueprint"
+	"coppercourse/fault"
+	"coppercourse/mark"
+)
+
+type head struct {
+	Tick   mark.Tick              `json:"tick"`
+	Off    mark.Wall              `json:"off"`
+	Table  blueprint.Table        `json:"table"`
+	Shapes map[mark.Shard]Shape   `json:"shapes"`
+	Seq    uint64                 `json:"seq"`
+	Past   []Put                  `json:"past"`
+	Count  map[mark.Queue]*Counts `json:"count"`
+}
+
+type shot struct {
+	no    uint64
+	jobs  []*Job
+	parts [][]byte
+	buf   []byte
+	pages []*page
+}
+
+// part is how much one part of a snapshot holds at most, but for one job.
+const part = 128 << 10
+
+func pack(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// Begin starts a snapshot of the state as it is now.
+func (s *State) Begin() {
+	s.shots++
+	x := &shot{no: s.shots, jobs: append(append(make([]*Job, 0, len(s.Jobs)), s.done...), s.Live()...)}
+	x.parts = append(x.parts, pack(map[string]head{"head": s.head}))
+	for _, p := range s.marks.pages {
+		x.parts = append(x.parts, s.marks.encode(p))
+	}
+	s.shot = x
+}
+
+// Shooting tells whether a snapshot is under way.
+func (s *State) Shooting() bool { return s.shot != nil }
+
+// Shoot goes on with the snapshot for about so many bytes; its parts come once
+// it is whole.
+func (s *State) Shoot(budget int) (parts [][]byte) {
+	x := s.shot
+	for from := len(x.parts)*part + len(x.buf); len(x.jobs) > 0; x.jobs = x.jobs[1:] {
+		if len(x.parts)*part+len(x.buf)-from > budget {
+			return nil
+		}
+		s.touch(x.jobs[0])
+	}
+	x.flush()
+	s.shot = nil
+	return x.parts
+}
+
+// touch is called before a job changes: a snapshot under way gets it as it is.
+func (s *State) touch(j *Job) {
+	j.hot = nil
+	x := s.shot
+	if x == nil || j.shot >= x.no {
+		return
+	}
+	j.shot = x.no
+	b := pack(j)
+	if len(x.buf)+len(b) > part {
+		x.flush()
+	}
+	if len(x.buf) == 0 {
+		x.buf = append(x.buf, `{"jobs":[`...)
+	} else {
+		x.buf = append(x.buf, ',')
+	}
+	x.buf = append(x.buf, b...)
+}
+
+func (x *shot) flush() {
+	if len(x.buf) > 0 {
+		x.parts, x.buf = append(x.parts, append(x.buf, `]}`...)), nil
+	}
+}
+
+// Restore reads a snapshot's parts; none gives the state before the first fact.
+func Restore(parts [][]byte) (*State, error) {
+	s := New()
+	for _, b := range parts {
+		var p struct {
+			Head  *head  `json:"head"`
+			Jobs  []*Job `json:"jobs"`
+			Marks []line `json:"marks"`
+		}
+		p.Head = &s.head
+		if err := json.Unmarshal(b, &p); err != nil {
+			return nil, fault.Wrap(fault.Unfit, err, "snapshot")
+		}
+		for _, j := range p.Jobs {
+			s.Jobs[j.ID] = j
+		}
+		for _, l := range p.Marks {
+			s.marks.put(l.id, l.trace)
+		}
+	}
+	s.index()
+	return s, nil
+}
--- a/store/spec.go
+++ b/store/spec.go
@@ -153,6 +153,14 @@
 	return hex.EncodeToString(sum[:8])
 }
 
+// Bytes is about what the job takes in memory and on disk.
+func (s Spec) Bytes() (n int) {
+	for _, p := range s.Steps {
+		n += 256 + len(p.Work) + 64*p.Tasks
+	}
+	return
+}
+
 // Total is how many tasks the job has.
 func (s Spec) Total() (n int) {
 	for _, p := range s.Steps {
--- a/store/state.go
+++ b/store/state.go
@@ -3,8 +3,6 @@
 package store
 
 import (
-	"encoding/json"
-	"fmt"
 	"slices"
 	"sort"
 	"time"
@@ -51,26 +49,23 @@
 	Room  mark.Room   `json:"room"`
 }
 
-// Bounds on what is remembered of ended jobs.
+// Bounds on what is remembered in full of ended jobs.
 const (
 	Keep     = 30 * time.Minute
 	KeepMost = 20_000
 )
 
-// State is all of it.
+// State is all of it: the head, the jobs and the marks of ended ones.
 type State struct {
-	Tick   mark.Tick              `json:"tick"`
-	Off    mark.Wall              `json:"off"`
-	Table  blueprint.Table        `json:"table"`
-	Jobs   map[mark.JobID]*Job    `json:"jobs"`
-	Shapes map[mark.Shard]Shape   `json:"shapes"`
-	Seq    uint64                 `json:"seq"`
-	Past   []Put                  `json:"past"`
-	live   map[mark.JobID]*Job    // not over
-	order  []*Job                 // the same, oldest first, some over
-	held   map[mark.Queue]int     // live jobs a queue
-	done   []*Job                 // over, oldest first
-	Count  map[mark.Queue]*Counts `json:"count"`
+	head
+	Jobs  map[mark.JobID]*Job
+	marks marks
+	live  map[mark.JobID]*Job // not over
+	order []*Job              // the same, oldest first, some over
+	held  map[mark.Queue]held // what live jobs hold, a queue
+	done  []*Job              // over, oldest first
+	shot  *shot
+	shots uint64
 }
 
 // Put remembers what an edition said, so that a put repeated late is told the
@@ -91,40 +86,19 @@
 }
 
 func New() *State {
-	s := &State{Jobs: map[mark.JobID]*Job{}, Shapes: map[mark.Shard]Shape{}, Count: map[mark.Queue]*Counts{}}
+	s := &State{head: head{Shapes: map[mark.Shard]Shape{}, Count: map[mark.Queue]*Counts{}}, Jobs: map[mark.JobID]*Job{}, marks: newMarks()}
 	s.index()
 	return s
 }
 
-// Restore reads a snapshot; nothing gives the state before the first fact.
-func Restore(b json.RawMessage) (*State, error) {
-	s := New()
-	if len(b) == 0 {
-		return s, nil
-	}
-	if err := json.Unmarshal(b, s); err != nil {
-		return nil, fault.Wrap(fault.Unfit, err, "snapshot")
-	}
-	s.index()
-	return s, nil
-}
-
-func (s *State) Save() json.RawMessage {
-	b, err := json.Marshal(s)
-	if err != nil {
-		panic(err)
-	}
-	return b
-}
-
 func (s *State) index() {
-	s.live, s.held, s.done, s.order = map[mark.JobID]*Job{}, map[mark.Queue]int{}, nil, nil
+	s.live, s.held, s.done, s.order = map[mark.JobID]*Job{}, map[mark.Queue]held{}, nil, nil
 	for id, j := range s.Jobs {
 		if j.Over() {
 			s.done = append(s.done, j)
 		} else {
 			s.live[id], s.order = j, append(s.order, j)
-			s.held[j.Queue]++
+			s.hold(j, 1)
 		}
 	}
 	sort.Slice(s.done, func(i, k int) bool {
@@ -158,9 +132,6 @@
 	return
 }
 
-// Held is how many unfinished jobs a queue has.
-func (s *State) Held(q mark.Queue) int { return s.held[q] }
-
 // Apply takes a fact. The fault is the answer to whoever proposed it; legs are
 // those that were really given out.
 func (s *State) Apply(f Fact) (legs []Give, bad *fault.Fault) {
@@ -184,7 +155,11 @@
 		bad = s.cancel(f.Cancel)
 	}
 	for _, g := range f.Legs {
-		if j := s.live[g.Leg.Job]; j != nil && j.give(g.Leg.N, g.Shard, s.row(j.Queue), s.Tick) {
+		j := s.live[g.Leg.Job]
+		if j == nil {
+			continue
+		}
+		if s.touch(j); j.give(g.Leg.N, g.Shard, s.row(j.Queue), s.Tick) {
 			legs = append(legs, Give{mark.Leg{Task: g.Leg.Task, Leg: j.Tasks[g.Leg.N].Leg}, g.Shard})
 		}
 	}
@@ -198,48 +173,6 @@
 	return
 }
 
-// Known tells whether a table is a repeat: it says just what the edition after
-// its base said.
-func (s *State) Known(t blueprint.Table) bool {
-	return slices.Contains(s.Past, Put{t.Edition + 1, t.Hash()})
-}
-
-// CheckTable tells whether a table may be put now, or is a repeat.
-func (s *State) CheckTable(t blueprint.Table) *fault.Fault {
-	if s.Known(t) {
-		return nil
-	}
-	if t.Edition != s.Table.Edition {
-		return fault.New(fault.Stale, "edition", fmt.Sprintf("based on edition %d, but %d is in force", t.Edition, s.Table.Edition))
-	}
-	for i, r := range s.Table.Rows {
-		if _, ok := t.Find(r.Name); !ok && s.held[r.Name] > 0 {
-			return fault.New(fault.InUse, fmt.Sprintf("queues[%d].name", i),
-				fmt.Sprintf("queue %s of the table in force has %d unfinished jobs and may not be left out", r.Name, s.held[r.Name]))
-		}
-	}
-	return nil
-}
-
-// CheckJob tells whether a job may be accepted now; known is an earlier one of
-// the same id and body.
-func (s *State) CheckJob(id mark.JobID, spec Spec) (known *Job, bad *fault.Fault) {
-	if j := s.Jobs[id]; j != nil {
-		if j.Hash != spec.Hash() {
-			return nil, fault.New(fault.Conflict, "id", "another job has this id")
-		}
-		return j, nil
-	}
-	row, ok := s.Table.Find(spec.Queue)
-	if !ok {
-		return nil, fault.New(fault.NoQueue, "queue", "no queue is called "+string(spec.Queue))
-	}
-	if n := s.held[spec.Queue]; n >= row.Waiting {
-		return nil, fault.New(fault.Full, "queue", fmt.Sprintf("%d unfinished jobs, as many as the queue may hold", n))
-	}
-	return nil, nil
-}
-
 func (s *State) accept(m Submit) *fault.Fault {
 	known, bad := s.CheckJob(m.ID, m.Spec)
 	if known != nil || bad != nil {
@@ -247,10 +180,11 @@
 	}
 	s.Seq++
 	j := &Job{ID: m.ID, Seq: s.Seq, Hash: m.Spec.Hash(), Queue: m.Spec.Queue, At: s.Tick, Wall: mark.Wall(s.Tick) + s.Off,
-		State: Open, Spec: &m.Spec, Size: m.Spec.Total()}
+		State: Open, Spec: &m.Spec, Size: m.Spec.Total(), Bytes: m.Spec.Bytes()}
 	j.Tasks = make([]Task, j.Size)
 	s.Jobs[m.ID], s.live[m.ID], s.order = j, j, append(s.order, j)
-	s.held[j.Queue]++
+	j.shot = s.shots // what began before it does not have it
+	s.hold(j, 1)
 	s.count(j.Queue).Accepted++
 	return nil
 }
@@ -264,27 +198,13 @@
 	return c
 }
 
-// CheckCancel tells whether a job may be cancelled now; repeat is true when it
-// already is, which is fine. One that ended otherwise can't be.
-func (s *State) CheckCancel(id mark.JobID) (repeat bool, bad *fault.Fault) {
-	j := s.Jobs[id]
-	switch {
-	case j == nil:
-		return false, fault.New(fault.NoJob, "id", "no such job")
-	case j.State == Stopped || j.Halt && !j.Over():
-		return true, nil
-	case j.Over():
-		return false, fault.New(fault.Ended, "id", "the job has ended: "+string(j.State))
-	}
-	return false, nil
-}
-
 func (s *State) cancel(id mark.JobID) *fault.Fault {
 	repeat, bad := s.CheckCancel(id)
 	if repeat || bad != nil {
 		return bad
 	}
 	j := s.Jobs[id]
+	s.touch(j)
 	j.Halt, j.Why = true, "cancelled"
 	j.turn(s.Tick)
 	s.close(j)
@@ -296,6 +216,7 @@
 	if j == nil {
 		return
 	}
+	s.touch(j)
 	j.end(e.Leg.N, e.Leg.Leg, e.Fate, s.row(j.Queue), s.Tick)
 	s.close(j)
 }
@@ -314,6 +235,7 @@
 		if j.State != Open {
 			continue
 		}
+		s.touch(j)
 		for n := range j.Tasks {
 			j.judge(n, &j.Tasks[n], s.row(j.Queue))
 		}
@@ -328,7 +250,7 @@
 		return
 	}
 	delete(s.live, j.ID)
-	s.held[j.Queue]--
+	s.hold(j, -1)
 	s.done = append(s.done, j)
 	c := s.count(j.Queue)
 	switch j.State {
@@ -344,8 +266,13 @@
 func (s *State) forget() {
 	for len(s.done) > 0 && (len(s.done) > KeepMost || s.Tick.Sub(s.done[0].End) > Keep) {
 		delete(s.Jobs, s.done[0].ID)
+		s.marks.add(s.done[0])
 		s.done = s.done[1:]
 	}
+	s.marks.forget(s.Tick)
+	if len(s.order) > 2*len(s.live)+1024 {
+		s.Live()
+	}
 }
 
 // Fits tells whether a worker has the kind of a step, and its rack.
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -205,7 +205,9 @@
 	spec.Urgency = 3
 	_, bad = s.Apply(Fact{Tick: sec, Job: &Submit{"a", spec}})
 	is.Equal(bad.Kind, fault.Conflict)
-	again, err := Restore(s.Save())
+	s.Begin()
+	s.must(sec, Fact{Cancel: "a"}) // after the snapshot began
+	again, err := Restore(s.Shoot(1 << 30))
 	is.NoErr(err)
 	is.Equal(again.Held("q"), 2)
 	is.Equal(len(again.Live()), 2)
--- a/trial/world.go
+++ b/trial/world.go
@@ -257,7 +257,7 @@
 		}
 		n.disk.safe = n.disk.safe[:keep]
 		core := accord.Defaults
-		return helm.New(n.clock(), w.chance(), helm.Place{Addr: addr, Loc: loc, Seeds: w.seeds, Core: core, Truth: truth.Defaults}, recs)
+		return helm.New(n.clock(), w.chance(), helm.Place{Addr: addr, Loc: loc, Seeds: w.seeds, Core: core, Truth: truth.Defaults, Every: 600}, recs)
 	})
 }
 
