Windows, taking legs back, displacing, reservations; gangs end sooner after a loss

One way to take a leg back (the log has the reason, it is stopped, its end is told, its task goes again) for a leaving worker's deadline, drains, plans, stalled legs, displaced work and gangs whose member a new leader can't reach. Excluded: a stop that got lost. Now a new leader stops a gang whose member's ward has not come within ill_ms.

--- a/blueprint/table.go
+++ b/blueprint/table.go
@@ -23,6 +23,10 @@
 	TaskMS   int        `json:"task_time_ms"`
 	Patience int        `json:"patience_ms"`
 	CutMS    int        `json:"cut_patience_ms"`
+	Losses   int        `json:"losses"`
+	Stall    int        `json:"stall_times"`
+	Displace bool       `json:"displaces"`
+	Moves    int        `json:"displaced"`
 }
 
 func (r Row) Limit() time.Duration   { return time.Duration(r.TaskMS) * time.Millisecond }
@@ -119,7 +123,7 @@
 }
 
 func readRow(r *Reader, at string) Row {
-	row := Row{Weight: 1, Running: 1000, Waiting: 1000, Tries: 3, TaskMS: 600_000, Patience: 30_000, CutMS: 21_600_000}
+	row := Row{Weight: 1, Running: 1000, Waiting: 1000, Tries: 3, TaskMS: 600_000, Patience: 30_000, CutMS: 21_600_000, Stall: 10, Moves: 3}
 	r.Obj(at, map[string]Field{
 		"name":            Text(r, &row.Name, Name),
 		"weight":          Num(r, &row.Weight, 1, 1000),
@@ -130,6 +134,10 @@
 		"task_time_ms":    Num(r, &row.TaskMS, 10, 86_400_000),
 		"patience_ms":     Num(r, &row.Patience, 0, 86_400_000),
 		"cut_patience_ms": Num(r, &row.CutMS, 0, 604_800_000),
+		"losses":          Num(r, &row.Losses, 0, 1000),
+		"stall_times":     Num(r, &row.Stall, 0, 1000),
+		"displaces":       Bool(r, &row.Displace),
+		"displaced":       Num(r, &row.Moves, 0, 100),
 	})
 	r.Heap.Check(row.Name != "", at+".name", "missing")
 	return row
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,12 +1,16 @@
 // Package choice decides which waiting task goes to which worker. It is one
 // pure function over what the leader knows at that moment. Queues take turns by
 // how little of their due they have; a task that finds no place is passed over
-// and holds up nobody behind it; a gang is placed whole or not at all.
+// and holds up nobody behind it; a gang is placed whole or not at all. One that
+// was passed over for long while smaller work kept flowing gets a reservation:
+// named workers on which others may start only what surely ends before the
+// reserved work could begin anyway.
 package choice
 
 import (
 	"slices"
 	"sort"
+	"time"
 
 	"coppercourse/blueprint"
 	"coppercourse/mark"
@@ -22,6 +26,10 @@
 	Slow  float64
 	Busy  int
 	Has   map[Part]int
+	Size  mark.Room     // when nothing runs there
+	Till  time.Duration // how long until it may run nothing; 0 is without end
+	Clear time.Duration // by when all that runs there has ended, by its limits
+	held  bool          // reserved
 }
 
 // Part is one step of one job.
@@ -41,8 +49,35 @@
 	Spread  int
 	Gang    bool
 	Tasks   []int
+	Long    time.Duration // its time limit
+	Since   time.Duration // how long it has been ready
+	Shun    map[mark.Shard]bool
 }
 
+// Reserve is workers kept for one step of a job.
+type Reserve struct {
+	Part
+	Shards []mark.Shard
+}
+
+// Input is all that the choice looks at.
+type Input struct {
+	Wants []Want // oldest first
+	Slots []Slot
+	Dues  map[mark.Queue]*Due
+	Total int // cores
+	Kept  *Reserve
+}
+
+// Output is the round's placements, and the reservation to keep.
+type Output struct {
+	Picks []Pick
+	Kept  *Reserve
+}
+
+// Endure is how long work is passed over before workers are reserved for it.
+const Endure = 3 * time.Second
+
 // Due is a queue's row and what it has in use.
 type Due struct {
 	Row     blueprint.Row
@@ -68,61 +103,173 @@
 	wants []Want
 }
 
-// Place gives the round's placements; wants come oldest first.
-func Place(wants []Want, slots []Slot, dues map[mark.Queue]*Due, total int) (picks []Pick) {
-	turns := line(wants, dues)
-	mean := 0.0
-	for _, s := range slots {
-		mean += s.Bad / float64(len(slots))
+// round is one call of Place.
+type round struct {
+	Input
+	out    Output
+	mean   float64
+	dead   map[shape]bool
+	missed *Want // the first whose turn it was, passed over for too long
+	passed bool  // and other work took room that would have suited it
+}
+
+// Place gives the round's placements.
+func Place(in Input) Output {
+	r := &round{Input: in, dead: map[shape]bool{}}
+	for _, s := range r.Slots {
+		r.mean += s.Bad / float64(len(r.Slots))
 	}
-	dead := map[shape]bool{}
-	for len(picks) < Most {
-		t := next(turns, total)
+	r.redeem()
+	turns := line(r.Wants, r.Dues)
+	for len(r.out.Picks) < Most {
+		t := next(turns, r.Total)
 		if t == nil {
-			return
+			break
 		}
 		w := &t.wants[0]
 		n := 1
 		if w.Gang {
 			n = len(w.Tasks)
 		}
-		k := shape{w.Kind, w.Rack, w.Room}
+		room := t.due.Running+n <= t.due.Row.Running
 		var got []int
-		if t.due.Running+n <= t.due.Row.Running && (!dead[k] || w.Gang) {
-			got = fit(*w, n, slots, mean)
-			if got == nil && !w.Gang && w.Spread == 0 {
-				dead[k] = true
+		if k := w.shape(); room && (!r.dead[k] || w.Gang) {
+			got = r.fit(*w, n)
+			if got == nil && !w.Gang && w.Spread == 0 && w.Shun == nil {
+				r.dead[k] = true
 			}
 		}
 		if got == nil {
+			if room && r.missed == nil && r.out.Kept == nil && w.Since >= Endure {
+				r.missed = w
+			}
 			t.wants = t.wants[1:]
 			continue
 		}
-		for i, at := range got {
-			s := &slots[at]
-			s.Free = s.Free.Minus(w.Room)
-			s.Busy++
-			s.Has[w.Part]++
-			picks = append(picks, Pick{mark.Task{Job: w.Job, N: w.Tasks[i]}, s.Shard})
+		for _, at := range got {
+			r.passed = r.passed || r.missed != nil && r.Slots[at].Suits(*r.missed)
 		}
-		t.due.Running += n
-		t.due.Cores += n * w.Room.Cores
-		if w.Tasks = w.Tasks[n:]; len(w.Tasks) == 0 {
+		r.take(w, t.due, got)
+		if len(w.Tasks) == 0 {
 			t.wants = t.wants[1:]
 		}
 	}
-	return
+	if r.missed != nil && r.passed {
+		r.out.Kept = r.reserve(*r.missed)
+	}
+	return r.out
+}
+
+func (r *round) take(w *Want, d *Due, got []int) {
+	for i, at := range got {
+		s := &r.Slots[at]
+		s.Free = s.Free.Minus(w.Room)
+		s.Busy++
+		s.Has[w.Part]++
+		r.out.Picks = append(r.out.Picks, Pick{mark.Task{Job: w.Job, N: w.Tasks[i]}, s.Shard})
+	}
+	d.Running += len(got)
+	d.Cores += len(got) * w.Room.Cores
+	w.Tasks = w.Tasks[len(got):]
+}
+
+// redeem places what a reservation was kept for, or keeps it on. It lapses when
+// what it was for waits no more, or a worker of it is gone.
+func (r *round) redeem() {
+	if r.Kept == nil {
+		return
+	}
+	for i := range r.Wants {
+		w := &r.Wants[i]
+		d := r.Dues[w.Queue]
+		if w.Part != r.Kept.Part || d == nil {
+			continue
+		}
+		n := 1
+		if w.Gang {
+			n = len(w.Tasks)
+		}
+		if d.Running+n > d.Row.Running {
+			return
+		}
+		if got := r.fit(*w, n); got != nil {
+			r.take(w, d, got)
+			return
+		}
+		kept := 0
+		for k := range r.Slots {
+			if slices.Contains(r.Kept.Shards, r.Slots[k].Shard) && r.Slots[k].Suits(*w) {
+				r.Slots[k].held = true
+				kept++
+			}
+		}
+		if kept == len(r.Kept.Shards) {
+			r.out.Kept = r.Kept
+		} else {
+			for k := range r.Slots {
+				r.Slots[k].held = false
+			}
+		}
+		return
+	}
 }
 
+// Suits tells whether a worker could run a task of a want if it were empty.
+func (s *Slot) Suits(w Want) bool {
+	return s.Size.Holds(w.Room) && (w.Rack == "" || w.Rack == s.Rack) && slices.Contains(s.Kinds, w.Kind) &&
+		(s.Till == 0 || w.Long <= s.Till)
+}
+
+// reserve names the workers that will be clear first, as many as the want
+// needs, or none if there are not that many.
+func (r *round) reserve(w Want) *Reserve {
+	need := 1
+	if w.Gang {
+		need = len(w.Tasks)
+	}
+	var at []int
+	for i := range r.Slots {
+		if r.Slots[i].Suits(w) {
+			at = append(at, i)
+		}
+	}
+	sort.SliceStable(at, func(i, k int) bool {
+		a, b := r.Slots[at[i]], r.Slots[at[k]]
+		return a.Clear < b.Clear || a.Clear == b.Clear && a.Free.Cores > b.Free.Cores
+	})
+	kept := &Reserve{Part: w.Part}
+	for _, i := range at {
+		s := r.Slots[i]
+		n := s.Size.Cores / w.Room.Cores
+		if w.Room.Memory > 0 {
+			n = min(n, s.Size.Memory/w.Room.Memory)
+		}
+		if w.Spread > 0 {
+			n = min(n, w.Spread-s.Has[w.Part])
+		}
+		if kept.Shards = append(kept.Shards, s.Shard); n >= need {
+			return kept
+		}
+		need -= max(n, 0)
+	}
+	return nil
+}
+
+func (w Want) shape() shape { return shape{w.Kind, w.Rack, w.Room, w.Long} }
+
 type shape struct {
 	kind mark.Kind
 	rack mark.Rack
 	room mark.Room
+	long time.Duration
 }
 
 func line(wants []Want, dues map[mark.Queue]*Due) (turns []*turn) {
 	by := map[mark.Queue]*turn{}
 	for _, w := range wants {
+		if len(w.Tasks) == 0 {
+			continue
+		}
 		t := by[w.Queue]
 		if t == nil {
 			d := dues[w.Queue]
@@ -168,24 +315,28 @@
 }
 
 // fit finds workers for n tasks of a want, or nil.
-func fit(w Want, n int, slots []Slot, mean float64) (got []int) {
-	free := make([]mark.Room, len(slots))
-	more := make([]int, len(slots))
-	for i := range slots {
-		free[i] = slots[i].Free
+func (r *round) fit(w Want, n int) (got []int) {
+	free := make([]mark.Room, len(r.Slots))
+	more := make([]int, len(r.Slots))
+	for i := range r.Slots {
+		free[i] = r.Slots[i].Free
 	}
 	for range n {
 		best, mark := -1, 0.0
-		for i := range slots {
-			s := &slots[i]
-			if !free[i].Holds(w.Room) || w.Rack != "" && w.Rack != s.Rack || !slices.Contains(s.Kinds, w.Kind) ||
-				w.Spread > 0 && s.Has[w.Part]+more[i] >= w.Spread {
+		for i := range r.Slots {
+			s := &r.Slots[i]
+			if !free[i].Holds(w.Room) || !s.Suits(w) || w.Spread > 0 && s.Has[w.Part]+more[i] >= w.Spread ||
+				s.held && w.Long > s.Clear {
 				continue
 			}
-			if s.Bad > mean+shun && s.Busy+more[i] > 0 {
+			if s.Bad > r.mean+shun && s.Busy+more[i] > 0 {
 				continue
 			}
-			if v := worth(s, free[i]); best < 0 || v > mark {
+			v := worth(s, free[i])
+			if w.Shun[s.Shard] {
+				v /= 1000
+			}
+			if best < 0 || v > mark {
 				best, mark = i, v
 			}
 		}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -21,6 +21,10 @@
 	NoMethod   Kind = "no_such_method"
 	NoJob      Kind = "no_such_job"
 	NoQueue    Kind = "no_such_queue"
+	NoWorker   Kind = "no_such_worker"
+	NoDrain    Kind = "not_drained"
+	NoPlan     Kind = "no_such_calendar"
+	Alive      Kind = "worker_is_healthy"
 	Conflict   Kind = "id_in_use"
 	Ended      Kind = "already_ended"
 	Unplaced   Kind = "never_placeable"
@@ -42,6 +46,7 @@
 	BadBody: http.StatusBadRequest, BadField: http.StatusUnprocessableEntity,
 	TooLarge: http.StatusRequestEntityTooLarge, NoPath: http.StatusNotFound,
 	NoMethod: http.StatusMethodNotAllowed, NoJob: http.StatusNotFound,
+	NoWorker: http.StatusNotFound, NoDrain: http.StatusNotFound, NoPlan: http.StatusNotFound, Alive: http.StatusConflict,
 	NoQueue: http.StatusUnprocessableEntity, Conflict: http.StatusConflict,
 	Ended: http.StatusConflict, Unplaced: http.StatusUnprocessableEntity,
 	Stale: http.StatusConflict, InUse: http.StatusConflict,
--- /dev/null
+++ b/helm/displace.go
@@ -0,0 +1,170 @@
+// Displacing: work that waits in a queue whose row displaces, and that is either
+// more urgent than what runs or below its queue's share, takes the place of less
+// urgent work of queues above their shares. Whole gangs only, each task a few
+// times at most, one want at a time, and the place is then kept for it.
+package helm
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"coppercourse/choice"
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/truth"
+)
+
+const (
+	endure = time.Second     // displacing work has waited so long
+	gap    = 2 * time.Second // between two displacings
+)
+
+// victim is a leg that may be displaced, with its gang.
+type victim struct {
+	legs    []mark.Leg
+	room    map[mark.Shard]mark.Room
+	urgency int
+	age     time.Duration
+}
+
+// displace finds what to take back for the first want that may displace, and
+// the workers to keep for it.
+func (h *Helm) displace(in choice.Input) ([]store.Back, *choice.Reserve) {
+	if h.now.Mono.Sub(h.moves) < gap {
+		return nil, nil
+	}
+	for _, w := range in.Wants {
+		d := in.Dues[w.Queue]
+		if d == nil || !d.Row.Displace || w.Since < endure || len(w.Tasks) == 0 {
+			continue
+		}
+		need := 1
+		if w.Gang {
+			need = len(w.Tasks)
+		}
+		if d.Running+need > d.Row.Running {
+			continue
+		}
+		below := below(d, in.Total)
+		if legs, kept := oust(w, need, in.Slots, h.victims(w, below, in)); legs != nil {
+			h.moves = h.now.Mono
+			return legs, kept
+		}
+	}
+	return nil, nil
+}
+
+func below(d *choice.Due, total int) bool {
+	return 100*d.Cores < d.Row.Share*total
+}
+
+// victims lists what a want may displace: the least urgent first, then what has
+// run for the shortest time.
+func (h *Helm) victims(w choice.Want, under bool, in choice.Input) (list []*victim) {
+	gangs := map[choice.Part]*victim{}
+	for _, o := range h.head.Holds() {
+		j := h.state.Jobs[o.Leg.Job]
+		if j == nil || o.Step < 0 || !h.mayTake(o.Leg) || j.Queue == w.Queue && j.Spec.Urgency >= w.Urgency {
+			continue
+		}
+		d := in.Dues[j.Queue]
+		urgent := j.Spec.Urgency < w.Urgency
+		if d == nil || below(d, in.Total) || !urgent && !(under && j.Queue != w.Queue && j.Spec.Urgency <= w.Urgency) ||
+			j.Tasks[o.Leg.N].Moved >= d.Row.Moves {
+			continue
+		}
+		v := &victim{room: map[mark.Shard]mark.Room{}, urgency: j.Spec.Urgency, age: h.now.Mono.Sub(o.At)}
+		if j.Spec.Steps[o.Step].Gang {
+			k := choice.Part{Job: o.Leg.Job, Step: o.Step}
+			if gangs[k] != nil {
+				v = gangs[k]
+			} else {
+				gangs[k] = v
+				list = append(list, v)
+			}
+		} else {
+			list = append(list, v)
+		}
+		v.legs = append(v.legs, o.Leg)
+		v.room[o.Shard] = v.room[o.Shard].Plus(o.Room)
+	}
+	sort.SliceStable(list, func(i, k int) bool {
+		a, b := list[i], list[k]
+		return a.urgency < b.urgency || a.urgency == b.urgency && a.age < b.age
+	})
+	return
+}
+
+// oust takes victims until the want would fit, and lets go of those that turn
+// out not to be needed.
+func oust(w choice.Want, need int, slots []choice.Slot, list []*victim) (legs []store.Back, kept *choice.Reserve) {
+	fits := func(use []*victim) (shards []mark.Shard) {
+		n := 0
+		for i := range slots {
+			s := &slots[i]
+			if !s.Suits(w) {
+				continue
+			}
+			free := s.Free
+			for _, v := range use {
+				free = free.Plus(v.room[s.Shard])
+			}
+			k := 0
+			for room := free; room.Holds(w.Room) && n+k < need && (w.Spread == 0 || s.Has[w.Part]+k < w.Spread); k++ {
+				room = room.Minus(w.Room)
+			}
+			if k > 0 {
+				shards = append(shards, s.Shard)
+			}
+			if n += k; n >= need {
+				return shards
+			}
+		}
+		return nil
+	}
+	if fits(nil) != nil || fits(list) == nil {
+		return nil, nil
+	}
+	var use []*victim
+	for _, v := range list {
+		if use = append(use, v); fits(use) != nil {
+			break
+		}
+	}
+	for i := 0; i < len(use); {
+		if less := slices.Delete(slices.Clone(use), i, i+1); fits(less) != nil {
+			use = less
+		} else {
+			i++
+		}
+	}
+	for _, v := range use {
+		for _, l := range v.legs {
+			legs = append(legs, store.Back{Leg: l, Why: store.Displaced})
+		}
+	}
+	return legs, &choice.Reserve{Part: w.Part, Shards: fits(use)}
+}
+
+// ages keeps since when each step has had something that could start.
+func (h *Helm) ages(list []choice.Want) {
+	next := make(map[choice.Part]mark.Stamp, len(list))
+	for i := range list {
+		w := &list[i]
+		at, ok := h.waited[w.Part]
+		if !ok {
+			at = h.now.Mono
+		}
+		next[w.Part], w.Since = at, h.now.Mono.Sub(at)
+	}
+	h.waited = next
+}
+
+// rest is how long a leg may still run by its limit.
+func (h *Helm) rest(o *truth.Hold) time.Duration {
+	if o.Limit == 0 {
+		return time.Hour
+	}
+	return max(0, o.Limit-h.now.Mono.Sub(o.At))
+}
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"coppercourse/accord"
+	"coppercourse/choice"
 	"coppercourse/fault"
 	"coppercourse/kin"
 	"coppercourse/mark"
@@ -61,6 +62,9 @@
 	moved  bool // something was applied, or time passed, since work was last placed
 	rates  map[mark.Queue]*rate
 	early  []early
+	kept   *choice.Reserve // workers kept for work that was passed over
+	waited map[choice.Part]mark.Stamp
+	moves  mark.Stamp // when something was last displaced
 	sends  []word.Send
 	Sums   Sums
 }
@@ -272,7 +276,7 @@
 		}
 		clear(h.waits)
 		clear(h.flight)
-		h.giving, h.shaped = 0, 0
+		h.giving, h.shaped, h.kept, h.waited = 0, 0, nil, nil
 		return
 	}
 	if h.head == nil {
@@ -328,7 +332,7 @@
 			if t.Out != nil {
 				step := j.Spec.Step(n)
 				list = append(list, truth.Hold{Leg: mark.Leg{Task: mark.Task{Job: j.ID, N: n}, Leg: t.Leg},
-					Shard: t.Out.Shard, Step: step, Room: j.Spec.Steps[step].Room})
+					Shard: t.Out.Shard, Step: step, Room: j.Spec.Steps[step].Room, Usual: usual(j, step), Limit: h.limit(j, step)})
 			}
 		}
 	}
--- a/helm/plan.go
+++ b/helm/plan.go
@@ -26,29 +26,48 @@
 		doom, spent = append(doom, x.Doomed...), append(spent, x.Spent...)
 	}
 	h.propose(spent)
-	h.head.Halt(append(doom, h.head.Strays()...))
+	h.head.Halt(append(doom, h.head.Strays()...), h.overtime())
 	if !h.core.Firm() || h.drain {
 		return
 	}
 	h.shapes()
 	h.times()
-	if h.head.Wait || h.giving > h.done {
+	if h.giving > h.done {
 		return
 	}
-	wants, dues := h.wants()
-	if len(wants) == 0 {
+	backs := h.recall()
+	if h.head.Wait {
+		h.give(nil, backs)
 		return
 	}
-	slots, total := h.slots()
+	in := choice.Input{Kept: h.kept}
+	if in.Wants, in.Dues = h.wants(); len(in.Wants) == 0 {
+		h.kept, h.waited = nil, nil
+		h.give(nil, backs)
+		return
+	}
+	h.ages(in.Wants)
+	in.Slots, in.Total = h.slots()
+	out := choice.Place(in)
+	h.kept = out.Kept
 	var legs []store.Give
-	for _, p := range choice.Place(wants, slots, dues, total) {
+	for _, p := range out.Picks {
 		t := h.state.Jobs[p.Task.Job].Tasks[p.Task.N]
 		legs = append(legs, store.Give{Leg: mark.Leg{Task: p.Task, Leg: t.Leg + 1}, Shard: p.Shard})
+		delete(h.waited, choice.Part{Job: p.Task.Job, Step: h.state.Jobs[p.Task.Job].Spec.Step(p.Task.N)})
+	}
+	if legs == nil && backs == nil && h.kept == nil {
+		backs, h.kept = h.displace(in)
 	}
-	if legs == nil {
+	h.give(legs, backs)
+}
+
+// give puts a round into the log; the next waits until it is applied.
+func (h *Helm) give(legs []store.Give, backs []store.Back) {
+	if legs == nil && backs == nil {
 		return
 	}
-	if i, ok := h.fact(store.Fact{Legs: legs}); ok {
+	if i, ok := h.fact(store.Fact{Legs: legs, Backs: backs}); ok {
 		h.giving = i
 	}
 }
@@ -71,7 +90,7 @@
 		for _, b := range x.Batches {
 			p := j.Spec.Steps[b.Step]
 			list = append(list, choice.Want{Part: choice.Part{Job: j.ID, Step: b.Step}, Queue: j.Queue, Urgency: j.Spec.Urgency,
-				Kind: p.Kind, Rack: p.Rack, Room: p.Room, Spread: p.Spread, Gang: p.Gang, Tasks: b.Tasks})
+				Kind: p.Kind, Rack: p.Rack, Room: p.Room, Spread: p.Spread, Gang: p.Gang, Tasks: b.Tasks, Long: h.limit(j, b.Step), Shun: b.Shun})
 		}
 	}
 	return
@@ -85,9 +104,9 @@
 			continue
 		}
 		total += s.Room.Cores
-		if !s.Leaving && s.Sound {
+		if till, _, _ := h.till(s); !s.Leaving && s.Sound {
 			at[s.Shard] = len(list)
-			list = append(list, choice.Slot{Shard: s.Shard, Rack: s.Rack, Kinds: s.Kinds, Free: s.Room,
+			list = append(list, choice.Slot{Shard: s.Shard, Rack: s.Rack, Kinds: s.Kinds, Free: s.Room, Size: s.Room, Till: till,
 				Bad: s.Worth.Bad, Slow: s.Worth.Slow, Has: map[choice.Part]int{}})
 		}
 	}
@@ -99,6 +118,7 @@
 		x := &list[i]
 		x.Free = x.Free.Minus(o.Room)
 		x.Busy++
+		x.Clear = max(x.Clear, h.rest(o))
 		if o.Step >= 0 {
 			x.Has[choice.Part{Job: o.Leg.Job, Step: o.Step}]++
 		}
@@ -112,16 +132,25 @@
 		j := h.state.Jobs[g.Leg.Job]
 		i := j.Spec.Step(g.Leg.N)
 		p := j.Spec.Steps[i]
-		limit := p.Limit
-		if r, ok := h.state.Table.Find(j.Queue); ok && (limit == 0 || limit > r.TaskMS) {
-			limit = r.TaskMS
-		}
 		h.Sums.Orders++
-		h.head.Order(g.Shard, i, string(j.Queue)+"/"+p.Name,
-			truth.Job{Leg: g.Leg, Kind: p.Kind, Rack: p.Rack, Room: p.Room, Limit: limit, Work: p.Work})
+		h.head.Order(g.Shard, i, usual(j, i),
+			truth.Job{Leg: g.Leg, Kind: p.Kind, Rack: p.Rack, Room: p.Room, Limit: int(h.limit(j, i).Milliseconds()), Work: p.Work})
 	}
 }
 
+// usual names what a leg's time is compared with.
+func usual(j *store.Job, step int) string { return string(j.Queue) + "/" + j.Spec.Steps[step].Name }
+
+// limit is how long a leg of a step may take by the table in force.
+func (h *Helm) limit(j *store.Job, step int) time.Duration {
+	row, ok := h.state.Table.Find(j.Queue)
+	own := time.Duration(j.Spec.Steps[step].Limit) * time.Millisecond
+	if ok && (own == 0 || own > row.Limit()) {
+		return row.Limit()
+	}
+	return own
+}
+
 // shapes keeps in the log what the workers are made of.
 func (h *Helm) shapes() {
 	if h.shaped > h.done {
--- a/store/heat.go
+++ b/store/heat.go
@@ -3,6 +3,7 @@
 package store
 
 import (
+	"coppercourse/blueprint"
 	"coppercourse/mark"
 )
 
@@ -10,6 +11,7 @@
 type Batch struct {
 	Step  int
 	Tasks []int
+	Shun  map[mark.Shard]bool // workers where legs of these stalled
 }
 
 // Heat is what a round needs to know of a job.
@@ -27,14 +29,14 @@
 // Heat gives a job's as of now.
 func (s *State) Heat(j *Job, now mark.Tick) *Heat {
 	if j.hot == nil || now >= j.hot.until || s.Off != j.off || s.Table.Edition != j.row {
-		j.hot, j.off, j.row = j.heat(s.row(j.Queue).Tries, now, s.Off), s.Off, s.Table.Edition
+		j.hot, j.off, j.row = j.heat(s.row(j.Queue), now, s.Off), s.Off, s.Table.Edition
 	}
 	return j.hot
 }
 
 // heat works it out afresh.
-func (j *Job) heat(tries int, now mark.Tick, off mark.Wall) *Heat {
-	h := &Heat{Doomed: j.Doomed(), Spent: j.Spent(tries, now), until: far}
+func (j *Job) heat(row blueprint.Row, now mark.Tick, off mark.Wall) *Heat {
+	h := &Heat{Doomed: j.Doomed(), Spent: j.Spent(row, now), until: far}
 	wait := func(t mark.Tick) {
 		if t > now {
 			h.until = min(h.until, t)
@@ -63,8 +65,14 @@
 		for n, t := range j.Part(i) {
 			switch {
 			case t.Done:
-			case t.Out == nil && !t.Dead && t.Ready <= now && t.Fails < tries:
+			case t.Out == nil && !t.Dead && t.Ready <= now && !t.spent(row):
 				b.Tasks = append(b.Tasks, base+n)
+				if t.Shun != "" && b.Shun == nil {
+					b.Shun = map[mark.Shard]bool{}
+				}
+				if t.Shun != "" {
+					b.Shun[t.Shun] = true
+				}
 			default:
 				whole = false
 			}
--- a/store/job.go
+++ b/store/job.go
@@ -46,18 +46,21 @@
 type Out struct {
 	Shard mark.Shard `json:"shard"`
 	At    mark.Tick  `json:"at"`
+	Back  Why        `json:"back,omitempty"` // it is being taken back
 }
 
 // Task is one task's account. Fails are what the queue's tries count.
 type Task struct {
-	Leg   int       `json:"leg"`
-	Out   *Out      `json:"out,omitempty"`
-	Done  bool      `json:"done,omitempty"`
-	Dead  bool      `json:"dead,omitempty"`
-	Fails int       `json:"fails,omitempty"`
-	Lost  int       `json:"lost,omitempty"`
-	Halts int       `json:"stopped,omitempty"`
-	Ready mark.Tick `json:"ready"`
+	Leg   int        `json:"leg"`
+	Out   *Out       `json:"out,omitempty"`
+	Done  bool       `json:"done,omitempty"`
+	Dead  bool       `json:"dead,omitempty"`
+	Fails int        `json:"fails,omitempty"`
+	Lost  int        `json:"lost,omitempty"`
+	Halts int        `json:"stopped,omitempty"`
+	Moved int        `json:"displaced,omitempty"`
+	Shun  mark.Shard `json:"shun,omitempty"` // where a leg of it stalled last
+	Ready mark.Tick  `json:"ready"`
 	// Doubt is the worker whose word is awaited: the last leg was lost there,
 	// and may yet turn out to have ended well.
 	Doubt mark.Shard `json:"doubt,omitempty"`
@@ -89,6 +92,11 @@
 	row    mark.Edition
 }
 
+// spent tells whether a task may be given out no more.
+func (t Task) spent(row blueprint.Row) bool {
+	return t.Fails >= row.Tries || row.Losses > 0 && t.Lost >= row.Losses
+}
+
 // Knows tells whether an end of a leg would change nothing any more.
 func (t Task) Knows(leg int, f Fate) bool {
 	switch {
@@ -169,7 +177,7 @@
 		return nil
 	}
 	for n, t := range j.Tasks {
-		if t.Out != nil && (j.State == Ending || t.Done || j.Broken[j.Spec.Step(n)]) {
+		if t.Out != nil && (j.State == Ending || t.Done || t.Out.Back != "" || j.Broken[j.Spec.Step(n)]) {
 			list = append(list, mark.Leg{Task: mark.Task{Job: j.ID, N: n}, Leg: t.Leg})
 		}
 	}
@@ -182,7 +190,7 @@
 		return false
 	}
 	t := &j.Tasks[n]
-	if t.Out != nil || t.Done || t.Dead || t.Ready > now || t.Fails >= row.Tries {
+	if t.Out != nil || t.Done || t.Dead || t.Ready > now || t.spent(row) {
 		return false
 	}
 	t.Leg++
@@ -236,14 +244,11 @@
 	case Bad:
 		j.fail(n, t, row, now)
 	case Lost:
-		t.Lost++
-		t.Ready = now.Add(max(row.Wait(), pause(t.Lost)))
+		j.lose(n, t, row, now, row.Wait())
 	case Cut:
-		t.Lost++
-		t.Ready = now.Add(max(row.WaitCut(), row.Wait(), pause(t.Lost)))
+		j.lose(n, t, row, now, max(row.WaitCut(), row.Wait()))
 	case Gone:
-		t.Lost++
-		t.Ready = now.Add(pause(t.Lost))
+		j.lose(n, t, row, now, 0)
 	case Halted, Unrun:
 		t.Halts++
 		t.Ready = now.Add(pause(1))
@@ -267,6 +272,14 @@
 	}
 }
 
+// lose counts a loss; one that loses its workers again and again rests longer
+// each time, and fails its job only where the queue's row sets a bound.
+func (j *Job) lose(n int, t *Task, row blueprint.Row, now mark.Tick, wait time.Duration) {
+	t.Lost++
+	t.Ready = now.Add(max(wait, min(5*time.Minute, 100*time.Millisecond<<min(t.Lost, 12))))
+	j.judge(n, t, row)
+}
+
 // fail counts a failure against the queue's tries.
 func (j *Job) fail(n int, t *Task, row blueprint.Row, now mark.Tick) {
 	t.Fails++
@@ -279,17 +292,22 @@
 // judge ends a task whose tries are spent, unless a lost leg of it may still
 // turn out to have ended well.
 func (j *Job) judge(n int, t *Task, row blueprint.Row) {
-	if t.Fails >= row.Tries && !t.Done && !t.Dead && t.Doubt == "" {
-		t.Dead = true
-		j.Why = fmt.Sprintf("task %d failed %d times", n, t.Fails)
+	if t.Done || t.Dead || t.Doubt != "" {
+		return
+	}
+	switch {
+	case t.Fails >= row.Tries:
+		t.Dead, j.Why = true, fmt.Sprintf("task %d failed %d times", n, t.Fails)
+	case row.Losses > 0 && t.Lost >= row.Losses && t.Out == nil:
+		t.Dead, j.Why = true, fmt.Sprintf("task %d was lost with its worker %d times", n, t.Lost)
 	}
 }
 
 // Spent lists the lost legs of tasks that have no try left, whose ends have
 // been waited for as long as the queue says.
-func (j *Job) Spent(tries int, now mark.Tick) (list []End) {
+func (j *Job) Spent(row blueprint.Row, now mark.Tick) (list []End) {
 	for n, t := range j.Tasks {
-		if j.State == Open && t.Out == nil && t.Doubt != "" && !t.Done && t.Fails >= tries && t.Ready <= now {
+		if j.State == Open && t.Out == nil && t.Doubt != "" && !t.Done && t.spent(row) && t.Ready <= now {
 			list = append(list, End{Leg: mark.Leg{Task: mark.Task{Job: j.ID, N: n}, Leg: t.Leg}, Fate: Waited})
 		}
 	}
--- a/store/marks_test.go
+++ b/store/marks_test.go
@@ -137,7 +137,7 @@
 				}
 			}
 			for _, j := range s.Live() {
-				kept, afresh := *s.Heat(j, at), *j.heat(s.row("q").Tries, at, s.Off)
+				kept, afresh := *s.Heat(j, at), *j.heat(s.row("q"), at, s.Off)
 				kept.until, afresh.until = 0, 0
 				is.Equal(fmt.Sprint(kept), fmt.Sprint(afresh))
 			}
--- a/store/shot.go
+++ b/store/shot.go
@@ -20,6 +20,8 @@
 	Seq    uint64                 `json:"seq"`
 	Past   []Put                  `json:"past"`
 	Count  map[mark.Queue]*Counts `json:"count"`
+	Drains []Drain                `json:"drains,omitempty"`
+	Plans  []Plan                 `json:"plans,omitempty"`
 }
 
 type shot struct {
--- a/store/state.go
+++ b/store/state.go
@@ -22,6 +22,10 @@
 	Legs   []Give           `json:"legs,omitempty"`
 	Ends   []End            `json:"ends,omitempty"`
 	Shapes []Shape          `json:"shapes,omitempty"`
+	Backs  []Back           `json:"backs,omitempty"`
+	Drain  *Drain           `json:"drain,omitempty"`
+	Plan   *Plan            `json:"plan,omitempty"`
+	Gone   mark.Shard       `json:"gone,omitempty"`
 }
 
 type Submit struct {
@@ -83,6 +87,9 @@
 	Done      uint64 `json:"done"`
 	Failed    uint64 `json:"failed"`
 	Cancelled uint64 `json:"cancelled"`
+	Bad       uint64 `json:"legs_failed"`
+	Lost      uint64 `json:"legs_lost"`
+	Moved     uint64 `json:"legs_taken_back"`
 }
 
 func New() *State {
@@ -153,6 +160,17 @@
 		bad = s.accept(*f.Job)
 	case f.Cancel != "":
 		bad = s.cancel(f.Cancel)
+	case f.Drain != nil:
+		bad = s.drain(*f.Drain)
+	case f.Plan != nil:
+		bad = s.plan(*f.Plan)
+	case f.Gone != "":
+		for _, l := range s.Doubts(f.Gone) {
+			s.end(End{Leg: l, Fate: Gone})
+		}
+	}
+	for _, b := range f.Backs {
+		s.back(b)
 	}
 	for _, g := range f.Legs {
 		j := s.live[g.Leg.Job]
@@ -216,6 +234,12 @@
 	if j == nil {
 		return
 	}
+	switch c := s.count(j.Queue); {
+	case e.Fate == Bad:
+		c.Bad++
+	case e.Fate.doubtful() || e.Fate == Gone:
+		c.Lost++
+	}
 	s.touch(j)
 	j.end(e.Leg.N, e.Leg.Leg, e.Fate, s.row(j.Queue), s.Tick)
 	s.close(j)
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -114,7 +114,7 @@
 		j := s.Jobs["j"]
 		is.Equal(j.State, Open) // leg 2 may have ended well
 		is.Equal(len(s.must(29*sec, Fact{Legs: give(0)})), 0)
-		is.Equal(len(j.Spent(1, 29*sec)), 1)
+		is.Equal(len(j.Spent(row, 29*sec)), 1)
 		s.Tick = c.at
 		s.must(c.at, Fact{Ends: []End{c.last}})
 		is.Equal(j.State, c.want)
--- /dev/null
+++ b/store/window.go
@@ -0,0 +1,162 @@
+// Windows: when a worker takes nothing that would last beyond, and until when.
+// Drains and maintenance plans come to the same notion here; a worker that says
+// it is leaving is the third kind, known to the dispatcher alone. Also legs that
+// are taken back, for whichever reason.
+package store
+
+import (
+	"slices"
+	"time"
+
+	"coppercourse/fault"
+	"coppercourse/mark"
+)
+
+// Back takes a leg back: it is stopped, its end is told, and its task goes again.
+type Back struct {
+	Leg mark.Leg `json:"leg"`
+	Why Why      `json:"why"`
+}
+
+// Why a leg is taken back.
+type Why string
+
+const (
+	Leaves    Why = "its worker leaves"
+	Drained   Why = "its worker is drained"
+	Stalled   Why = "far beyond its usual time"
+	Displaced Why = "displaced by more urgent work"
+	Alone     Why = "a mate of its gang is out of reach"
+)
+
+func (s *State) back(b Back) {
+	j := s.live[b.Leg.Job]
+	if j == nil || j.State != Open || b.Leg.N < 0 || b.Leg.N >= len(j.Tasks) {
+		return
+	}
+	t := &j.Tasks[b.Leg.N]
+	if t.Out == nil || t.Leg != b.Leg.Leg || t.Out.Back != "" {
+		return
+	}
+	s.touch(j)
+	t.Out.Back = b.Why
+	switch b.Why {
+	case Stalled:
+		t.Shun = t.Out.Shard
+	case Displaced:
+		t.Moved++
+	}
+	s.count(j.Queue).Moved++
+}
+
+// Target is a worker or a rack.
+type Target struct {
+	Shard mark.Shard `json:"worker,omitempty"`
+	Rack  mark.Rack  `json:"rack,omitempty"`
+}
+
+func (t Target) is(shard mark.Shard, rack mark.Rack) bool {
+	return t.Shard != "" && t.Shard == shard || t.Rack != "" && t.Rack == rack
+}
+
+// Drain is an operator's word that nothing may start on a target; By is when
+// all that runs there is stopped, or 0 to let it end. Over takes it back.
+type Drain struct {
+	Target
+	By   mark.Tick `json:"by,omitempty"`
+	Over bool      `json:"over,omitempty"`
+}
+
+// Plan is one maintenance calendar of a target, as stretches of wall time in
+// order. One without stretches is taken away.
+type Plan struct {
+	Name string `json:"name"`
+	Target
+	Spans [][2]mark.Wall `json:"spans"`
+}
+
+// Bounds on drains, plans, and a plan's stretches.
+const (
+	MostDrains = 100
+	MostPlans  = 100
+	MostSpans  = 1000
+)
+
+func (s *State) drain(d Drain) *fault.Fault {
+	i := slices.IndexFunc(s.Drains, func(o Drain) bool { return o.Target == d.Target })
+	switch {
+	case d.Over && i < 0:
+		return fault.New(fault.NoDrain, "", "it is not drained")
+	case d.Over:
+		s.Drains = slices.Delete(slices.Clone(s.Drains), i, i+1)
+	case i >= 0:
+		s.Drains = slices.Clone(s.Drains)
+		s.Drains[i] = d
+	case len(s.Drains) >= MostDrains:
+		return fault.New(fault.Full, "", "as many drains as there may be").After(time.Minute)
+	default:
+		s.Drains = append(slices.Clone(s.Drains), d)
+	}
+	return nil
+}
+
+func (s *State) plan(p Plan) *fault.Fault {
+	i := slices.IndexFunc(s.Plans, func(o Plan) bool { return o.Name == p.Name })
+	switch {
+	case len(p.Spans) == 0 && i < 0:
+		return fault.New(fault.NoPlan, "name", "no calendar is called "+p.Name)
+	case len(p.Spans) == 0:
+		s.Plans = slices.Delete(slices.Clone(s.Plans), i, i+1)
+	case i >= 0:
+		s.Plans = slices.Clone(s.Plans)
+		s.Plans[i] = p
+	case len(s.Plans) >= MostPlans:
+		return fault.New(fault.Full, "", "as many calendars as there may be").After(time.Minute)
+	default:
+		s.Plans = append(slices.Clone(s.Plans), p)
+	}
+	return nil
+}
+
+// Window is the next one of a worker. From is when it must have nothing left
+// that could last beyond By; By 0 lets what runs end.
+type Window struct {
+	From mark.Tick
+	By   mark.Tick
+	Why  Why
+}
+
+// Window gives the first that is on or to come.
+func (s *State) Window(shard mark.Shard, rack mark.Rack, now mark.Tick) (w Window, ok bool) {
+	add := func(o Window) {
+		switch {
+		case !ok:
+			w, ok = o, true
+			return
+		case o.From < w.From:
+			w.From = o.From
+		}
+		if o.By != 0 && (w.By == 0 || o.By < w.By) {
+			w.By = o.By
+		}
+	}
+	for _, d := range s.Drains {
+		if d.is(shard, rack) {
+			add(Window{now, d.By, Drained})
+		}
+	}
+	at := mark.Wall(now) + s.Off
+	for _, p := range s.Plans {
+		if !p.is(shard, rack) {
+			continue
+		}
+		for _, x := range p.Spans {
+			if at < x[1] {
+				from := max(now, mark.Tick(x[0]-s.Off))
+				add(Window{from, from, Drained})
+				break
+			}
+		}
+	}
+	return
+}
--- a/truth/hand.go
+++ b/truth/hand.go
@@ -61,6 +61,7 @@
 	heard  mark.Stamp
 	stamp  mark.Stamp
 	given  mark.Stamp
+	goes   mark.Stamp // when the worker goes, if it said so
 	rep    Report
 	news   bool
 	sends  []word.Send
@@ -173,6 +174,9 @@
 	}
 	if h.now.Sub(h.beat) >= h.pace.Beat && h.ready() {
 		h.beat = h.now
+		if h.rep.LeaveMS > 0 {
+			h.rep.LeaveMS = max(1, h.goes.Sub(h.now).Milliseconds())
+		}
 		h.say(h.lead, word.Beat, Beat{h.shard, h.id, h.past, h.now, h.set, h.rep})
 	}
 	if h.now.Sub(h.status) < h.pace.Again {
--- a/truth/head.go
+++ b/truth/head.go
@@ -29,6 +29,7 @@
 	Room  mark.Room
 	Phase phase
 	Usual string // what its time is compared with
+	Limit time.Duration
 	At    mark.Stamp
 	halt  mark.Stamp
 }
@@ -41,6 +42,7 @@
 	State Soundness
 	Since mark.Stamp
 	Report
+	Goes  mark.Stamp // when its worker goes, if it said so
 	Been  bool
 	Good  mark.Stamp
 	stamp mark.Stamp
@@ -69,7 +71,7 @@
 	holds map[mark.Leg]*Hold
 	hist  []map[mark.ID]bool
 	ends  []store.End
-	norm  map[string]float64
+	norm  map[string]*usual
 	sends []word.Send
 	// Doubts lists the legs lost on a shard whose true ends are still awaited.
 	Doubts func(mark.Shard) []mark.Leg
@@ -82,7 +84,7 @@
 // NewHead starts a leadership; outs are the legs that the log has as given out.
 func NewHead(now mark.Stamp, pace Pace, me mark.Addr, term mark.Term, outs []Hold) *Head {
 	h := &Head{pace: pace, me: me, term: term, born: now, now: now, Wait: true, seats: map[mark.Shard]*Seat{},
-		past: map[mark.ID]bool{}, holds: map[mark.Leg]*Hold{}, hist: []map[mark.ID]bool{{}}, norm: map[string]float64{}}
+		past: map[mark.ID]bool{}, holds: map[mark.Leg]*Hold{}, hist: []map[mark.ID]bool{{}}, norm: map[string]*usual{}}
 	for _, o := range outs {
 		o.Phase, o.At = dim, now
 		h.holds[o.Leg] = &o
@@ -128,6 +130,7 @@
 		return
 	}
 	s.Addr, s.stamp, s.Report = from, b.Stamp, b.Report
+	s.Goes = h.now.Add(time.Duration(b.LeaveMS)*time.Millisecond - h.pace.Beat)
 	if b.Sound {
 		s.Good = h.now
 	}
@@ -264,7 +267,7 @@
 
 // Order marks a leg running and sends it, once.
 func (h *Head) Order(shard mark.Shard, step int, usual string, j Job) {
-	o := &Hold{Leg: j.Leg, Shard: shard, Step: step, Room: j.Room, Phase: sent, Usual: usual, At: h.now}
+	o := &Hold{Leg: j.Leg, Shard: shard, Step: step, Room: j.Room, Phase: sent, Usual: usual, Limit: time.Duration(j.Limit) * time.Millisecond, At: h.now}
 	h.holds[j.Leg] = o
 	s := h.seats[shard]
 	if s == nil || s.State != Healthy || s.Leaving || h.grace <= 0 {
--- a/truth/heed.go
+++ b/truth/heed.go
@@ -154,6 +154,7 @@
 	}
 	for _, k := range s.Legs {
 		if l := h.legs[k]; l != nil {
+			l.over = l.over || l.part != ended && slices.Contains(s.Late, k)
 			h.halt(l)
 		} else {
 			h.legs[k] = &leg{job: Job{Leg: k}, part: ended, fate: store.Unrun}
--- a/truth/poll.go
+++ b/truth/poll.go
@@ -26,6 +26,7 @@
 	Kinds  []mark.Kind `json:"kinds"`
 	Room   mark.Room   `json:"room"`
 	Leave  bool        `json:"leaving"`
+	GoMS   int64       `json:"leave_in_ms"`
 	Runs   []Run       `json:"running"`
 	Ends   []Finish    `json:"ended"`
 }
@@ -52,6 +53,8 @@
 	h.Check(p.Worker != "" && len(p.Worker) <= 128, "worker", "want 1 to 128 characters")
 	h.Check(p.Room.Holds(mark.Room{}), "room", "want no negative numbers")
 	h.Check(len(p.Kinds) <= 64, "kinds", "more than 64")
+	h.Check(p.GoMS >= 0 && p.GoMS <= 86_400_000, "leave_in_ms", "want 0 to a day")
+	h.Check(p.GoMS == 0 || p.Leave, "leave_in_ms", "only for a worker that is leaving")
 	h.Check(len(p.Runs)+len(p.Ends) <= 2000, "running", "more than 2000 legs")
 	for i, k := range p.Kinds {
 		h.Check(blueprint.Name(string(k)) == "", fmt.Sprintf("kinds[%d]", i), "not a name")
@@ -87,7 +90,8 @@
 	if p.Leave != h.rep.Leaving || !h.rep.Sound {
 		h.beat = never
 	}
-	h.rep = Report{Rack: p.Rack, Kinds: p.Kinds, Room: p.Room, Leaving: p.Leave, Sound: true}
+	h.rep = Report{Rack: p.Rack, Kinds: p.Kinds, Room: p.Room, Leaving: p.Leave, LeaveMS: p.GoMS, Sound: true}
+	h.goes = now.Add(time.Duration(p.GoMS) * time.Millisecond)
 	runs := map[mark.Leg]bool{}
 	for _, r := range p.Runs {
 		runs[r.Leg] = true
--- a/truth/say.go
+++ b/truth/say.go
@@ -43,6 +43,7 @@
 	Kinds   []mark.Kind `json:"kinds"`
 	Room    mark.Room   `json:"room"`
 	Leaving bool        `json:"leaving"`
+	LeaveMS int64       `json:"leave_in_ms,omitempty"` // how long until it goes; 0 is not told
 	Sound   bool        `json:"sound"`
 }
 
@@ -155,6 +156,7 @@
 type Stop struct {
 	Top
 	Legs []mark.Leg `json:"legs"`
+	Late []mark.Leg `json:"late,omitempty"` // of these, those past the time their queue allows: they have failed
 }
 
 // Quit is requestSuicide: the ward stops all legs and comes back as another.
--- a/truth/set.go
+++ b/truth/set.go
@@ -8,6 +8,7 @@
 import (
 	"hash/fnv"
 	"sort"
+	"time"
 
 	"coppercourse/mark"
 	"coppercourse/store"
@@ -115,10 +116,27 @@
 		return
 	}
 	took := float64(h.now.Sub(o.At))
-	if n := h.norm[o.Usual]; n == 0 {
-		h.norm[o.Usual] = took
-	} else {
-		h.norm[o.Usual] += fade * (took - n)
-		s.Worth.Slow += fade * (took/n - s.Worth.Slow)
+	n := h.norm[o.Usual]
+	if n == nil {
+		n = &usual{took: took}
+		h.norm[o.Usual] = n
 	}
+	n.count++
+	s.Worth.Slow += fade * (took/n.took - s.Worth.Slow)
+	n.took += fade * (min(took, 4*n.took) - n.took)
+}
+
+// usual is how long legs of one step of a queue take.
+type usual struct {
+	took  float64
+	count int
+}
+
+// Usual gives that, once enough of them have ended well to tell.
+func (h *Head) Usual(name string) (time.Duration, bool) {
+	n := h.norm[name]
+	if n == nil || n.count < 10 {
+		return 0, false
+	}
+	return time.Duration(n.took), true
 }
--- a/truth/watch.go
+++ b/truth/watch.go
@@ -140,11 +140,12 @@
 	}
 }
 
-// Halt asks for legs to be stopped, again and again until they have ended.
-// Legs of this leadership that were never sent are left alone.
-func (h *Head) Halt(legs []mark.Leg) {
+// Halt asks for legs to be stopped, again and again until they have ended; late
+// ones are past the time their queue allows. Legs of this leadership that were
+// never sent are left alone.
+func (h *Head) Halt(legs, late []mark.Leg) {
 	by := map[mark.Shard][]mark.Leg{}
-	for _, l := range legs {
+	for _, l := range append(legs, late...) {
 		o := h.holds[l]
 		if o == nil || o.halt != 0 && h.now.Sub(o.halt) < h.pace.Again/2 {
 			continue
@@ -154,7 +155,7 @@
 	}
 	for _, s := range h.Seats() {
 		if legs := by[s.Shard]; legs != nil && s.State != MustDie && s.State != New {
-			h.say(s, word.Stop, Stop{h.top(s), legs})
+			h.say(s, word.Stop, Stop{h.top(s), legs, late})
 		}
 	}
 }
@@ -169,6 +170,20 @@
 	return
 }
 
+// Missing lists legs whose ward has still not come to this leadership when a
+// sound one would have.
+func (h *Head) Missing() (list []*Hold) {
+	if !h.Wait || h.now.Sub(h.born) <= h.pace.Ill {
+		return nil
+	}
+	for _, o := range h.sorted() {
+		if o.Phase == dim && h.seats[o.Shard] == nil {
+			list = append(list, o)
+		}
+	}
+	return
+}
+
 // Holds lists the legs that possibly run.
 func (h *Head) Holds() []*Hold { return h.sorted() }
 
