Reports of ends go to every helm, and gates keep those no leader has taken

Cause of most re-runs left: a machine killed while no leader was there took with it the only daemon that had been told how its legs ended.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -54,6 +54,7 @@
 	turn  int
 	lost  mark.Stamp // since when no leader is known; 0 when one is
 	drain bool
+	told  []report
 	sends []word.Send
 	outs  []word.Answer
 	Sums  Sums
@@ -115,10 +116,8 @@
 		if g.news.Take(n) {
 			g.Trail.Add(g.now.Wall, trail.Table(g.news.Table.Edition), "in use here")
 		}
-	case n.Kind == word.Status: // a helm that is cut off from the leader was told of ends
-		if to := g.kin.Lead(); to != "" {
-			g.sends = append(g.sends, word.Send{To: to, Note: n})
-		}
+	case n.Kind == word.Status:
+		g.keep(n)
 	case n.Kind == word.Reply:
 		if r, ok := word.Read[word.ReplyBody](n); ok {
 			g.reply(n.From, r)
@@ -129,6 +128,7 @@
 func (g *Gate) tick() {
 	g.kin.Me(g.card())
 	g.kin.Tick(g.now.Mono)
+	g.repeat()
 	if g.kin.Lead() != "" {
 		g.lost = 0
 	} else if g.lost == 0 {
--- a/ward/ward.go
+++ b/ward/ward.go
@@ -85,11 +85,27 @@
 		w.outs = append(w.outs, word.Answer{Token: w.token, Code: 200, Body: word.Body(w.hand.Reply(w.now.Mono))})
 		w.token = 0
 	}
-	out := word.Out{Sends: append(w.hand.Out(), w.kin.Out()...), Answers: w.outs, Idle: w.drain && w.token == 0}
+	out := word.Out{Sends: append(w.tell(w.hand.Out()), w.kin.Out()...), Answers: w.outs, Idle: w.drain && w.token == 0}
 	w.outs = nil
 	return out
 }
 
+// tell sends reports of ends to every helm: the leader may be gone, and so may
+// this machine before another one leads.
+func (w *Ward) tell(list []word.Send) []word.Send {
+	for _, s := range list {
+		if s.Note.Kind != word.Status {
+			continue
+		}
+		for _, c := range w.kin.Helms() {
+			if c.Addr != s.To {
+				list = append(list, word.Send{To: c.Addr, Note: s.Note})
+			}
+		}
+	}
+	return list
+}
+
 func (w *Ward) take(n word.Note) {
 	if w.kin.Take(w.now.Mono, n) {
 		return
