--- a/blueprint/table.go
+++ b/blueprint/table.go
@@ -71,6 +71,12 @@
 	return Row{}, false
 }
 
+// Next is the table as it is in force once taken.
+func (t Table) Next() Table {
+	t.Edition++
+	return t
+}
+
 // Same tells whether two tables say the same, whatever their edition.
 func (t Table) Same(o Table) bool {
 	if len(t.Rows) != len(o.Rows) || t.MostTasks() != o.MostTasks() || t.MostBytes() != o.MostBytes() {
--- a/cmd/coppercourse/verbs.go
+++ b/cmd/coppercourse/verbs.go
@@ -72,6 +72,9 @@
 	get("workers", "Show every worker as the leader sees it.", "/v1/workers")
 	get("mates", "Show every daemon that the gate knows of.", "/v1/mates")
 	get("status", "Show the leader's account of the cluster.", "/v1/leader")
+	get("drains", "Show what is drained, and how much still runs there.", "/v1/drains")
+	get("calendars", "Show the maintenance calendars and their next windows.", "/v1/calendars")
+	upkeep(app, gate, runs)
 	tracer(app, gate, runs)
 }
 
--- a/door/entry.go
+++ b/door/entry.go
@@ -6,9 +6,11 @@
 import (
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/gorilla/mux"
 
+	"coppercourse/almanac"
 	"coppercourse/blueprint"
 	"coppercourse/fault"
 	"coppercourse/mark"
@@ -50,6 +52,13 @@
 	r.HandleFunc("/v1/table", p.Ask("table.get")).Methods(http.MethodGet)
 	r.HandleFunc("/v1/queues", p.Ask("queues")).Methods(http.MethodGet)
 	r.HandleFunc("/v1/workers", p.Ask("workers")).Methods(http.MethodGet)
+	r.HandleFunc("/v1/workers/{id}/gone", named(p.Ask("gone"))).Methods(http.MethodPost)
+	r.HandleFunc("/v1/drains", p.Ask("drains")).Methods(http.MethodGet)
+	r.HandleFunc("/v1/drains/{kind:workers|racks}/{id}", e.putDrain(p)).Methods(http.MethodPut)
+	r.HandleFunc("/v1/drains/{kind:workers|racks}/{id}", named(p.Ask("drain.drop"))).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/calendars", p.Ask("plans")).Methods(http.MethodGet)
+	r.HandleFunc("/v1/calendars/{id}", e.putPlan(p)).Methods(http.MethodPut)
+	r.HandleFunc("/v1/calendars/{id}", named(p.Ask("plan.drop"))).Methods(http.MethodDelete)
 	r.HandleFunc("/v1/mates", p.Ask("mates")).Methods(http.MethodGet)
 	r.HandleFunc("/v1/leader", p.Ask("status")).Methods(http.MethodGet)
 	return r
@@ -85,6 +94,45 @@
 	})
 }
 
+func (e *Entry) putDrain(p *Pages) http.HandlerFunc {
+	return named(func(w http.ResponseWriter, q *http.Request) {
+		b, ok := Read(w, q, store.Body)
+		if !ok {
+			return
+		}
+		var heap fault.Heap
+		d := blueprint.ReadDrain(b, &heap)
+		if f := heap.First(); f != nil {
+			Fail(w, f)
+			return
+		}
+		Give(w, p.Owner.Ask(q.Context(), "drain.put", arg(q), word.Body(d)))
+	})
+}
+
+func (e *Entry) putPlan(p *Pages) http.HandlerFunc {
+	return named(func(w http.ResponseWriter, q *http.Request) {
+		b, ok := Read(w, q, store.Body)
+		if !ok {
+			return
+		}
+		var heap fault.Heap
+		c := blueprint.ReadCalendar(b, &heap)
+		x := store.Plan{Name: mux.Vars(q)["id"], Target: store.Target{Shard: c.Shard, Rack: c.Rack}}
+		if len(heap.List()) == 0 {
+			x.Spans = almanac.Read([]byte(c.Text), time.Now(), &heap)
+		}
+		if len(heap.List()) == 0 {
+			heap.Check(len(x.Spans) > 0, "ics", "no window of it is still to come")
+		}
+		if f := heap.First(); f != nil {
+			Fail(w, f)
+			return
+		}
+		Give(w, p.Owner.Ask(q.Context(), "plan.put", x.Name, word.Body(x)))
+	})
+}
+
 func (e *Entry) putTable(p *Pages) http.HandlerFunc {
 	return func(w http.ResponseWriter, q *http.Request) {
 		b, ok := Read(w, q, store.Body)
--- a/door/pages.go
+++ b/door/pages.go
@@ -116,10 +116,19 @@
 			Fail(w, fault.New(fault.BadBody, "", "not well-formed JSON"))
 			return
 		}
-		Give(w, p.Owner.Ask(q.Context(), verb, mux.Vars(q)["id"], b))
+		Give(w, p.Owner.Ask(q.Context(), verb, arg(q), b))
 	}
 }
 
+// arg is what a path names: an id, or a kind and an id.
+func arg(q *http.Request) string {
+	v := mux.Vars(q)
+	if v["kind"] != "" {
+		return v["kind"] + "/" + v["id"]
+	}
+	return v["id"]
+}
+
 func (p *Pages) mate(w http.ResponseWriter, q *http.Request) {
 	b, ok := Read(w, q, lore.MaxLen)
 	if !ok {
--- a/helm/calls.go
+++ b/helm/calls.go
@@ -30,6 +30,13 @@
 	"table.get":  func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.state.Table) },
 	"queues":     func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.Queues()) },
 	"workers":    func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.Workers()) },
+	"drain.put":  (*Helm).putDrain,
+	"drain.drop": (*Helm).dropDrain,
+	"drains":     func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.Drains()) },
+	"plan.put":   (*Helm).putPlan,
+	"plan.drop":  (*Helm).dropPlan,
+	"plans":      func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.Plans()) },
+	"gone":       (*Helm).gone,
 	"status":     func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.Status()) },
 }
 
@@ -85,7 +92,13 @@
 	case bad != nil:
 		h.bad(w, h.when(bad, f))
 	case f.Table != nil:
-		h.good(w, 200, blueprint.Table{Edition: f.Table.Edition + 1, Rows: f.Table.Rows})
+		h.good(w, 200, f.Table.Next())
+	case f.Drain != nil:
+		h.good(w, 200, h.Drains())
+	case f.Plan != nil:
+		h.good(w, 200, h.Plans())
+	case f.Gone != "":
+		h.good(w, 200, h.Workers())
 	case f.Job != nil:
 		h.good(w, http.StatusCreated, h.View(f.Job.ID))
 	case f.Cancel != "":
@@ -156,7 +169,7 @@
 		return
 	}
 	if h.state.Known(t) {
-		h.good(w, 200, blueprint.Table{Edition: t.Edition + 1, Rows: t.Rows})
+		h.good(w, 200, t.Next())
 		return
 	}
 	h.wait(w, store.Fact{Table: &t})
--- a/trial/caller.go
+++ b/trial/caller.go
@@ -159,7 +159,7 @@
 	c.try(to, "table.put", "", word.Body(t), func(a word.Answer) {
 		switch {
 		case a.Fault == nil:
-			got := blueprint.Table{Edition: t.Edition + 1, Rows: t.Rows}
+			got := t.Next()
 			c.w.tell(Happening{What: TableAck, Table: &got})
 			then(true)
 		case a.Fault.Retry > 0:
--- a/trial/street.go
+++ b/trial/street.go
@@ -211,7 +211,7 @@
 	for range 60 {
 		code, b := s.try(http.MethodPut, "/v1/table", word.Body(t))
 		if code == 200 {
-			got := blueprint.Table{Edition: t.Edition + 1, Rows: t.Rows}
+			got := t.Next()
 			s.f.Tell(Happening{What: TableAck, Table: &got})
 			return got.Edition, nil
 		}
