Removal, drains, poison, sick workers, displacing and reservations in the simulator

Faults added: remove-worker (says when it goes and is taken away then), drain-rack, slow-, stall- and failing-worker. A drain that an operator was told is taken is judged like a leaving worker.

--- a/helm/windows.go
+++ b/helm/windows.go
@@ -29,7 +29,7 @@
 		}
 	}
 	if w, ok := h.state.Window(s.Shard, s.Rack, now); ok {
-		if d := max(time.Nanosecond, w.From.Sub(now)); left == 0 || d < left {
+		if d := max(time.Nanosecond, w.From.Sub(now)-h.place.Truth.Grant); left == 0 || d < left { // an order may lie so long
 			left = d
 		}
 		if at := h.now.Mono.Add(w.By.Sub(now)); w.By != 0 && (by == 0 || at < by) {
--- a/trial/caller.go
+++ b/trial/caller.go
@@ -171,6 +171,29 @@
 	}, func() { again(100 * time.Millisecond) })
 }
 
+// order gives an operator's order until it is known to be taken or refused.
+func (c *Crew) order(verb, arg string, body json.RawMessage, n int, then func()) {
+	if verb == "drain.drop" && n == 0 {
+		c.w.tell(Happening{What: Undone, Text: arg})
+	}
+	again := func(d time.Duration) {
+		if n < 100 {
+			c.w.at(d, func() { c.order(verb, arg, body, n+1, then) })
+		}
+	}
+	c.try(c.any(), verb, arg, body, func(a word.Answer) {
+		switch {
+		case a.Fault == nil:
+			if verb == "drain.put" {
+				c.w.tell(Happening{What: Drained, Text: arg})
+			}
+			then()
+		case a.Fault.Retry > 0:
+			again(time.Duration(a.Fault.Retry) * time.Second)
+		}
+	}, func() { again(100 * time.Millisecond) })
+}
+
 // read reads the table and gives it on.
 func (c *Crew) read(then func(blueprint.Table)) {
 	began := c.w.now
--- a/trial/check.go
+++ b/trial/check.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 	"time"
 
 	"coppercourse/accord"
@@ -86,6 +87,7 @@
 	frozen map[string]int64
 	down   map[string]int64
 	leave  map[mark.Shard][][2]int64
+	drain  map[mark.Shard][][2]int64
 	reigns []reign
 	breaks []Break
 	seen   Tally
@@ -95,7 +97,7 @@
 // Check tells all rules a history breaks, and what chances it had to.
 func Check(h *History, b Bounds, end int64, patience time.Duration) ([]Break, Tally) {
 	c := &checker{b: b, end: end, jobs: map[mark.JobID]*job{}, makes: map[mark.Shard]*Make{}, frozen: map[string]int64{},
-		down: map[string]int64{}, leave: map[mark.Shard][][2]int64{}, hist: h, seen: Tally{}}
+		down: map[string]int64{}, leave: map[mark.Shard][][2]int64{}, drain: map[mark.Shard][][2]int64{}, hist: h, seen: Tally{}}
 	c.read()
 	c.reign()
 	ids := make([]mark.JobID, 0, len(c.jobs))
@@ -152,6 +154,8 @@
 			if l := c.leave[h.Shard]; len(l) > 0 && l[len(l)-1][1] == c.end {
 				l[len(l)-1][1] = h.At
 			}
+		case Drained, Undone:
+			c.drained(h)
 		case Leaving:
 			c.leave[h.Shard] = append(c.leave[h.Shard], [2]int64{h.At, c.end})
 		case Started:
@@ -181,6 +185,8 @@
 			}
 		case Down:
 			c.down[h.Who] = h.At
+		case Removed:
+			c.removed(h, live[h.Who])
 		case Died:
 			for _, s := range live[h.Who] {
 				if at, ok := c.frozen[h.Who]; ok {
@@ -221,6 +227,36 @@
 	}
 }
 
+// fair is the notice with which nothing need be lost to a removal.
+const fair = 2500 * time.Millisecond
+
+// removed counts what a worker still ran that had said in time when it goes.
+func (c *checker) removed(h Happening, live map[mark.Leg]*span) {
+	if d, _ := time.ParseDuration(h.Text); d >= fair {
+		c.seen["removed: workers taken away with notice"]++
+		c.seen["removed: legs lost to that"] += len(live)
+	}
+}
+
+// drained opens or closes a drain of a worker or a rack.
+func (c *checker) drained(h Happening) {
+	kind, name, _ := strings.Cut(h.Text, "/")
+	for shard, m := range c.makes {
+		if kind == "racks" && string(m.Rack) != name || kind == "workers" && string(shard) != name {
+			continue
+		}
+		l := c.drain[shard]
+		if h.What == Drained {
+			c.seen["leaving: a drain taken"]++
+			c.drain[shard] = append(l, [2]int64{h.At, c.end})
+			continue
+		}
+		for i := range l {
+			l[i][1] = min(l[i][1], h.At)
+		}
+	}
+}
+
 // runs tells whether a leg really runs at some time in a stretch: a worker that
 // stands still runs nothing, and stops what has lapsed before anything else.
 func (s *span) runs(from, to int64) bool {
--- a/trial/check2.go
+++ b/trial/check2.go
@@ -30,7 +30,7 @@
 			if p.Rack != "" && p.Rack != m.Rack {
 				c.bad("rack", s.from, "%v for rack %s on %s in %s", s.leg, p.Rack, s.shard, m.Rack)
 			}
-			for _, l := range c.leave[s.shard] {
+			for _, l := range slices.Concat(c.leave[s.shard], c.drain[s.shard]) {
 				if s.from > l[0] && s.from <= l[0]+int64(c.b.Leave) {
 					c.seen["leaving: started within 2 s of the word"]++
 				}
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -3,8 +3,10 @@
 package trial
 
 import (
+	"fmt"
 	"time"
 
+	"coppercourse/blueprint"
 	"coppercourse/helm"
 	"coppercourse/mark"
 	"coppercourse/word"
@@ -180,8 +182,51 @@
 	},
 	"leave-worker": func(r *Run, _ time.Duration) func() {
 		h := r.hand()
-		h.leave(true)
-		return func() { h.leave(false) }
+		h.leave(true, 0)
+		return func() { h.leave(false, 0) }
+	},
+	"remove-worker": func(r *Run, long time.Duration) func() {
+		h := r.hand()
+		if h.w == nil || h.w.Leave {
+			return nil
+		}
+		h.leave(true, long)
+		gen := h.gen
+		return func() {
+			if h.gen == gen && h.w.Leave {
+				r.tell(Happening{What: Removed, Who: string(h.w.ID), Shard: h.make.Shard, Text: long.String()})
+				h.kill()
+				r.at(2*time.Second, func() {
+					if h.w == nil {
+						h.boot()
+					}
+				})
+			}
+		}
+	},
+	"slow-worker":    sick(func(m *Make) { m.Slow = 5 }),
+	"stall-worker":   sick(func(m *Make) { m.Stall = 0.3 }),
+	"failing-worker": sick(func(m *Make) { m.Fails = 0.5 }),
+	"drain-rack": func(r *Run, long time.Duration) func() {
+		rack := fmt.Sprintf("racks/r%d", 1+r.rnd.Intn(4))
+		if r.drains[rack] {
+			return nil
+		}
+		r.drains[rack] = true
+		acked, over := false, false
+		undo := func() {
+			r.Crew.order("drain.drop", rack, nil, 0, func() { delete(r.drains, rack) })
+		}
+		r.Crew.order("drain.put", rack, word.Body(blueprint.Drain{Within: r.rnd.Intn(3) * 1000}), 0, func() {
+			if acked = true; over {
+				undo()
+			}
+		})
+		return func() { // only once it is known to be taken, so that the two can't overtake each other
+			if over = true; acked {
+				undo()
+			}
+		}
 	},
 	"slow-disk": func(r *Run, _ time.Duration) func() {
 		d := one(r.rnd, r.helms).disk
@@ -230,6 +275,20 @@
 	},
 }
 
+// sick makes a worker do badly while it looks healthy.
+func sick(how func(*Make)) Fault {
+	return func(r *Run, _ time.Duration) func() {
+		h := r.hand()
+		if h.w == nil {
+			return nil
+		}
+		w := h.w
+		was := w.Make
+		how(&w.Make)
+		return func() { w.Make = was }
+	}
+}
+
 // lose wipes a helm's disk; it comes back empty, at once, maybe elsewhere. Only
 // one disk may be lost at a time: the others must be whole voters.
 func (r *Run) lose(swap bool) func() {
--- a/trial/hand.go
+++ b/trial/hand.go
@@ -44,7 +44,11 @@
 			return
 		}
 		if !n.frozen {
-			if h.w.Tick(n.mono()); h.w.News {
+			if h.w.Tick(n.mono()); h.w.Crashed {
+				h.crash()
+				return
+			}
+			if h.w.News {
 				h.call()
 			}
 		}
@@ -86,6 +90,16 @@
 	h.call()
 }
 
+// crash ends the process, and the platform starts another.
+func (h *hand) crash() {
+	h.kill()
+	h.node.w.at(time.Second, func() {
+		if h.w == nil {
+			h.boot()
+		}
+	})
+}
+
 // call makes a call and waits for its answer, or calls again after a while.
 func (h *hand) call() {
 	if h.w == nil || h.node.frozen {
@@ -130,12 +144,15 @@
 	})
 }
 
-// leave has the worker say that it is going, or is not.
-func (h *hand) leave(on bool) {
+// leave has the worker say that it is going, or is not, and within how long.
+func (h *hand) leave(on bool, within time.Duration) {
 	if h.w == nil || h.w.Leave == on {
 		return
 	}
-	h.w.Leave = on
+	h.w.Leave, h.w.Goes = on, 0
+	if within > 0 {
+		h.w.Goes = h.node.mono().Add(within)
+	}
 	what := Staying
 	if on {
 		what = Leaving
--- a/trial/hist.go
+++ b/trial/hist.go
@@ -23,6 +23,9 @@
 	Thawed   What = "thawed"    // and goes on
 	Leaving  What = "leaving"   // a worker says that it is leaving
 	Staying  What = "staying"   // and that it is not
+	Removed  What = "removed"   // a worker is taken away, as it had said it would be
+	Drained  What = "drained"   // an operator's drain was taken
+	Undone   What = "undone"    // and is about to be taken back
 	Sent     What = "sent"      // a caller sent a job for the first time
 	Accepted What = "accepted"  // and was told that it is accepted
 	Denied   What = "denied"    // or refused for good
--- a/trial/storm.go
+++ b/trial/storm.go
@@ -29,20 +29,21 @@
 // Run is a world with a town in it.
 type Run struct {
 	*World
-	Plan  Plan
-	Crew  *Crew
-	helms []*node
-	gates []*node
-	wards []*node
-	zones map[mark.Locality][]mark.Addr
-	spare int
-	done  int64
-	Notes []string
+	Plan   Plan
+	Crew   *Crew
+	helms  []*node
+	gates  []*node
+	wards  []*node
+	zones  map[mark.Locality][]mark.Addr
+	spare  int
+	drains map[string]bool // racks that an operator drains
+	done   int64
+	Notes  []string
 }
 
 // Build sets a town up: 3 helms, 4 gates, 11 wards and their workers.
 func Build(p Plan) *Run {
-	r := &Run{World: NewWorld(p.Seed), Plan: p, zones: map[mark.Locality][]mark.Addr{}}
+	r := &Run{World: NewWorld(p.Seed), Plan: p, zones: map[mark.Locality][]mark.Addr{}, drains: map[string]bool{}}
 	town := Towns[p.Town]
 	r.seeds = []mark.Addr{"h1", "g1", "w1"}
 	for i := range 3 {
@@ -141,11 +142,15 @@
 		}
 	}
 	for _, h := range r.hands {
-		h.leave(false)
+		h.leave(false, 0)
 		h.thaw()
 		if h.w == nil {
 			h.boot()
 		}
+		h.w.Make = h.make
+		if h.w.Slow == 0 {
+			h.w.Slow = 1
+		}
 	}
 	r.tell(Happening{What: Healed})
 }
--- /dev/null
+++ b/trial/upkeep_test.go
@@ -0,0 +1,269 @@
+// Work that has to move: workers removed at short notice, drained, under
+// maintenance, sick; tasks that take their workers down; large and urgent work.
+// Each is brought about in the simulator, and what it cost is printed (-v).
+package trial
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"coppercourse/blueprint"
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/word"
+)
+
+// busy is a town with a table of its own and its traffic from 6 s on.
+func busy(seed int64, change func(*blueprint.Table)) *Run {
+	r := Build(Plan{Seed: seed, Town: "kingston", Patience: 30 * time.Second})
+	r.Crew.Races, r.Crew.Cancel = false, 0
+	t := r.Crew.town.Table()
+	change(&t)
+	r.at(3*time.Second, func() { r.Crew.put(t, "g1", 0, func(bool) {}) })
+	r.at(6*time.Second, func() {
+		for _, f := range r.Crew.town.Flows {
+			r.Crew.flow(f)
+		}
+	})
+	r.Run(10 * time.Second)
+	return r
+}
+
+// put sends one job and gives when each of its tasks first started, by -1.
+func (r *Run) put(id string, s store.Spec) {
+	r.tell(Happening{What: Sent, Job: mark.JobID(id), Spec: &s})
+	r.Crew.send(mark.JobID(id), word.Body(s), r.Crew.any(), 0)
+}
+
+func (r *Run) started(id string) (at time.Duration, ok bool) {
+	for _, h := range r.Hist.List {
+		if h.What == Started && string(h.Leg.Job) == id {
+			return time.Duration(h.At), true
+		}
+	}
+	return 0, false
+}
+
+// settle lets all end and judges the history.
+func (r *Run) settle(t *testing.T, wait time.Duration) Tally {
+	t.Helper()
+	r.Crew.open = false
+	r.Run(time.Duration(r.now) + wait)
+	breaks, seen := Check(&r.Hist, Rules, r.now, 30*time.Second)
+	for i, b := range breaks {
+		if i < 6 {
+			t.Error(b)
+		}
+	}
+	return seen
+}
+
+func TestRemovalWithNoticeLosesNothing(t *testing.T) {
+	if testing.Short() {
+		t.Skip("run without the race detector")
+	}
+	is := is.New(t)
+	sum := Tally{}
+	for seed := range int64(4) {
+		sum.Add(clean(t, storm(400+seed, "kingston", 5, "remove-worker")).Seen)
+	}
+	is.True(sum["removed: workers taken away with notice"] > 8)
+	is.Equal(sum["removed: legs lost to that"], 0)
+}
+
+// A task that takes its worker down each time rests longer each time; the rest
+// keeps its service. Only where its queue sets a bound does it fail the job.
+func TestPoisonIsBounded(t *testing.T) {
+	if testing.Short() {
+		t.Skip("run without the race detector")
+	}
+	for _, bound := range []int{0, 3} {
+		is := is.New(t)
+		r := busy(31, func(t *blueprint.Table) { t.Rows[1].Losses = bound })
+		r.put("menus-poison", store.Spec{Queue: "menus", Urgency: 9, Steps: []store.Step{{Name: "p", Kind: "menu", Room: mark.Room{Cores: 1}, Tasks: 1,
+			Work: []byte(`{"ms":50,"crash":true}`)}}})
+		r.Run(60 * time.Second)
+		deaths := 0
+		for _, h := range r.Hist.List {
+			if h.What == Died {
+				deaths++
+			}
+		}
+		rate := rateOf(&r.Hist, "quotes", 20*time.Second, 60*time.Second)
+		state := r.see("menus-poison")
+		t.Logf("bound %d: %d worker deaths in 50 s, %.2f quotes a second, the job is %s (%s)", bound, deaths, rate, state.Stage, state.Text)
+		is.True(rate > 6)
+		if bound > 0 {
+			is.Equal(deaths, bound)
+			is.Equal(state.Stage, store.Failed)
+			continue
+		}
+		is.True(deaths >= 5 && deaths <= 9) // 0.2, 0.4, ... 12.8, 25.6 s between them
+		is.Equal(state.Stage, store.Open)
+	}
+}
+
+// see asks after a job now.
+func (r *Run) see(id mark.JobID) (h Happening) {
+	r.ask(r.Crew.me, "g2", "job.get", string(id), nil, func(a word.Answer) { r.Crew.saw(id, a) })
+	r.Run(time.Duration(r.now) + 300*time.Millisecond)
+	for _, x := range r.Hist.List {
+		if x.What == Saw && x.Job == id {
+			h = x
+		}
+	}
+	return
+}
+
+// fill keeps every worker busy with long, unhurried tasks of one queue.
+func fill(r *Run, n int) {
+	for i := range n {
+		r.put(fmt.Sprint("menus-fill", i), store.Spec{Queue: "menus", Steps: []store.Step{{Name: "f", Kind: "menu", Room: mark.Room{Cores: 4}, Tasks: 40,
+			Work: []byte(`{"ms":25000}`)}}})
+	}
+}
+
+// Urgent work of a queue that displaces need not wait for long tasks of a queue
+// above its share; what it displaces goes again, and is no failure.
+func TestUrgentWorkDisplaces(t *testing.T) {
+	if testing.Short() {
+		t.Skip("run without the race detector")
+	}
+	is := is.New(t)
+	wait := map[bool]time.Duration{}
+	for _, on := range []bool{false, true} {
+		r := busy(33, func(t *blueprint.Table) { t.Rows[2].Displace = on })
+		fill(r, 3)
+		r.Run(20 * time.Second)
+		from := time.Duration(r.now)
+		r.put("payments-big", store.Spec{Queue: "payments", Urgency: 9, Steps: []store.Step{{Name: "b", Kind: "menu", Room: mark.Room{Cores: 14}, Tasks: 2, Gang: true,
+			Spread: 1, Work: []byte(`{"ms":500}`)}}})
+		r.Run(from + 30*time.Second)
+		at, ok := r.started("payments-big")
+		is.True(ok)
+		wait[on] = at - from
+		r.settle(t, 150*time.Second)
+		moved := 0
+		for _, h := range r.Hist.List {
+			if h.What == Ended && h.Fate == store.Halted {
+				moved++
+			}
+		}
+		t.Logf("displaces %v: the urgent gang waited %s, %d legs were taken back", on, wait[on], moved)
+		is.Equal(moved > 0, on)
+		for i := range 3 {
+			is.Equal(r.see(mark.JobID(fmt.Sprint("menus-fill", i))).Stage, store.Done)
+		}
+	}
+	is.True(wait[true] < 4*time.Second)
+	is.True(wait[false] > 2*wait[true])
+}
+
+// Nothing starts on a rack from two seconds after a drain or in its maintenance
+// window, whoever leads, and what runs there is gone in time.
+func TestWindowsAreKept(t *testing.T) {
+	if testing.Short() {
+		t.Skip("run without the race detector")
+	}
+	is := is.New(t)
+	for seed := range int64(3) {
+		r := busy(40+seed, func(t *blueprint.Table) {
+			for i := range t.Rows {
+				t.Rows[i].TaskMS = 20_000
+			}
+		})
+		fill(r, 1)
+		open, shut := r.now+int64(40*time.Second), r.now+int64(52*time.Second)
+		plan := store.Plan{Name: "roof", Target: store.Target{Rack: "r1"}, Spans: [][2]mark.Wall{{mark.Wall(origin + open), mark.Wall(origin + shut)}}}
+		r.Crew.order("plan.put", "roof", word.Body(plan), 0, func() {})
+		r.Run(time.Duration(open) - 3*time.Second)
+		r.leader().kill() // the windows outlive a change of leader
+		r.Run(time.Duration(open) - time.Second)
+		for _, n := range r.helms {
+			if n.m == nil {
+				n.boot()
+			}
+		}
+		r.Run(time.Duration(shut) + 15*time.Second)
+		late, after, early := 0, 0, 0
+		for _, h := range r.Hist.List {
+			in := h.Shard == "k1" || h.Shard == "k2" || h.Shard == "k3"
+			if in && h.What == Started {
+				switch {
+				case h.At > shut:
+					after++
+				case h.At >= open-int64(20*time.Second):
+					late++ // its time limit runs into the window
+				default:
+					early++
+				}
+			}
+		}
+		is.Equal(late, 0)
+		is.True(early > 0)
+		is.True(after > 0)
+		r.settle(t, 60*time.Second)
+	}
+}
+
+// Sick workers: slow, failing half their work, or stalling on some of it. What
+// one, two and three of eleven leave of the service, beside none.
+func TestSickWorkersCostLittle(t *testing.T) {
+	if testing.Short() {
+		t.Skip("run without the race detector")
+	}
+	is := is.New(t)
+	rate := func(n int, how func(*Make)) float64 {
+		r := busy(50, func(*blueprint.Table) {})
+		for i := range n {
+			how(&r.hands[i*4%11].w.Make)
+		}
+		r.Run(70 * time.Second)
+		return Rate(&r.Hist, int64(30*time.Second), int64(70*time.Second))
+	}
+	none := rate(0, nil)
+	for _, c := range []struct {
+		name string
+		how  func(*Make)
+	}{
+		{"five times slower", func(m *Make) { m.Slow = 5 }},
+		{"half of the work fails", func(m *Make) { m.Fails = 0.5 }},
+		{"a third stalls", func(m *Make) { m.Stall = 0.3 }},
+	} {
+		list := ""
+		for n := 1; n <= 3; n++ {
+			part := rate(n, c.how) / none
+			list += fmt.Sprintf(" %.2f", part)
+			is.True(part > 0.85)
+		}
+		t.Logf("%s: service with 1, 2, 3 sick workers beside none:%s", c.name, list)
+	}
+}
+
+// A large task has its turn in bounded time while small ones flow.
+func TestLargeTaskAmongSmall(t *testing.T) {
+	if testing.Short() {
+		t.Skip("run without the race detector")
+	}
+	is := is.New(t)
+	r := busy(60, func(t *blueprint.Table) { t.Rows[0].TaskMS, t.Rows[1].TaskMS = 5000, 5000 })
+	r.Crew.flow(Flow{"menus", 30 * time.Millisecond, func(rnd *rand.Rand) store.Spec {
+		return store.Spec{Queue: "menus", Steps: []store.Step{{Name: "s", Kind: "menu", Room: mark.Room{Cores: 3}, Tasks: 1, Work: work(rnd, 800, 1600)}}}
+	}})
+	r.Run(20 * time.Second)
+	var waits []time.Duration
+	for i := range 4 {
+		id, from := fmt.Sprint("payments-large", i), time.Duration(r.now)
+		r.put(id, store.Spec{Queue: "payments", Steps: []store.Step{{Name: "l", Kind: "menu", Room: mark.Room{Cores: 16}, Tasks: 1, Limit: 5000, Work: []byte(`{"ms":1000}`)}}})
+		r.Run(from + 15*time.Second)
+		at, ok := r.started(id)
+		is.True(ok)
+		waits = append(waits, at-from)
+		is.True(at-from < 12*time.Second)
+	}
+	t.Log("large tasks waited", waits)
+}
--- a/trial/worker.go
+++ b/trial/worker.go
@@ -28,14 +28,16 @@
 
 // Work is what a leg's work says to a stand-in worker.
 type Work struct {
-	MS   int  `json:"ms"`
-	Fail bool `json:"fail"`
+	MS    int  `json:"ms"`
+	Fail  bool `json:"fail"`
+	Crash bool `json:"crash"` // takes its worker process down
 }
 
 type run struct {
-	job  truth.Job
-	ends mark.Stamp
-	fate store.Fate
+	job   truth.Job
+	ends  mark.Stamp
+	fate  store.Fate
+	crash bool
 }
 
 // Worker is one stand-in worker process.
@@ -44,6 +46,8 @@
 	ID            mark.ID
 	Ward          mark.ID
 	Leave         bool
+	Goes          mark.Stamp // when it goes, if it said so
+	Crashed       bool
 	Deaf, Willing bool // planted bugs: heeds no grant; guards neither room nor leaving
 	rnd           *rand.Rand
 	call          uint64
@@ -73,6 +77,8 @@
 		switch {
 		case now >= w.until && !w.Deaf:
 			w.end(r, store.Halted)
+		case now >= r.ends && r.crash:
+			w.Crashed = true
 		case now >= r.ends:
 			w.end(r, r.fate)
 		}
@@ -101,6 +107,9 @@
 	w.call++
 	w.News = false
 	p := truth.Poll{Worker: w.ID, Ward: w.Ward, Call: w.call, Stamp: now, Rack: w.Rack, Kinds: w.Kinds, Room: w.Room, Leave: w.Leave}
+	if w.Leave && w.Goes > 0 {
+		p.GoMS = max(1, w.Goes.Sub(now).Milliseconds())
+	}
 	for _, l := range w.sorted() {
 		p.Runs = append(p.Runs, truth.Run{Leg: l, Room: w.runs[l].job.Room})
 	}
@@ -155,7 +164,7 @@
 	if w.Stall > 0 && w.rnd.Float64() < w.Stall {
 		long *= 10
 	}
-	r := &run{job: j, ends: now.Add(time.Duration(long * float64(time.Millisecond))), fate: store.OK}
+	r := &run{job: j, ends: now.Add(time.Duration(long * float64(time.Millisecond))), fate: store.OK, crash: k.Crash}
 	if k.Fail || w.Fails > 0 && w.rnd.Float64() < w.Fails {
 		r.fate = store.Bad
 	}
