--- /dev/null
+++ b/trial/cost_test.go
@@ -0,0 +1,69 @@
+// What a step of the leader costs beside how much waits: go test ./trial -run
+// StepCost -v. Times are told, not judged, for they depend on the machine.
+package trial
+
+import (
+	"fmt"
+	"runtime"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/word"
+)
+
+// timed measures a machine's steps.
+type timed struct {
+	word.Machine
+	list []time.Duration
+}
+
+func (t *timed) Step(e word.Event) word.Out {
+	at := time.Now()
+	out := t.Machine.Step(e)
+	t.list = append(t.list, time.Since(at))
+	return out
+}
+
+func TestStepCost(t *testing.T) {
+	if testing.Short() {
+		t.Skip("run without the race detector")
+	}
+	is := is.New(t)
+	for _, tasks := range []int{1000, 10_000, 60_000} {
+		r, _ := core(t, 3)
+		r.Crew.Cancel = 0
+		r.Run(9 * time.Second)
+		for i := range tasks / 500 {
+			s := store.Spec{Queue: "menus", Steps: []store.Step{{Name: "f", Kind: "menu", Room: mark.Room{Cores: 16}, Tasks: 500, Work: []byte(`{"ms":30000}`)}}}
+			if i%2 == 0 {
+				s.Steps[0].Delay = 3_600_000
+			}
+			id := mark.JobID(fmt.Sprint("menus-f", i))
+			r.tell(Happening{What: Sent, Job: id, Spec: &s})
+			r.Crew.send(id, word.Body(s), "g1", 0)
+		}
+		r.Run(14 * time.Second)
+		is.Equal(r.Crew.Count["queue_full"], 0)
+		for _, f := range r.Crew.town.Flows {
+			r.Crew.flow(f)
+		}
+		r.Run(16 * time.Second)
+		l := r.leader()
+		m := &timed{Machine: l.m}
+		l.m = m
+		r.Run(24 * time.Second)
+		var mem runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&mem)
+		runtime.KeepAlive(r)
+		sort.Slice(m.list, func(i, k int) bool { return m.list[i] < m.list[k] })
+		n := len(m.list)
+		is.True(n > 1000)
+		t.Logf("%d tasks wait: steps p50 %s, p99 %s, longest %s of %d; %d MB for all daemons", tasks, m.list[n/2], m.list[n*99/100], m.list[n-1], n, mem.HeapAlloc>>20)
+	}
+}
--- a/trial/hours_test.go
+++ b/trial/hours_test.go
@@ -56,6 +56,18 @@
 	r.Run(time.Duration(r.now) + 10*time.Second)
 	r.Split(zone, rest, true, false)
 	heal := r.now
+	sent := 0
+	for _, h := range r.Hist.List { // callers inside repeat what they sent before and at the time of the cut
+		if h.What == Sent && h.At < cut+int64(10*time.Second) {
+			sent++
+			r.ask(r.Crew.me, "g1", "job.put", string(h.Job), word.Body(h.Spec), func(a word.Answer) {
+				if a.Fault != nil && a.Fault.Retry == 0 {
+					t.Error(h.Job, a.Fault)
+				}
+			})
+		}
+	}
+	is.True(sent > 50)
 	r.Run(time.Duration(heal) + 27*time.Second)
 	before := Rate(&r.Hist, int64(8*time.Second), int64(20*time.Second))
 	after := Rate(&r.Hist, heal+int64(12*time.Second), heal+int64(27*time.Second))
