--- a/choice/choice.go
+++ b/choice/choice.go
@@ -54,6 +54,14 @@
 	Shun    map[mark.Shard]bool
 }
 
+// Need is how many tasks must be placed together.
+func (w Want) Need() int {
+	if w.Gang {
+		return len(w.Tasks)
+	}
+	return 1
+}
+
 // Reserve is room on named workers kept for one step of a job.
 type Reserve struct {
 	Part
@@ -133,10 +141,7 @@
 			break
 		}
 		w := &t.wants[0]
-		n := 1
-		if w.Gang {
-			n = len(w.Tasks)
-		}
+		n := w.Need()
 		room := t.due.Running+n <= t.due.Row.Running
 		var got []int
 		if k := w.shape(); room && (!r.dead[k] || w.Gang) {
@@ -191,10 +196,7 @@
 		if w.Part != r.Kept.Part || d == nil {
 			continue
 		}
-		n := 1
-		if w.Gang {
-			n = len(w.Tasks)
-		}
+		n := w.Need()
 		if d.Running+n > d.Row.Running {
 			return
 		}
@@ -237,10 +239,7 @@
 // reserve names the workers that lack the least room for the want, or none if
 // all that suit it could not hold it together.
 func (r *round) reserve(w Want) *Reserve {
-	need := 1
-	if w.Gang {
-		need = len(w.Tasks)
-	}
+	need := w.Need()
 	var at []int
 	for i := range r.Slots {
 		if r.Slots[i].Suits(w) {
--- a/door/entry.go
+++ b/door/entry.go
@@ -45,19 +45,19 @@
 // Routes adds the gate's pages to those that all daemons have.
 func (e *Entry) Routes(p *Pages) http.Handler {
 	r := p.Router()
-	r.HandleFunc("/v1/jobs/{id}", e.putJob(p)).Methods(http.MethodPut)
+	r.HandleFunc("/v1/jobs/{id}", named(put(p, "job.put", e.job))).Methods(http.MethodPut)
 	r.HandleFunc("/v1/jobs/{id}", named(p.Ask("job.get"))).Methods(http.MethodGet)
 	r.HandleFunc("/v1/jobs/{id}/cancel", named(p.Ask("job.cancel"))).Methods(http.MethodPost)
-	r.HandleFunc("/v1/table", e.putTable(p)).Methods(http.MethodPut)
+	r.HandleFunc("/v1/table", put(p, "table.put", table)).Methods(http.MethodPut)
 	r.HandleFunc("/v1/table", p.Ask("table.get")).Methods(http.MethodGet)
 	r.HandleFunc("/v1/queues", p.Ask("queues")).Methods(http.MethodGet)
 	r.HandleFunc("/v1/workers", p.Ask("workers")).Methods(http.MethodGet)
 	r.HandleFunc("/v1/workers/{id}/gone", named(p.Ask("gone"))).Methods(http.MethodPost)
 	r.HandleFunc("/v1/drains", p.Ask("drains")).Methods(http.MethodGet)
-	r.HandleFunc("/v1/drains/{kind:workers|racks}/{id}", e.putDrain(p)).Methods(http.MethodPut)
+	r.HandleFunc("/v1/drains/{kind:workers|racks}/{id}", named(put(p, "drain.put", drain))).Methods(http.MethodPut)
 	r.HandleFunc("/v1/drains/{kind:workers|racks}/{id}", named(p.Ask("drain.drop"))).Methods(http.MethodDelete)
 	r.HandleFunc("/v1/calendars", p.Ask("plans")).Methods(http.MethodGet)
-	r.HandleFunc("/v1/calendars/{id}", e.putPlan(p)).Methods(http.MethodPut)
+	r.HandleFunc("/v1/calendars/{id}", named(put(p, "plan.put", plan))).Methods(http.MethodPut)
 	r.HandleFunc("/v1/calendars/{id}", named(p.Ask("plan.drop"))).Methods(http.MethodDelete)
 	r.HandleFunc("/v1/mates", p.Ask("mates")).Methods(http.MethodGet)
 	r.HandleFunc("/v1/leader", p.Ask("status")).Methods(http.MethodGet)
@@ -75,76 +75,47 @@
 	}
 }
 
-func (e *Entry) putJob(p *Pages) http.HandlerFunc {
-	return named(func(w http.ResponseWriter, q *http.Request) {
+// put reads, checks and hands on the body of a request.
+func put[T any](p *Pages, verb string, read func(*http.Request, []byte, *fault.Heap) T) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
 		b, ok := Read(w, q, store.Body)
 		if !ok {
 			return
 		}
 		var heap fault.Heap
-		spec := store.ReadSpec(b, &heap)
-		if h := e.held.Load(); len(heap.List()) == 0 && h != nil && h.fresh && !h.names[spec.Queue] {
-			heap.Add(fault.NoQueue, "queue", "no queue is called "+string(spec.Queue))
-		}
+		body := read(q, b, &heap)
 		if f := heap.First(); f != nil {
 			Fail(w, f)
 			return
 		}
-		Give(w, p.Owner.Ask(q.Context(), "job.put", mux.Vars(q)["id"], word.Body(spec)))
-	})
+		Give(w, p.Owner.Ask(q.Context(), verb, arg(q), word.Body(body)))
+	}
 }
 
-func (e *Entry) putDrain(p *Pages) http.HandlerFunc {
-	return named(func(w http.ResponseWriter, q *http.Request) {
-		b, ok := Read(w, q, store.Body)
-		if !ok {
-			return
-		}
-		var heap fault.Heap
-		d := blueprint.ReadDrain(b, &heap)
-		if f := heap.First(); f != nil {
-			Fail(w, f)
-			return
-		}
-		Give(w, p.Owner.Ask(q.Context(), "drain.put", arg(q), word.Body(d)))
-	})
+func (e *Entry) job(_ *http.Request, b []byte, heap *fault.Heap) store.Spec {
+	s := store.ReadSpec(b, heap)
+	if h := e.held.Load(); len(heap.List()) == 0 && h != nil && h.fresh && !h.names[s.Queue] {
+		heap.Add(fault.NoQueue, "queue", "no queue is called "+string(s.Queue))
+	}
+	return s
 }
 
-func (e *Entry) putPlan(p *Pages) http.HandlerFunc {
-	return named(func(w http.ResponseWriter, q *http.Request) {
-		b, ok := Read(w, q, store.Body)
-		if !ok {
-			return
-		}
-		var heap fault.Heap
-		c := blueprint.ReadCalendar(b, &heap)
-		x := store.Plan{Name: mux.Vars(q)["id"], Target: store.Target{Shard: c.Shard, Rack: c.Rack}}
-		if len(heap.List()) == 0 {
-			x.Spans = almanac.Read([]byte(c.Text), time.Now(), &heap)
-		}
-		if len(heap.List()) == 0 {
-			heap.Check(len(x.Spans) > 0, "ics", "no window of it is still to come")
-		}
-		if f := heap.First(); f != nil {
-			Fail(w, f)
-			return
-		}
-		Give(w, p.Owner.Ask(q.Context(), "plan.put", x.Name, word.Body(x)))
-	})
+func table(_ *http.Request, b []byte, heap *fault.Heap) blueprint.Table {
+	return blueprint.ReadTable(b, heap)
 }
 
-func (e *Entry) putTable(p *Pages) http.HandlerFunc {
-	return func(w http.ResponseWriter, q *http.Request) {
-		b, ok := Read(w, q, store.Body)
-		if !ok {
-			return
-		}
-		var heap fault.Heap
-		t := blueprint.ReadTable(b, &heap)
-		if f := heap.First(); f != nil {
-			Fail(w, f)
-			return
-		}
-		Give(w, p.Owner.Ask(q.Context(), "table.put", "", word.Body(t)))
+func drain(_ *http.Request, b []byte, heap *fault.Heap) blueprint.Drain {
+	return blueprint.ReadDrain(b, heap)
+}
+
+func plan(q *http.Request, b []byte, heap *fault.Heap) store.Plan {
+	c := blueprint.ReadCalendar(b, heap)
+	x := store.Plan{Name: mux.Vars(q)["id"], Target: store.Target{Shard: c.Shard, Rack: c.Rack}}
+	if len(heap.List()) == 0 {
+		x.Spans = almanac.Read([]byte(c.Text), time.Now(), heap)
+	}
+	if len(heap.List()) == 0 {
+		heap.Check(len(x.Spans) > 0, "ics", "no window of it is still to come")
 	}
+	return x
 }
--- a/helm/displace.go
+++ b/helm/displace.go
@@ -39,10 +39,7 @@
 		if d == nil || !d.Row.Displace || w.Since < endure || len(w.Tasks) == 0 {
 			continue
 		}
-		need := 1
-		if w.Gang {
-			need = len(w.Tasks)
-		}
+		need := w.Need()
 		if d.Running+need > d.Row.Running {
 			continue
 		}
--- a/store/window.go
+++ b/store/window.go
@@ -83,38 +83,35 @@
 )
 
 func (s *State) drain(d Drain) *fault.Fault {
-	i := slices.IndexFunc(s.Drains, func(o Drain) bool { return o.Target == d.Target })
-	switch {
-	case d.Over && i < 0:
+	if d.Over && !slices.ContainsFunc(s.Drains, d.same) {
 		return fault.New(fault.NoDrain, "", "it is not drained")
-	case d.Over:
-		s.Drains = slices.Delete(slices.Clone(s.Drains), i, i+1)
-	case i >= 0:
-		s.Drains = slices.Clone(s.Drains)
-		s.Drains[i] = d
-	case len(s.Drains) >= MostDrains:
-		return fault.New(fault.Full, "", "as many drains as there may be").After(time.Minute)
-	default:
-		s.Drains = append(slices.Clone(s.Drains), d)
 	}
-	return nil
+	return lay(&s.Drains, d, d.same, d.Over, MostDrains)
 }
 
+func (d Drain) same(o Drain) bool { return o.Target == d.Target }
+
 func (s *State) plan(p Plan) *fault.Fault {
-	i := slices.IndexFunc(s.Plans, func(o Plan) bool { return o.Name == p.Name })
-	switch {
-	case len(p.Spans) == 0 && i < 0:
+	if len(p.Spans) == 0 && !slices.ContainsFunc(s.Plans, p.same) {
 		return fault.New(fault.NoPlan, "name", "no calendar is called "+p.Name)
-	case len(p.Spans) == 0:
-		s.Plans = slices.Delete(slices.Clone(s.Plans), i, i+1)
-	case i >= 0:
-		s.Plans = slices.Clone(s.Plans)
-		s.Plans[i] = p
-	case len(s.Plans) >= MostPlans:
-		return fault.New(fault.Full, "", "as many calendars as there may be").After(time.Minute)
+	}
+	return lay(&s.Plans, p, p.same, len(p.Spans) == 0, MostPlans)
+}
+
+func (p Plan) same(o Plan) bool { return o.Name == p.Name }
+
+// lay puts one of a list in place of the same, adds it, or takes it away. The
+// list is another one then, since a snapshot may hold the old.
+func lay[T any](list *[]T, x T, same func(T) bool, away bool, most int) *fault.Fault {
+	next := slices.DeleteFunc(slices.Clone(*list), same)
+	switch {
+	case away:
+	case len(next) >= most:
+		return fault.New(fault.Full, "", "as many as there may be").After(time.Minute)
 	default:
-		s.Plans = append(slices.Clone(s.Plans), p)
+		next = append(next, x)
 	}
+	*list = next
 	return nil
 }
 
