--- a/blueprint/table.go
+++ b/blueprint/table.go
@@ -129,7 +129,7 @@
 }
 
 func readRow(r *Reader, at string) Row {
-	row := Row{Weight: 1, Running: 1000, Waiting: 1000, Tries: 3, TaskMS: 600_000, Patience: 30_000, CutMS: 21_600_000, Stall: 10, Moves: 3}
+	row := Row{Weight: 1, Running: 1000, Waiting: 1000, Tries: 3, TaskMS: 600_000, Patience: 30_000, CutMS: 86_400_000, Stall: 10, Moves: 3}
 	r.Obj(at, map[string]Field{
 		"name":            Text(r, &row.Name, Name),
 		"weight":          Num(r, &row.Weight, 1, 1000),
--- a/trial/check.go
+++ b/trial/check.go
@@ -52,6 +52,7 @@
 	halt   int64
 	sight  []Happening
 	missed int64
+	end    int64           // until when it was surely unfinished
 	spans  map[int][]*span // by task
 }
 
