One match of a target, and smaller knots undone after a second reading

Behaviour is unchanged. Store's Target.Is now serves the drains page and the check of names, where it stood twice more; a parameter that followed from another, a shadowed name, a doubled test of one condition and a function wrapped for nothing are gone. Left: TestDaylong sets its traffic up beside busy(), which has no races and cancels.

--- a/helm/displace.go
+++ b/helm/displace.go
@@ -39,12 +39,10 @@
 		if d == nil || !d.Row.Displace || w.Since < endure || len(w.Tasks) == 0 {
 			continue
 		}
-		need := w.Need()
-		if d.Running+need > d.Row.Running {
+		if d.Running+w.Need() > d.Row.Running {
 			continue
 		}
-		below := below(d, in.Total)
-		if legs, kept := oust(w, need, in.Slots, h.victims(w, below, in)); legs != nil {
+		if legs, kept := oust(w, in.Slots, h.victims(w, below(d, in.Total), in)); legs != nil {
 			h.moves = h.now.Mono
 			return legs, kept
 		}
@@ -95,7 +93,8 @@
 
 // oust takes victims until the want would fit, and lets go of those that turn
 // out not to be needed.
-func oust(w choice.Want, need int, slots []choice.Slot, list []*victim) (legs []store.Back, kept *choice.Reserve) {
+func oust(w choice.Want, slots []choice.Slot, list []*victim) (legs []store.Back, kept *choice.Reserve) {
+	need := w.Need()
 	fits := func(use []*victim) (seats []choice.Seat) {
 		n := 0
 		for i := range slots {
--- a/helm/drains.go
+++ b/helm/drains.go
@@ -28,7 +28,7 @@
 
 func (h *Helm) known(t store.Target) *fault.Fault {
 	for _, x := range h.state.Shapes {
-		if t.Shard == x.Shard || t.Rack != "" && t.Rack == x.Rack {
+		if t.Is(x.Shard, x.Rack) {
 			return nil
 		}
 	}
@@ -106,8 +106,7 @@
 			v.Left = max(1, d.By.Sub(h.core.Clock()).Milliseconds())
 		}
 		for _, o := range h.holds() {
-			x := h.state.Shapes[o.Shard]
-			if d.Shard == o.Shard || d.Rack != "" && d.Rack == x.Rack {
+			if d.Is(o.Shard, h.state.Shapes[o.Shard].Rack) {
 				v.Legs++
 			}
 		}
--- a/store/heat.go
+++ b/store/heat.go
@@ -67,10 +67,10 @@
 			case t.Done:
 			case t.Out == nil && !t.Dead && t.Ready <= now && !t.spent(row):
 				b.Tasks = append(b.Tasks, base+n)
-				if t.Shun != "" && b.Shun == nil {
-					b.Shun = map[mark.Shard]bool{}
-				}
 				if t.Shun != "" {
+					if b.Shun == nil {
+						b.Shun = map[mark.Shard]bool{}
+					}
 					b.Shun[t.Shun] = true
 				}
 			default:
--- a/store/window.go
+++ b/store/window.go
@@ -55,7 +55,8 @@
 	Rack  mark.Rack  `json:"rack,omitempty"`
 }
 
-func (t Target) is(shard mark.Shard, rack mark.Rack) bool {
+// Is tells whether a worker is the target or in it.
+func (t Target) Is(shard mark.Shard, rack mark.Rack) bool {
 	return t.Shard != "" && t.Shard == shard || t.Rack != "" && t.Rack == rack
 }
 
@@ -138,13 +139,13 @@
 		}
 	}
 	for _, d := range s.Drains {
-		if d.is(shard, rack) {
+		if d.Is(shard, rack) {
 			add(Window{now, d.By, Drained})
 		}
 	}
 	at := mark.Wall(now) + s.Off
 	for _, p := range s.Plans {
-		if !p.is(shard, rack) {
+		if !p.Is(shard, rack) {
 			continue
 		}
 		for _, x := range p.Spans {
--- a/trial/goodput_test.go
+++ b/trial/goodput_test.go
@@ -21,10 +21,7 @@
 
 // heavy is quotes so large that a few dozen a second fill the town.
 func heavy(every time.Duration) Flow {
-	return Flow{"quotes", every, func(r *rand.Rand) store.Spec {
-		s := gangs("quotes", "quote", 6)(r)
-		return s
-	}}
+	return Flow{"quotes", every, gangs("quotes", "quote", 6)}
 }
 
 // crowd runs one load and gives the jobs done a second: all, and payments.
