Room counts thousandths of a core and accelerators

Cause: tasks of the users' services ask for fractions of a core and for accelerators; room knew whole cores and memory only. Ruled out: floating point cores, since sums of many tasks must come out exact. Change: mark.Cores counts thousandths and is read and written as a decimal, so the interface's "cores": 4 stays as it was; Room.Fits and Times replace two hand-written copies.

--- a/blueprint/read.go
+++ b/blueprint/read.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/jx"
 
 	"coppercourse/fault"
+	"coppercourse/mark"
 )
 
 // Reader goes down a document and heaps up what is wrong with it.
@@ -140,6 +141,27 @@
 	}
 }
 
+// Cores reads a decimal number of cores within bounds.
+func Cores(r *Reader, to *mark.Cores, least, most mark.Cores) Field {
+	return func(path string) {
+		if !r.is(path, jx.Number) {
+			return
+		}
+		n, err := r.d.Num()
+		if err != nil {
+			r.halt(path)
+			return
+		}
+		v, ok := mark.ParseCores(n.String())
+		if !ok || v < least || v > most {
+			r.Heap.Add(fault.BadField, path, fmt.Sprintf("want a number of cores from %v to %v with at most three decimals, got %s",
+				float64(least)/1000, float64(most)/1000, n))
+			return
+		}
+		*to = v
+	}
+}
+
 // Text reads a string that a check accepts.
 func Text[T ~string](r *Reader, to *T, check func(string) string) Field {
 	return func(path string) {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -79,7 +79,7 @@
 	Wants []Want // oldest first
 	Slots []Slot
 	Dues  map[mark.Queue]*Due
-	Total int // cores
+	Total mark.Cores
 	Kept  *Reserve
 }
 
@@ -96,7 +96,7 @@
 type Due struct {
 	Row     blueprint.Row
 	Running int
-	Cores   int
+	Cores   mark.Cores
 }
 
 // Pick is one placement.
@@ -180,7 +180,7 @@
 		r.out.Picks = append(r.out.Picks, Pick{mark.Task{Job: w.Job, N: w.Tasks[i]}, s.Shard})
 	}
 	d.Running += len(got)
-	d.Cores += len(got) * w.Room.Cores
+	d.Cores += mark.Cores(len(got)) * w.Room.Cores
 	w.Tasks = w.Tasks[len(got):]
 }
 
@@ -212,24 +212,13 @@
 				}
 				return
 			}
-			r.Slots[k].held = times(w.Room, x.Tasks)
+			r.Slots[k].held = w.Room.Times(x.Tasks)
 		}
 		r.out.Kept = r.Kept
 		return
 	}
 }
 
-func times(r mark.Room, n int) mark.Room { return mark.Room{Cores: n * r.Cores, Memory: n * r.Memory} }
-
-// tasks is how many tasks of a want a room has place for.
-func (w Want) tasks(r mark.Room) int {
-	n := max(0, r.Cores/w.Room.Cores)
-	if w.Room.Memory > 0 {
-		n = min(n, max(0, r.Memory/w.Room.Memory))
-	}
-	return n
-}
-
 // Suits tells whether a worker could run a task of a want if it were empty.
 func (s *Slot) Suits(w Want) bool {
 	return s.Size.Holds(w.Room) && (w.Rack == "" || w.Rack == s.Rack) && slices.Contains(s.Kinds, w.Kind) &&
@@ -252,7 +241,7 @@
 	})
 	kept := &Reserve{Part: w.Part}
 	most := func(s Slot) int { // by its size, and by how many of the step may be there
-		n := w.tasks(s.Size)
+		n := s.Size.Fits(w.Room)
 		if w.Spread > 0 {
 			n = min(n, w.Spread-s.Has[w.Part])
 		}
@@ -314,7 +303,7 @@
 
 // next is the queue whose turn it is: those below their share first, the one
 // furthest below before the others, then by cores in use for each weight.
-func next(turns []*turn, total int) (best *turn) {
+func next(turns []*turn, total mark.Cores) (best *turn) {
 	rank := func(t *turn) (bool, float64) {
 		part := 100 * float64(t.due.Cores) / float64(max(total, 1))
 		if s := float64(t.due.Row.Share); part < s {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -15,13 +15,13 @@
 func slots(n, cores int) (list []Slot) {
 	for i := range n {
 		list = append(list, Slot{Shard: mark.Shard(fmt.Sprintf("k%d", i)), Rack: mark.Rack(fmt.Sprintf("r%d", i/3)),
-			Kinds: []mark.Kind{"x"}, Free: mark.Room{Cores: cores, Memory: 1000}, Size: mark.Room{Cores: cores, Memory: 1000}, Slow: 1, Has: map[Part]int{}})
+			Kinds: []mark.Kind{"x"}, Free: mark.Room{Cores: mark.Cores(cores) * mark.Core, Memory: 1000}, Size: mark.Room{Cores: mark.Cores(cores) * mark.Core, Memory: 1000}, Slow: 1, Has: map[Part]int{}})
 	}
 	return
 }
 
 func want(job string, q mark.Queue, n, cores int) Want {
-	w := Want{Part: Part{Job: mark.JobID(job)}, Queue: q, Kind: "x", Room: mark.Room{Cores: cores}}
+	w := Want{Part: Part{Job: mark.JobID(job)}, Queue: q, Kind: "x", Room: mark.Room{Cores: mark.Cores(cores) * mark.Core}}
 	for i := range n {
 		w.Tasks = append(w.Tasks, i)
 	}
@@ -33,7 +33,7 @@
 }
 
 func place(wants []Want, list []Slot, dues map[mark.Queue]*Due, total int) []Pick {
-	return Place(Input{Wants: wants, Slots: list, Dues: dues, Total: total}).Picks
+	return Place(Input{Wants: wants, Slots: list, Dues: dues, Total: mark.Cores(total) * mark.Core}).Picks
 }
 
 func count(picks []Pick) map[mark.JobID]int {
@@ -150,9 +150,9 @@
 							s.Clear = max(s.Clear, time.Duration(e-round)*100*time.Millisecond)
 						}
 					}
-					s.Free, ends[s.Shard] = mark.Room{Cores: 10 - len(left), Memory: 1000}, left
+					s.Free, ends[s.Shard] = mark.Room{Cores: mark.Cores(10-len(left)) * mark.Core, Memory: 1000}, left
 				}
-				out := Place(Input{Wants: wants, Slots: list, Total: 40, Kept: r,
+				out := Place(Input{Wants: wants, Slots: list, Total: 40 * mark.Core, Kept: r,
 					Dues: map[mark.Queue]*Due{"a": due(1, 0, 500), "b": due(1, 0, 500)}})
 				if r = out.Kept; !kept {
 					r = nil
--- a/helm/calls.go
+++ b/helm/calls.go
@@ -190,10 +190,7 @@
 			if !k || !r || !x.Room.Holds(p.Room) {
 				continue
 			}
-			n := x.Room.Cores / p.Room.Cores
-			if p.Room.Memory > 0 {
-				n = min(n, x.Room.Memory/p.Room.Memory)
-			}
+			n := x.Room.Fits(p.Room)
 			if p.Spread > 0 {
 				n = min(n, p.Spread)
 			}
--- a/helm/displace.go
+++ b/helm/displace.go
@@ -50,8 +50,8 @@
 	return nil, nil
 }
 
-func below(d *choice.Due, total int) bool {
-	return 100*d.Cores < d.Row.Share*total
+func below(d *choice.Due, total mark.Cores) bool {
+	return 100*d.Cores < mark.Cores(d.Row.Share)*total
 }
 
 // victims lists what a want may displace: the least urgent first, then what has
--- a/helm/plan.go
+++ b/helm/plan.go
@@ -97,7 +97,7 @@
 }
 
 // slots lists the workers that may be given work, and all cores there are.
-func (h *Helm) slots() (list []choice.Slot, total int) {
+func (h *Helm) slots() (list []choice.Slot, total mark.Cores) {
 	at := map[mark.Shard]int{}
 	for _, s := range h.head.Seats() {
 		if s.State != truth.Healthy {
--- a/helm/view.go
+++ b/helm/view.go
@@ -57,7 +57,7 @@
 	Jobs    int        `json:"jobs_unfinished"`
 	Limit   int        `json:"jobs_limit"`
 	Running int        `json:"tasks_running"`
-	Cores   int        `json:"cores_in_use"`
+	Cores   mark.Cores `json:"cores_in_use"`
 	Ready   int        `json:"tasks_waiting_for_room"`
 	Oldest  int64      `json:"oldest_job_ms"`
 	store.Counts
--- a/mark/mark.go
+++ b/mark/mark.go
@@ -6,8 +6,11 @@
 package mark
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -77,12 +80,77 @@
 	return ID(b)
 }
 
-// Room is what a task takes and what a worker offers.
+// Cores counts processor cores in thousandths. It is written as a decimal
+// number of cores: 1500 thousandths are 1.5.
+type Cores int
+
+// Core is one whole core.
+const Core Cores = 1000
+
+func (c Cores) MarshalJSON() ([]byte, error) {
+	n, sign := int(c), ""
+	if n < 0 {
+		n, sign = -n, "-"
+	}
+	b := strconv.AppendInt([]byte(sign), int64(n/1000), 10)
+	if part := n % 1000; part > 0 {
+		b = append(b, '.', byte('0'+part/100), byte('0'+part/10%10), byte('0'+part%10))
+		b = bytes.TrimRight(b, "0")
+	}
+	return b, nil
+}
+
+func (c *Cores) UnmarshalJSON(b []byte) error {
+	v, ok := ParseCores(string(b))
+	if !ok {
+		return fmt.Errorf("want a number of cores with at most three decimals, got %s", b)
+	}
+	*c = v
+	return nil
+}
+
+// ParseCores reads a decimal number of cores, to the thousandth.
+func ParseCores(s string) (Cores, bool) {
+	whole, part, _ := strings.Cut(s, ".")
+	if len(part) > 3 || strings.ContainsAny(part, "+-eE") {
+		return 0, false
+	}
+	n, err := strconv.ParseInt(whole+part+"000"[len(part):], 10, 32)
+	return Cores(n), err == nil
+}
+
+// Room is what a task takes and what a worker offers: processor cores, memory
+// in megabytes, accelerators.
 type Room struct {
-	Cores  int `json:"cores"`
-	Memory int `json:"memory"`
+	Cores  Cores `json:"cores"`
+	Memory int   `json:"memory"`
+	Accel  int   `json:"accelerators,omitempty"`
+}
+
+func (r Room) Plus(o Room) Room {
+	return Room{r.Cores + o.Cores, r.Memory + o.Memory, r.Accel + o.Accel}
 }
 
-func (r Room) Plus(o Room) Room  { return Room{r.Cores + o.Cores, r.Memory + o.Memory} }
-func (r Room) Minus(o Room) Room { return Room{r.Cores - o.Cores, r.Memory - o.Memory} }
-func (r Room) Holds(o Room) bool { return r.Cores >= o.Cores && r.Memory >= o.Memory }
+func (r Room) Minus(o Room) Room {
+	return Room{r.Cores - o.Cores, r.Memory - o.Memory, r.Accel - o.Accel}
+}
+
+func (r Room) Holds(o Room) bool {
+	return r.Cores >= o.Cores && r.Memory >= o.Memory && r.Accel >= o.Accel
+}
+
+// Times is room for n of the same.
+func (r Room) Times(n int) Room {
+	return Room{r.Cores * Cores(n), r.Memory * n, r.Accel * n}
+}
+
+// Fits is how many of the same find place in a room at once.
+func (r Room) Fits(o Room) int {
+	n := 1 << 30
+	for _, x := range [...]struct{ have, want int }{{int(r.Cores), int(o.Cores)}, {r.Memory, o.Memory}, {r.Accel, o.Accel}} {
+		if x.want > 0 {
+			n = min(n, max(0, x.have/x.want))
+		}
+	}
+	return n
+}
--- a/store/heat.go
+++ b/store/heat.go
@@ -18,7 +18,7 @@
 type Heat struct {
 	Batches []Batch
 	Running int
-	Cores   int
+	Cores   mark.Cores
 	Doomed  []mark.Leg
 	Spent   []End
 	until   mark.Tick // from then on something more may start
--- a/store/marks_test.go
+++ b/store/marks_test.go
@@ -22,7 +22,7 @@
 var count = flag.Int("marks", 30_000, "how many jobs have ended in the day")
 
 func quick(id string, n int) Fact {
-	return Fact{Job: &Submit{mark.JobID(id), Spec{Queue: "q", Steps: []Step{{Name: "a", Kind: "x", Room: mark.Room{Cores: 1}, Tasks: n}}}}}
+	return Fact{Job: &Submit{mark.JobID(id), Spec{Queue: "q", Steps: []Step{{Name: "a", Kind: "x", Room: mark.Room{Cores: 1 * mark.Core}, Tasks: n}}}}}
 }
 
 // finish takes a job in and ends it well.
@@ -93,7 +93,7 @@
 	case 0, 1:
 		f := quick(id, 1+rnd.Intn(4))
 		f.Job.Spec.Steps[0].Gang = rnd.Intn(2) == 0
-		f.Job.Spec.Steps = append(f.Job.Spec.Steps, Step{Name: "b", Kind: "x", Room: mark.Room{Cores: 1}, Tasks: 1,
+		f.Job.Spec.Steps = append(f.Job.Spec.Steps, Step{Name: "b", Kind: "x", Room: mark.Room{Cores: 1 * mark.Core}, Tasks: 1,
 			After: []string{"a"}, Delay: rnd.Intn(3000)})
 		return f
 	case 2:
--- a/store/spec.go
+++ b/store/spec.go
@@ -64,7 +64,7 @@
 }
 
 func readStep(r *blueprint.Reader, at string) (s Step) {
-	s.Tasks, s.Room = 1, mark.Room{Cores: 1}
+	s.Tasks, s.Room = 1, mark.Room{Cores: mark.Core}
 	var raw []byte
 	r.Obj(at, map[string]blueprint.Field{
 		"name": blueprint.Text(r, &s.Name, blueprint.Name),
@@ -79,8 +79,9 @@
 		"rack": blueprint.Text(r, &s.Rack, blueprint.Maybe(blueprint.Name)),
 		"room": func(at string) {
 			r.Obj(at, map[string]blueprint.Field{
-				"cores":  blueprint.Num(r, &s.Room.Cores, 1, 4096),
-				"memory": blueprint.Num(r, &s.Room.Memory, 0, 1<<30),
+				"cores":        blueprint.Cores(r, &s.Room.Cores, 1, 4096*mark.Core),
+				"memory":       blueprint.Num(r, &s.Room.Memory, 0, 1<<30),
+				"accelerators": blueprint.Num(r, &s.Room.Accel, 0, 4096),
 			})
 		},
 		"tasks":    blueprint.Num(r, &s.Tasks, 1, tasks),
--- a/trial/cost_test.go
+++ b/trial/cost_test.go
@@ -39,7 +39,7 @@
 		r.Crew.Cancel = 0
 		r.Run(9 * time.Second)
 		for i := range tasks / 500 {
-			s := store.Spec{Queue: "menus", Steps: []store.Step{{Name: "f", Kind: "menu", Room: mark.Room{Cores: 16}, Tasks: 500, Work: []byte(`{"ms":30000}`)}}}
+			s := store.Spec{Queue: "menus", Steps: []store.Step{{Name: "f", Kind: "menu", Room: mark.Room{Cores: 16 * mark.Core}, Tasks: 500, Work: []byte(`{"ms":30000}`)}}}
 			if i%2 == 0 {
 				s.Steps[0].Delay = 3_600_000
 			}
--- a/trial/crowd_test.go
+++ b/trial/crowd_test.go
@@ -39,7 +39,7 @@
 		}
 	})
 	flood := Flow{"menus", 25 * time.Millisecond, func(rnd *rand.Rand) store.Spec {
-		return store.Spec{Queue: "menus", Urgency: 9, Steps: []store.Step{{Name: "all", Kind: "menu", Room: mark.Room{Cores: 2, Memory: 64},
+		return store.Spec{Queue: "menus", Urgency: 9, Steps: []store.Step{{Name: "all", Kind: "menu", Room: mark.Room{Cores: 2 * mark.Core, Memory: 64},
 			Tasks: 20, Work: work(rnd, 2000, 4000)}}}
 	}}
 	r.at(18*time.Second, func() { r.Crew.flow(flood) })
--- a/trial/goodput_test.go
+++ b/trial/goodput_test.go
@@ -82,10 +82,10 @@
 		return
 	}
 	burst := Flow{"menus", 400 * time.Millisecond, func(rnd *rand.Rand) store.Spec {
-		return store.Spec{Queue: "menus", Urgency: 9, Steps: []store.Step{{Name: "b", Kind: "menu", Room: mark.Room{Cores: 12}, Tasks: 3, Work: work(rnd, 1000, 3000)}}}
+		return store.Spec{Queue: "menus", Urgency: 9, Steps: []store.Step{{Name: "b", Kind: "menu", Room: mark.Room{Cores: 12 * mark.Core}, Tasks: 3, Work: work(rnd, 1000, 3000)}}}
 	}}
 	endless := Flow{"menus", 400 * time.Millisecond, func(rnd *rand.Rand) store.Spec {
-		return store.Spec{Queue: "menus", Steps: []store.Step{{Name: "e", Kind: "menu", Room: mark.Room{Cores: 1}, Tasks: 20, Work: []byte(`{"ms":100000000}`)}}}
+		return store.Spec{Queue: "menus", Steps: []store.Step{{Name: "e", Kind: "menu", Room: mark.Room{Cores: 1 * mark.Core}, Tasks: 20, Work: []byte(`{"ms":100000000}`)}}}
 	}}
 	for name, f := range map[string]Flow{"large and urgent jobs": burst, "work that never ends": endless} {
 		one, pay1 := crowd(t, 71, sustained, 0, f)
--- a/trial/planted_test.go
+++ b/trial/planted_test.go
@@ -96,7 +96,7 @@
 		}
 	})},
 	{"workers report what they are not", nil, []string{"service", "rack", "room"}, 30 * time.Second, false, onPoll(func(p *truth.Poll) {
-		p.Kinds, p.Room, p.Rack = []mark.Kind{"quote", "menu", "pay"}, mark.Room{Cores: 4000, Memory: 4_000_000}, "r1"
+		p.Kinds, p.Room, p.Rack = []mark.Kind{"quote", "menu", "pay"}, mark.Room{Cores: 4000 * mark.Core, Memory: 4_000_000}, "r1"
 	})},
 	{"nobody hears that a worker leaves", []string{"leave-worker"}, []string{"leaving"}, 30 * time.Second, false, onPoll(func(p *truth.Poll) { p.Leave = false })},
 	{"spread is forgotten", nil, []string{"spread"}, 30 * time.Second, false, onJob(func(s *store.Step) { s.Spread = 0 })},
--- a/trial/town.go
+++ b/trial/town.go
@@ -16,7 +16,7 @@
 // Town is a deployment.
 type Town struct {
 	Name  string
-	Cores int
+	Cores mark.Cores
 	Flows []Flow
 }
 
@@ -36,7 +36,7 @@
 	return func(r *rand.Rand) store.Spec {
 		s := store.Spec{Queue: q, Urgency: r.Intn(3)}
 		for _, name := range []string{"near", "far"} {
-			s.Steps = append(s.Steps, store.Step{Name: name, Kind: kind, Room: mark.Room{Cores: cores, Memory: 64}, Tasks: 2 + r.Intn(2),
+			s.Steps = append(s.Steps, store.Step{Name: name, Kind: kind, Room: mark.Room{Cores: mark.Cores(cores) * mark.Core, Memory: 64}, Tasks: 2 + r.Intn(2),
 				Gang: true, Spread: 1 + r.Intn(2), Work: work(r, 60, 250)})
 		}
 		if r.Intn(3) == 0 {
@@ -49,7 +49,7 @@
 // wide is one wide step of long tasks.
 func wide(q mark.Queue, kind mark.Kind, cores, tasks int) func(*rand.Rand) store.Spec {
 	return func(r *rand.Rand) store.Spec {
-		s := store.Spec{Queue: q, Steps: []store.Step{{Name: "all", Kind: kind, Room: mark.Room{Cores: cores, Memory: 256}, Tasks: tasks,
+		s := store.Spec{Queue: q, Steps: []store.Step{{Name: "all", Kind: kind, Room: mark.Room{Cores: mark.Cores(cores) * mark.Core, Memory: 256}, Tasks: tasks,
 			Spread: 3, Work: work(r, 1500, 4000)}}}
 		if r.Intn(4) == 0 {
 			s.Steps[0].Rack, s.Steps[0].Spread = mark.Rack(fmt.Sprintf("r%d", 1+r.Intn(3))), 0
@@ -63,7 +63,7 @@
 	return func(r *rand.Rand) store.Spec {
 		s := store.Spec{Queue: q, Urgency: 5}
 		for _, name := range []string{"hold", "book"} {
-			s.Steps = append(s.Steps, store.Step{Name: name, Kind: kind, Room: mark.Room{Cores: 1, Memory: 32}, Tasks: 1, Work: work(r, 40, 150)})
+			s.Steps = append(s.Steps, store.Step{Name: name, Kind: kind, Room: mark.Room{Cores: 1 * mark.Core, Memory: 32}, Tasks: 1, Work: work(r, 40, 150)})
 		}
 		switch r.Intn(3) {
 		case 0:
@@ -80,12 +80,12 @@
 
 // Towns are the two.
 var Towns = map[string]Town{
-	"kingston": {"kingston", 16, []Flow{
+	"kingston": {"kingston", 16 * mark.Core, []Flow{
 		{"quotes", 140 * time.Millisecond, gangs("quotes", "quote", 1)},
 		{"menus", 6 * time.Second, wide("menus", "menu", 2, 12)},
 		{"payments", 900 * time.Millisecond, duo("payments", "pay")},
 	}},
-	"romania": {"romania", 64, []Flow{
+	"romania": {"romania", 64 * mark.Core, []Flow{
 		{"searches", 220 * time.Millisecond, gangs("searches", "quote", 2)},
 		{"plans", 6 * time.Second, wide("plans", "menu", 4, 24)},
 		{"bookings", 330 * time.Millisecond, duo("bookings", "pay")},
@@ -105,7 +105,7 @@
 	kinds := [][]mark.Kind{{"quote", "menu"}, {"quote", "pay"}, {"menu", "pay", "quote"}}
 	for i := range 11 {
 		list = append(list, Make{Shard: mark.Shard(fmt.Sprintf("k%d", i+1)), Rack: mark.Rack(fmt.Sprintf("r%d", i/3+1)),
-			Kinds: kinds[i%3], Room: mark.Room{Cores: t.Cores, Memory: t.Cores * 1024}})
+			Kinds: kinds[i%3], Room: mark.Room{Cores: t.Cores, Memory: int(t.Cores) * 1024 / 1000}})
 	}
 	return
 }
@@ -117,7 +117,7 @@
 // does, so that faults meet gangs that run for long.
 func (t Town) Parade() Flow {
 	return Flow{t.Flows[1].Queue, 5 * time.Second, func(r *rand.Rand) store.Spec {
-		return store.Spec{Queue: t.Flows[1].Queue, Steps: []store.Step{{Name: "parade", Kind: "menu", Room: mark.Room{Cores: 1, Memory: 64},
+		return store.Spec{Queue: t.Flows[1].Queue, Steps: []store.Step{{Name: "parade", Kind: "menu", Room: mark.Room{Cores: 1 * mark.Core, Memory: 64},
 			Tasks: 3, Gang: true, Spread: 1, Work: work(r, 7000, 9000)}}}
 	}}
 }
--- a/trial/upkeep_test.go
+++ b/trial/upkeep_test.go
@@ -89,7 +89,7 @@
 	for _, bound := range []int{0, 3} {
 		is := is.New(t)
 		r := busy(31, func(t *blueprint.Table) { t.Rows[1].Losses = bound })
-		r.put("menus-poison", store.Spec{Queue: "menus", Urgency: 9, Steps: []store.Step{{Name: "p", Kind: "menu", Room: mark.Room{Cores: 1}, Tasks: 1,
+		r.put("menus-poison", store.Spec{Queue: "menus", Urgency: 9, Steps: []store.Step{{Name: "p", Kind: "menu", Room: mark.Room{Cores: 1 * mark.Core}, Tasks: 1,
 			Work: []byte(`{"ms":50,"crash":true}`)}}})
 		r.Run(60 * time.Second)
 		deaths := 0
@@ -127,7 +127,7 @@
 // fill keeps every worker busy with long, unhurried tasks of one queue.
 func fill(r *Run, n, ms int) {
 	for i := range n {
-		r.put(fmt.Sprint("menus-fill", i), store.Spec{Queue: "menus", Steps: []store.Step{{Name: "f", Kind: "menu", Room: mark.Room{Cores: 4}, Tasks: 40,
+		r.put(fmt.Sprint("menus-fill", i), store.Spec{Queue: "menus", Steps: []store.Step{{Name: "f", Kind: "menu", Room: mark.Room{Cores: 4 * mark.Core}, Tasks: 40,
 			Work: work(r.rnd, ms, ms)}}})
 	}
 }
@@ -153,7 +153,7 @@
 			r.Run(20 * time.Second)
 			from := time.Duration(r.now)
 			r.put("payments-big", store.Spec{Queue: "payments", Urgency: c.urgency, Steps: []store.Step{{Name: "b", Kind: "menu",
-				Room: mark.Room{Cores: 14}, Tasks: 2, Gang: true, Spread: 1, Work: []byte(`{"ms":500}`)}}})
+				Room: mark.Room{Cores: 14 * mark.Core}, Tasks: 2, Gang: true, Spread: 1, Work: []byte(`{"ms":500}`)}}})
 			r.Run(from + 30*time.Second)
 			at, ok := r.started("payments-big")
 			is.True(ok)
@@ -269,13 +269,13 @@
 	is := is.New(t)
 	r := busy(60, func(t *blueprint.Table) { t.Rows[0].TaskMS, t.Rows[1].TaskMS = 5000, 5000 })
 	r.Crew.flow(Flow{"menus", 30 * time.Millisecond, func(rnd *rand.Rand) store.Spec {
-		return store.Spec{Queue: "menus", Steps: []store.Step{{Name: "s", Kind: "menu", Room: mark.Room{Cores: 3}, Tasks: 1, Work: work(rnd, 800, 1600)}}}
+		return store.Spec{Queue: "menus", Steps: []store.Step{{Name: "s", Kind: "menu", Room: mark.Room{Cores: 3 * mark.Core}, Tasks: 1, Work: work(rnd, 800, 1600)}}}
 	}})
 	r.Run(20 * time.Second)
 	var waits []time.Duration
 	for i := range 4 {
 		id, from := fmt.Sprint("payments-large", i), time.Duration(r.now)
-		r.put(id, store.Spec{Queue: "payments", Steps: []store.Step{{Name: "l", Kind: "menu", Room: mark.Room{Cores: 16}, Tasks: 1, Limit: 5000, Work: []byte(`{"ms":1000}`)}}})
+		r.put(id, store.Spec{Queue: "payments", Steps: []store.Step{{Name: "l", Kind: "menu", Room: mark.Room{Cores: 16 * mark.Core}, Tasks: 1, Limit: 5000, Work: []byte(`{"ms":1000}`)}}})
 		r.Run(from + 15*time.Second)
 		at, ok := r.started(id)
 		is.True(ok)
@@ -292,7 +292,7 @@
 		down: map[string][]int64{}, leave: map[mark.Shard][][2]int64{}, drain: map[mark.Shard][][2]int64{}, hist: &r.Hist, seen: Tally{}}
 	c.read()
 	for _, s := range c.spans {
-		cores += float64(c.step(s).Room.Cores) * float64(max(0, s.to-max(s.from, int64(20*time.Second)))) / 1e9
+		cores += float64(c.step(s).Room.Cores) / 1000 * float64(max(0, s.to-max(s.from, int64(20*time.Second)))) / 1e9
 	}
 	long := (time.Duration(r.now) - 20*time.Second).Seconds()
 	t.Logf("large tasks waited %v; %.1f small tasks a second; %.0f of 176 cores in use", waits, float64(n)/long, cores/long)
--- a/truth/truth_test.go
+++ b/truth/truth_test.go
@@ -49,9 +49,9 @@
 }
 
 func (b *bench) poll(h *Hand, call uint64, runs ...mark.Leg) Answer {
-	p := Poll{Worker: "k", Call: call, Stamp: b.now, Rack: "r", Kinds: []mark.Kind{"x"}, Room: mark.Room{Cores: 4}}
+	p := Poll{Worker: "k", Call: call, Stamp: b.now, Rack: "r", Kinds: []mark.Kind{"x"}, Room: mark.Room{Cores: 4 * mark.Core}}
 	for _, l := range runs {
-		p.Runs = append(p.Runs, Run{l, mark.Room{Cores: 1}})
+		p.Runs = append(p.Runs, Run{l, mark.Room{Cores: 1 * mark.Core}})
 	}
 	h.Poll(b.now, p)
 	return h.Reply(b.now)
@@ -120,7 +120,7 @@
 func try(job string, n int) mark.Leg { return mark.Leg{Task: mark.Task{Job: mark.JobID(job)}, Leg: n} }
 
 func order(b *bench, shard mark.Shard, l mark.Leg) {
-	b.head.Order(shard, 0, "", Job{Leg: l, Kind: "x", Room: mark.Room{Cores: 1}})
+	b.head.Order(shard, 0, "", Job{Leg: l, Kind: "x", Room: mark.Room{Cores: 1 * mark.Core}})
 }
 
 func kind(k string) func(word.Send) bool { return func(s word.Send) bool { return s.Note.Kind == k } }
@@ -171,7 +171,7 @@
 		is, b, w := calm(t)
 		order(b, "s", try("j", 1))
 		b.flow(nil)
-		b.lead(2, Hold{Leg: try("j", 1), Shard: "s", Room: mark.Room{Cores: 1}})
+		b.lead(2, Hold{Leg: try("j", 1), Shard: "s", Room: mark.Room{Cores: 1 * mark.Core}})
 		b.ends = nil
 		w.finish(w.legs[try("j", 1)], fate)
 		b.pass(600*ms, kind(word.AskRun)) // the new leader's question does not arrive
@@ -215,7 +215,7 @@
 	b.lead(2)
 	b.pass(700*ms, nil)
 	is.Equal(b.head.Wait, false) // the one ward agrees with itself
-	b.lead(3, Hold{Leg: try("j", 1), Shard: "s2", Room: mark.Room{Cores: 1}})
+	b.lead(3, Hold{Leg: try("j", 1), Shard: "s2", Room: mark.Room{Cores: 1 * mark.Core}})
 	b.pass(700*ms, nil)
 	is.Equal(b.head.Wait, true)
 	b.ends = nil
