--- a/blueprint/read.go
+++ b/blueprint/read.go
@@ -141,6 +141,21 @@
 	}
 }
 
+// Real reads a number within bounds.
+func Real(r *Reader, to *float64, least, most float64) Field {
+	return func(path string) {
+		if !r.is(path, jx.Number) {
+			return
+		}
+		v, err := r.d.Float64()
+		if err != nil || v < least || v > most {
+			r.Heap.Add(fault.BadField, path, fmt.Sprintf("want a number from %v to %v", least, most))
+			return
+		}
+		*to = v
+	}
+}
+
 // Cores reads a decimal number of cores within bounds.
 func Cores(r *Reader, to *mark.Cores, least, most mark.Cores) Field {
 	return func(path string) {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,10 +32,10 @@
 	held  mark.Room     // reserved of it
 }
 
-// Part is one step of one job.
+// Part is one step of one job, at one of its times.
 type Part struct {
-	Job  mark.JobID
-	Step int
+	Job   mark.JobID
+	Stage mark.Stage
 }
 
 // Want is the tasks of one step that may start now.
--- a/helm/displace.go
+++ b/helm/displace.go
@@ -60,18 +60,18 @@
 	gangs := map[choice.Part]*victim{}
 	for _, o := range h.head.Holds() {
 		j := h.state.Jobs[o.Leg.Job]
-		if j == nil || o.Step < 0 || !h.mayTake(o.Leg) || j.Queue == w.Queue && j.Spec.Urgency >= w.Urgency {
+		if j == nil || o.Stage < 0 || !h.mayTake(o.Leg) || j.Queue == w.Queue && j.Spec.Urgency >= w.Urgency {
 			continue
 		}
 		d := in.Dues[j.Queue]
 		urgent := j.Spec.Urgency < w.Urgency
 		if d == nil || below(d, in.Total) || !urgent && !(under && j.Queue != w.Queue && j.Spec.Urgency <= w.Urgency) ||
-			j.Tasks[o.Leg.N].Moved >= d.Row.Moves {
+			j.Task(o.Leg.N).Moved >= d.Row.Moves {
 			continue
 		}
 		v := &victim{room: map[mark.Shard]mark.Room{}, urgency: j.Spec.Urgency, age: h.now.Mono.Sub(o.At)}
-		if j.Spec.Steps[o.Step].Gang {
-			k := choice.Part{Job: o.Leg.Job, Step: o.Step}
+		if j.Spec.Steps[o.Stage.Step()].Gang {
+			k := choice.Part{Job: o.Leg.Job, Stage: o.Stage}
 			if gangs[k] != nil {
 				v = gangs[k]
 			} else {
--- a/helm/early.go
+++ b/helm/early.go
@@ -26,7 +26,11 @@
 
 // logged tells whether an end need not be kept any longer.
 func (h *Helm) logged(e store.End, at mark.Stamp) bool {
-	if j := h.state.Jobs[e.Leg.Job]; j == nil || !j.Over() && e.Leg.N < len(j.Tasks) && e.Leg.Leg > j.Tasks[e.Leg.N].Leg {
+	j := h.state.Jobs[e.Leg.Job]
+	if j == nil {
+		return h.now.Mono.Sub(at) > lag
+	}
+	if t := j.Task(e.Leg.N); t != nil && e.Leg.Leg > t.Leg {
 		return h.now.Mono.Sub(at) > lag
 	}
 	return h.taken(e)
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -328,11 +328,12 @@
 // outs lists the legs given out as the state has them.
 func (h *Helm) outs() (list []truth.Hold) {
 	for _, j := range h.state.Live() {
-		for n, t := range j.Tasks {
-			if t.Out != nil {
-				step := j.Spec.Step(n)
+		for i := range j.Tasks {
+			if t := &j.Tasks[i]; t.Out != nil {
+				n := j.Spec.No(i)
+				at := mark.StageOf(n)
 				list = append(list, truth.Hold{Leg: mark.Leg{Task: mark.Task{Job: j.ID, N: n}, Leg: t.Leg},
-					Shard: t.Out.Shard, Step: step, Room: j.Spec.Steps[step].Room, Usual: usual(j, step), Limit: h.limit(j, step)})
+					Shard: t.Out.Shard, Stage: at, Room: j.Spec.Steps[at.Step()].Room, Usual: usual(j, at), Limit: h.limit(j, at)})
 			}
 		}
 	}
@@ -342,8 +343,9 @@
 // taken tells whether the state already has an end, or has no use for it.
 func (h *Helm) taken(e store.End) bool {
 	j := h.state.Jobs[e.Leg.Job]
-	if j == nil || j.Over() || e.Leg.N < 0 || e.Leg.N >= len(j.Tasks) {
+	if j == nil || j.Over() {
 		return true
 	}
-	return j.Tasks[e.Leg.N].Knows(e.Leg.Leg, e.Fate)
+	t := j.Task(e.Leg.N)
+	return t == nil || t.Knows(e.Leg.Leg, e.Fate)
 }
--- a/helm/plan.go
+++ b/helm/plan.go
@@ -16,6 +16,8 @@
 const (
 	near   = mark.Wall(50 * time.Millisecond)
 	astray = mark.Wall(20 * time.Millisecond)
+
+	endless = 10_000 * time.Hour // what lasts fits before no window
 )
 
 func (h *Helm) plan() {
@@ -50,18 +52,31 @@
 	in.Slots, in.Total = h.slots()
 	out := choice.Place(in)
 	h.kept = out.Kept
-	var legs []store.Give
-	for _, p := range out.Picks {
-		t := h.state.Jobs[p.Task.Job].Tasks[p.Task.N]
-		legs = append(legs, store.Give{Leg: mark.Leg{Task: p.Task, Leg: t.Leg + 1}, Shard: p.Shard})
-		delete(h.waited, choice.Part{Job: p.Task.Job, Step: h.state.Jobs[p.Task.Job].Spec.Step(p.Task.N)})
-	}
+	legs := h.number(out.Picks)
 	if legs == nil && backs == nil && h.kept == nil {
 		backs, h.kept = h.displace(in)
 	}
 	h.give(legs, backs)
 }
 
+// number gives each placement its leg's number; the members of a gang get the
+// same.
+func (h *Helm) number(picks []choice.Pick) (legs []store.Give) {
+	for _, p := range picks {
+		j := h.state.Jobs[p.Task.Job]
+		at := mark.StageOf(p.Task.N)
+		leg := j.Task(p.Task.N).Leg + 1
+		if j.Spec.Steps[at.Step()].Gang {
+			for _, m := range j.Part(at) {
+				leg = max(leg, m.Leg+1)
+			}
+		}
+		legs = append(legs, store.Give{Leg: mark.Leg{Task: p.Task, Leg: leg}, Shard: p.Shard})
+		delete(h.waited, choice.Part{Job: p.Task.Job, Stage: at})
+	}
+	return
+}
+
 // give puts a round into the log; the next waits until it is applied.
 func (h *Helm) give(legs []store.Give, backs []store.Back) {
 	if legs == nil && backs == nil {
@@ -75,6 +90,9 @@
 // wants lists what may start now, and what each queue has in use.
 func (h *Helm) wants() (list []choice.Want, dues map[mark.Queue]*choice.Due) {
 	dues = map[mark.Queue]*choice.Due{}
+	for q, r := range h.state.Retired {
+		dues[q] = &choice.Due{Row: r}
+	}
 	for _, r := range h.state.Table.Rows {
 		dues[r.Name] = &choice.Due{Row: r}
 	}
@@ -88,9 +106,13 @@
 		d.Running += x.Running
 		d.Cores += x.Cores
 		for _, b := range x.Batches {
-			p := j.Spec.Steps[b.Step]
-			list = append(list, choice.Want{Part: choice.Part{Job: j.ID, Step: b.Step}, Queue: j.Queue, Urgency: j.Spec.Urgency,
-				Kind: p.Kind, Rack: p.Rack, Room: p.Room, Spread: p.Spread, Gang: p.Gang, Tasks: b.Tasks, Long: h.limit(j, b.Step), Shun: b.Shun})
+			p := j.Spec.Steps[b.Stage.Step()]
+			long := h.limit(j, b.Stage)
+			if p.Lasts {
+				long = endless
+			}
+			list = append(list, choice.Want{Part: choice.Part{Job: j.ID, Stage: b.Stage}, Queue: j.Queue, Urgency: j.Spec.Urgency,
+				Kind: p.Kind, Rack: p.Rack, Room: p.Room, Spread: p.Spread, Gang: p.Gang, Tasks: b.Tasks, Long: long, Shun: b.Shun})
 		}
 	}
 	return
@@ -119,8 +141,8 @@
 		x.Free = x.Free.Minus(o.Room)
 		x.Busy++
 		x.Clear = max(x.Clear, h.rest(o))
-		if o.Step >= 0 {
-			x.Has[choice.Part{Job: o.Leg.Job, Step: o.Step}]++
+		if o.Stage >= 0 {
+			x.Has[choice.Part{Job: o.Leg.Job, Stage: o.Stage}]++
 		}
 	}
 	return
@@ -130,21 +152,28 @@
 func (h *Helm) order(legs []store.Give) {
 	for _, g := range legs {
 		j := h.state.Jobs[g.Leg.Job]
-		i := j.Spec.Step(g.Leg.N)
-		p := j.Spec.Steps[i]
+		at := mark.StageOf(g.Leg.N)
+		p := j.Spec.Steps[at.Step()]
 		h.Sums.Orders++
-		h.head.Order(g.Shard, i, usual(j, i),
-			truth.Job{Leg: g.Leg, Kind: p.Kind, Rack: p.Rack, Room: p.Room, Limit: int(h.limit(j, i).Milliseconds()), Work: p.Work})
+		h.head.Order(g.Shard, at, usual(j, at), truth.Job{Leg: g.Leg, Kind: p.Kind, Rack: p.Rack, Room: p.Room,
+			Limit: int(h.limit(j, at).Milliseconds()), Work: j.Spec.What(at.Step())})
 	}
 }
 
 // usual names what a leg's time is compared with.
-func usual(j *store.Job, step int) string { return string(j.Queue) + "/" + j.Spec.Steps[step].Name }
+func usual(j *store.Job, at mark.Stage) string {
+	return string(j.Queue) + "/" + j.Spec.Steps[at.Step()].Name
+}
 
-// limit is how long a leg of a step may take by the table in force.
-func (h *Helm) limit(j *store.Job, step int) time.Duration {
-	row, ok := h.state.Table.Find(j.Queue)
-	own := time.Duration(j.Spec.Steps[step].Limit) * time.Millisecond
+// limit is how long a leg of a step may take by the table in force; what lasts
+// has none.
+func (h *Helm) limit(j *store.Job, at mark.Stage) time.Duration {
+	p := &j.Spec.Steps[at.Step()]
+	if p.Lasts {
+		return 0
+	}
+	row, ok := h.state.Row(j.Queue)
+	own := time.Duration(p.Limit) * time.Millisecond
 	if ok && (own == 0 || own > row.Limit()) {
 		return row.Limit()
 	}
--- a/helm/windows.go
+++ b/helm/windows.go
@@ -49,13 +49,13 @@
 	}
 	left := map[choice.Part]bool{}
 	for _, o := range h.head.Missing() {
-		if j := h.state.Jobs[o.Leg.Job]; j != nil && j.State == store.Open && j.Spec.Steps[o.Step].Gang {
-			left[choice.Part{Job: o.Leg.Job, Step: o.Step}] = true
+		if j := h.state.Jobs[o.Leg.Job]; j != nil && j.State == store.Open && j.Spec.Steps[o.Stage.Step()].Gang {
+			left[choice.Part{Job: o.Leg.Job, Stage: o.Stage}] = true
 		}
 	}
 	for _, o := range h.head.Holds() {
 		why := gone[o.Shard]
-		if why == "" && left[choice.Part{Job: o.Leg.Job, Step: o.Step}] {
+		if why == "" && left[choice.Part{Job: o.Leg.Job, Stage: o.Stage}] {
 			why = store.Alone
 		}
 		if why == "" && h.stalled(o) {
@@ -71,21 +71,24 @@
 // mayTake tells whether a leg is out and not yet being taken back.
 func (h *Helm) mayTake(l mark.Leg) bool {
 	j := h.state.Jobs[l.Job]
-	if j == nil || j.State != store.Open || l.N >= len(j.Tasks) {
+	if j == nil || j.State != store.Open {
 		return false
 	}
-	t := j.Tasks[l.N]
-	return t.Out != nil && t.Leg == l.Leg && t.Out.Back == ""
+	t := j.Task(l.N)
+	return t != nil && t.Out != nil && t.Leg == l.Leg && t.Out.Back == ""
 }
 
 // stalled tells a leg far beyond its step's usual time, once for a task.
 func (h *Helm) stalled(o *truth.Hold) bool {
 	u, ok := h.head.Usual(o.Usual)
 	j := h.state.Jobs[o.Leg.Job]
-	if !ok || j == nil || o.Leg.N >= len(j.Tasks) || j.Tasks[o.Leg.N].Shun != "" {
+	if !ok || j == nil {
 		return false
 	}
-	row, _ := h.state.Table.Find(j.Queue)
+	if t := j.Task(o.Leg.N); t == nil || t.Shun != "" || j.Spec.Steps[o.Stage.Step()].Lasts {
+		return false
+	}
+	row, _ := h.state.Row(j.Queue)
 	return row.Stall > 0 && h.now.Mono.Sub(o.At) > max(briefs, time.Duration(row.Stall)*u)
 }
 
@@ -97,7 +100,7 @@
 		if j == nil || j.Over() || o.Limit == 0 {
 			continue
 		}
-		if row, ok := h.state.Table.Find(j.Queue); ok && h.now.Mono.Sub(o.At) > row.Limit() && row.Limit() < o.Limit {
+		if row, ok := h.state.Row(j.Queue); ok && h.now.Mono.Sub(o.At) > row.Limit() && row.Limit() < o.Limit {
 			list = append(list, o.Leg)
 		}
 	}
--- a/mark/mark.go
+++ b/mark/mark.go
@@ -43,12 +43,37 @@
 	Wall Wall
 }
 
-// Task names one task of a job by its place in the job's flat list.
+// Task names one task of a job. Its number says which of the job's times, which
+// step and which task of the step it is, whatever the job's size.
 type Task struct {
 	Job JobID `json:"job"`
 	N   int   `json:"n"`
 }
 
+// Bounds on the parts of a task's number.
+const (
+	MostSteps = 64
+	MostTasks = 4096
+)
+
+// No makes a task's number of its time, step and place in the step.
+func No(time, step, place int) int { return (time*MostSteps+step)*MostTasks + place }
+
+// Stage numbers one step at one of a job's times; No makes a task's number of it.
+type Stage int
+
+// StageOf is the stage of the task with a number.
+func StageOf(n int) Stage { return Stage(n / MostTasks) }
+
+func (s Stage) Time() int        { return int(s) / MostSteps }
+func (s Stage) Step() int        { return int(s) % MostSteps }
+func (s Stage) No(place int) int { return int(s)*MostTasks + place }
+
+// Parts is what a task's number was made of.
+func Parts(n int) (time, step, place int) {
+	return n / MostTasks / MostSteps, n / MostTasks % MostSteps, n % MostTasks
+}
+
 // Leg names one try at a task. The pair is the paper's invocation id: it is
 // given out once and never again.
 type Leg struct {
--- a/store/heat.go
+++ b/store/heat.go
@@ -7,11 +7,11 @@
 	"coppercourse/mark"
 )
 
-// Batch is the tasks of one step that may start now.
+// Batch is the tasks of one stage that may start now.
 type Batch struct {
-	Step  int
+	Stage mark.Stage
 	Tasks []int
-	Shun  map[mark.Shard]bool // workers where legs of these stalled
+	Shun  map[mark.Shard]bool // workers where legs of these stalled or failed
 }
 
 // Heat is what a round needs to know of a job.
@@ -42,44 +42,45 @@
 			h.until = min(h.until, t)
 		}
 	}
-	for n, t := range j.Tasks {
-		if t.Out != nil {
-			h.Running++
-			h.Cores += j.Spec.Steps[j.Spec.Step(n)].Room.Cores
-		} else if !t.Done && !t.Dead {
-			wait(t.Ready)
+	j.stages(func(at mark.Stage, p *Step, part []Task) {
+		for i := range part {
+			if t := &part[i]; t.Out != nil {
+				h.Running++
+				h.Cores += p.Room.Cores
+			} else if !t.Done && !t.Dead {
+				wait(t.Ready)
+			}
 		}
-	}
-	if j.State != Open {
-		return h
-	}
-	for _, p := range j.Spec.Steps {
-		wait(j.due(p))
-		if p.Not != "" {
-			wait(mark.Tick(clock(p.Not) - off))
+		if j.State != Open {
+			return
 		}
-	}
-	for _, i := range j.Ready(now, off) {
-		p := j.Spec.Steps[i]
-		b, base, whole := Batch{Step: i}, j.Spec.Base(i), true
-		for n, t := range j.Part(i) {
-			switch {
-			case t.Done:
-			case t.Out == nil && !t.Dead && t.Ready <= now && !t.spent(row):
-				b.Tasks = append(b.Tasks, base+n)
-				if t.Shun != "" {
-					if b.Shun == nil {
-						b.Shun = map[mark.Shard]bool{}
-					}
-					b.Shun[t.Shun] = true
-				}
-			default:
+		due, wall := j.due(p, at.Time())
+		due = max(due, mark.Tick(wall-off))
+		wait(due)
+		if due > now || !j.met(p, at.Time()) {
+			return
+		}
+		b, whole := Batch{Stage: at}, true
+		for i := range part {
+			t := &part[i]
+			if t.Done {
+				continue
+			}
+			if !j.may(t, row, now) {
 				whole = false
+				continue
+			}
+			b.Tasks = append(b.Tasks, at.No(i))
+			if t.Shun != "" {
+				if b.Shun == nil {
+					b.Shun = map[mark.Shard]bool{}
+				}
+				b.Shun[t.Shun] = true
 			}
 		}
 		if len(b.Tasks) > 0 && (whole || !p.Gang) {
 			h.Batches = append(h.Batches, b)
 		}
-	}
+	})
 	return h
 }
--- a/store/job.go
+++ b/store/job.go
@@ -22,110 +22,76 @@
 	Stopped Stage = "cancelled"
 )
 
-// Fate is how a leg ended.
-type Fate string
-
-const (
-	OK     Fate = "ok"
-	Bad    Fate = "failed"
-	Lost   Fate = "lost"
-	Cut    Fate = "cut off" // lost with its whole locality, which may come back
-	Waited Fate = "waited"  // a lost leg's end has been waited for long enough
-	Halted Fate = "stopped"
-	Unrun  Fate = "refused" // it never ran and never will
-	Gone   Fate = "gone"    // its worker process is known to have ended
-)
-
-// doubtful fates are not the last word: the leg may have ended well unseen.
-func (f Fate) doubtful() bool { return f == Lost || f == Cut }
-
-// Fact is true for what a worker did, whoever tells it.
-func (f Fate) Fact() bool { return f == OK || f == Bad }
-
-// Out is the leg given out and not ended.
-type Out struct {
-	Shard mark.Shard `json:"shard"`
-	At    mark.Tick  `json:"at"`
-	Back  Why        `json:"back,omitempty"` // it is being taken back
-}
-
-// Task is one task's account. Fails are what the queue's tries count.
-type Task struct {
-	Leg   int        `json:"leg"`
-	Out   *Out       `json:"out,omitempty"`
-	Done  bool       `json:"done,omitempty"`
-	Dead  bool       `json:"dead,omitempty"`
-	Fails int        `json:"fails,omitempty"`
-	Lost  int        `json:"lost,omitempty"`
-	Halts int        `json:"stopped,omitempty"`
-	Moved int        `json:"displaced,omitempty"`
-	Shun  mark.Shard `json:"shun,omitempty"` // where a leg of it stalled last
-	Ready mark.Tick  `json:"ready"`
-	// Doubt is the worker whose word is awaited: the last leg was lost there,
-	// and may yet turn out to have ended well.
-	Doubt mark.Shard `json:"doubt,omitempty"`
-	Limbo []int      `json:"limbo,omitempty"` // legs lost whose true end is not known
-}
-
 // Job is one accepted job.
 type Job struct {
-	ID     mark.JobID   `json:"id"`
-	Seq    uint64       `json:"seq"`
-	Hash   string       `json:"hash"`
-	Queue  mark.Queue   `json:"queue"`
-	At     mark.Tick    `json:"at"`
-	Wall   mark.Wall    `json:"wall"`
-	State  Stage        `json:"state"`
-	Why    string       `json:"why,omitempty"`
-	Spec   *Spec        `json:"spec,omitempty"`
-	Tasks  []Task       `json:"tasks,omitempty"`
-	Broken map[int]bool `json:"broken,omitempty"`
-	Halt   bool         `json:"halt,omitempty"`
-	End    mark.Tick    `json:"end,omitempty"`
-	Size   int          `json:"size"`
-	Bytes  int          `json:"bytes"`
-	Fine   int          `json:"fine"`
-	Legs   int          `json:"legs"`
+	ID     mark.JobID          `json:"id"`
+	Seq    uint64              `json:"seq"`
+	Hash   string              `json:"hash"`
+	Queue  mark.Queue          `json:"queue"`
+	At     mark.Tick           `json:"at"`
+	Wall   mark.Wall           `json:"wall"`
+	State  Stage               `json:"state"`
+	Why    string              `json:"why,omitempty"`
+	Spec   *Spec               `json:"spec,omitempty"`
+	Tasks  []Task              `json:"tasks,omitempty"`
+	Broken map[mark.Stage]bool `json:"broken,omitempty"`
+	Halt   bool                `json:"halt,omitempty"`
+	End    mark.Tick           `json:"end,omitempty"`
+	Size   int                 `json:"size"`
+	Bytes  int                 `json:"bytes"`
+	Fine   int                 `json:"fine"`
+	Legs   int                 `json:"legs"`
 	shot   uint64
 	hot    *Heat
 	off    mark.Wall // as of which the heat is
 	row    mark.Edition
 }
 
-// spent tells whether a task may be given out no more.
-func (t Task) spent(row blueprint.Row) bool {
-	return t.Fails >= row.Tries || row.Losses > 0 && t.Lost >= row.Losses
-}
+// Over is true once the job has ended for good.
+func (j *Job) Over() bool { return j.State == Done || j.State == Failed || j.State == Stopped }
 
-// Knows tells whether an end of a leg would change nothing any more.
-func (t Task) Knows(leg int, f Fate) bool {
-	switch {
-	case t.Out != nil && t.Leg == leg:
-		return false
-	case slices.Contains(t.Limbo, leg):
-		return f.doubtful()
+// stages calls f for every step at every time, with the tasks it has.
+func (j *Job) stages(f func(at mark.Stage, p *Step, part []Task)) {
+	i := 0
+	for time := range j.Spec.Count() {
+		for step := range j.Spec.Steps {
+			p := &j.Spec.Steps[step]
+			f(mark.StageOf(mark.No(time, step, 0)), p, j.Tasks[i:i+p.Tasks])
+			i += p.Tasks
+		}
 	}
-	return f != OK || t.Done
 }
 
-// Over is true once the job has ended for good.
-func (j *Job) Over() bool { return j.State == Done || j.State == Failed || j.State == Stopped }
-
-// Ready lists the steps whose tasks may start at a tick, but for their own
-// waits: nothing they depend on is missing, and the job is not on its way out.
-func (j *Job) Ready(now mark.Tick, off mark.Wall) (list []int) {
-	if j.State != Open {
+// Task finds a task by its number, or gives nil.
+func (j *Job) Task(n int) *Task {
+	if j.Spec == nil {
 		return nil
 	}
-	for i, p := range j.Spec.Steps {
-		if j.due(p) <= now && (p.Not == "" || clock(p.Not) <= mark.Wall(now)+off) && j.met(p) {
-			list = append(list, i)
-		}
+	if i := j.Spec.Index(n); i >= 0 {
+		return &j.Tasks[i]
 	}
-	return
+	return nil
+}
+
+// Part is the tasks of one step at one time.
+func (j *Job) Part(at mark.Stage) []Task {
+	i := j.Spec.Index(at.No(0))
+	return j.Tasks[i : i+j.Spec.Steps[at.Step()].Tasks]
 }
 
-func (j *Job) due(p Step) mark.Tick { return j.At.Add(time.Duration(p.Delay) * time.Millisecond) }
+// due tells when a step may start at one of the times, but for what it depends
+// on: by the cluster's clock, and by the wall where a time of day is told.
+func (j *Job) due(p *Step, time int) (mark.Tick, mark.Wall) {
+	wall := clock(p.Not)
+	if t := j.Spec.Times; t != nil {
+		wall = max(wall, mark.Wall(t.First+int64(time)*t.Every)*mark.Wall(ms))
+	}
+	return j.At.Add(gotime(p.Delay)), wall
+}
+
+const ms = time.Millisecond
+
+func gotime(n int) time.Duration { return time.Duration(n) * ms }
 
 func clock(s string) mark.Wall {
 	t, err := time.Parse(time.RFC3339Nano, s)
@@ -135,10 +101,11 @@
 	return mark.Wall(t.UnixNano())
 }
 
-func (j *Job) met(p Step) bool {
+// met tells whether all that a step depends on has ended well.
+func (j *Job) met(p *Step, time int) bool {
 	for _, a := range p.After {
 		for i, q := range j.Spec.Steps {
-			if q.Name == a && !j.full(i) {
+			if q.Name == a && !full(j.Part(mark.StageOf(mark.No(time, i, 0)))) {
 				return false
 			}
 		}
@@ -146,24 +113,18 @@
 	return true
 }
 
-func (j *Job) full(step int) bool {
-	for _, t := range j.Part(step) {
-		if !t.Done {
+func full(part []Task) bool {
+	for i := range part {
+		if !part[i].Done {
 			return false
 		}
 	}
 	return true
 }
 
-// Part is the tasks of one step.
-func (j *Job) Part(step int) []Task {
-	b := j.Spec.Base(step)
-	return j.Tasks[b : b+j.Spec.Steps[step].Tasks]
-}
-
 func (j *Job) outs() (n int) {
-	for _, t := range j.Tasks {
-		if t.Out != nil {
+	for i := range j.Tasks {
+		if j.Tasks[i].Out != nil {
 			n++
 		}
 	}
@@ -176,24 +137,30 @@
 	if j.Over() {
 		return nil
 	}
-	for n, t := range j.Tasks {
-		if t.Out != nil && (j.State == Ending || t.Done || t.Out.Back != "" || j.Broken[j.Spec.Step(n)]) {
-			list = append(list, mark.Leg{Task: mark.Task{Job: j.ID, N: n}, Leg: t.Leg})
+	j.stages(func(at mark.Stage, _ *Step, part []Task) {
+		for i := range part {
+			t := &part[i]
+			if t.Out != nil && (j.State == Ending || t.Done || t.Out.Back != "" || j.Broken[at]) {
+				list = append(list, mark.Leg{Task: mark.Task{Job: j.ID, N: at.No(i)}, Leg: t.Leg})
+			}
 		}
-	}
+	})
 	return
 }
 
-// give hands out the next leg of a task, if the task may still have one.
-func (j *Job) give(n int, shard mark.Shard, row blueprint.Row, now mark.Tick) bool {
-	if j.State != Open || n < 0 || n >= len(j.Tasks) {
-		return false
-	}
-	t := &j.Tasks[n]
-	if t.Out != nil || t.Done || t.Dead || t.Ready > now || t.spent(row) {
+// may tells whether a task may be given out now.
+func (j *Job) may(t *Task, row blueprint.Row, now mark.Tick) bool {
+	return j.State == Open && t != nil && t.Out == nil && !t.Done && !t.Dead && t.Ready <= now && !t.spent(row)
+}
+
+// give hands out the next leg of a task, if the task may still have one. The
+// members of a gang are given the same number, which leaves some out.
+func (j *Job) give(n, least int, shard mark.Shard, row blueprint.Row, now mark.Tick) bool {
+	t := j.Task(n)
+	if !j.may(t, row, now) {
 		return false
 	}
-	t.Leg++
+	t.Leg = max(t.Leg+1, least)
 	t.Doubt = ""
 	j.Legs++
 	t.Out = &Out{Shard: shard, At: now}
@@ -202,15 +169,28 @@
 
 // end takes a leg's end. A late one, of a leg already counted lost, matters
 // only if it ended well.
-func (j *Job) end(n, leg int, f Fate, row blueprint.Row, now mark.Tick) {
-	if j.Over() || n < 0 || n >= len(j.Tasks) {
+func (j *Job) end(e End, row blueprint.Row, now mark.Tick) {
+	leg, f := e.Leg.Leg, e.Fate
+	if j.Over() {
+		return
+	}
+	t := j.Task(e.Leg.N)
+	if t == nil || leg <= t.Shut {
 		return
 	}
-	t := &j.Tasks[n]
+	at := mark.StageOf(e.Leg.N)
+	p := &j.Spec.Steps[at.Step()]
 	mine := t.Out != nil && t.Leg == leg
-	if f == OK && leg <= t.Leg && !t.Done {
-		t.Done, t.Dead, t.Doubt = true, false, ""
-		j.Fine++
+	if p.Lasts && f == OK {
+		f = Gone
+	}
+	if f == OK && leg <= t.Leg {
+		j.fine(t)
+		if p.Joint {
+			for i := range j.Part(at) {
+				j.fine(&j.Part(at)[i])
+			}
+		}
 	}
 	late := slices.Index(t.Limbo, leg)
 	switch {
@@ -220,11 +200,18 @@
 		if f.doubtful() && !t.Done {
 			t.Doubt, t.Limbo = from, append(t.Limbo, leg)
 		}
-		j.count(n, t, f, row, now)
+		if f == Lapsed {
+			t.Shut = leg
+		}
+		j.save(p, at, t, e.Ref)
+		if f == Bad {
+			t.Shun = from
+		}
+		j.count(at, t, leg, f, row, now)
 	case late >= 0 && f == Waited:
 		if t.Leg == leg && t.Ready <= now {
 			t.Doubt = ""
-			j.judge(n, t, row)
+			j.judge(t, row)
 		}
 	case late >= 0 && !f.doubtful():
 		t.Limbo = slices.Delete(t.Limbo, late, late+1)
@@ -232,102 +219,150 @@
 			t.Doubt, t.Ready = "", now
 		}
 		if f == Bad {
-			j.fail(n, t, row, now)
+			j.fail(at, t, leg, row, now)
 		}
-		j.judge(n, t, row)
+		j.judge(t, row)
 	}
 	j.turn(now)
 }
 
-func (j *Job) count(n int, t *Task, f Fate, row blueprint.Row, now mark.Tick) {
+// fine marks a task as ended well.
+func (j *Job) fine(t *Task) {
+	if !t.Done {
+		t.Done, t.Dead, t.Doubt = true, false, ""
+		j.Fine++
+	}
+}
+
+// save keeps what a leg saved, for the next to go on from; any member's is good
+// for its whole gang, and all must have the same.
+func (j *Job) save(p *Step, at mark.Stage, t *Task, ref string) {
+	if ref == "" || !p.Keeps {
+		return
+	}
+	t.Ref = ref
+	if p.Gang {
+		for i := range j.Part(at) {
+			j.Part(at)[i].Ref = ref
+		}
+	}
+}
+
+func (j *Job) count(at mark.Stage, t *Task, leg int, f Fate, row blueprint.Row, now mark.Tick) {
 	switch f {
 	case Bad:
-		j.fail(n, t, row, now)
+		j.fail(at, t, leg, row, now)
 	case Lost:
-		j.lose(n, t, row, now, row.Wait())
+		j.lose(at, t, row, now, row.Wait())
 	case Cut:
-		j.lose(n, t, row, now, max(row.WaitCut(), row.Wait()))
-	case Gone:
-		j.lose(n, t, row, now, 0)
+		j.lose(at, t, row, now, max(row.WaitCut(), row.Wait()))
+	case Gone, Lapsed:
+		j.lose(at, t, row, now, 0)
 	case Halted, Unrun:
 		t.Halts++
-		t.Ready = now.Add(pause(1))
+		t.Ready = now.Add(row.Pause(1))
 	}
-	step := j.Spec.Step(n)
-	if !j.Spec.Steps[step].Gang {
+	if !j.Spec.Steps[at.Step()].Gang {
 		return
 	}
 	out := false
-	for _, m := range j.Part(step) {
+	for _, m := range j.Part(at) {
 		out = out || m.Out != nil
 	}
 	switch {
 	case f != OK && out:
 		if j.Broken == nil {
-			j.Broken = map[int]bool{}
+			j.Broken = map[mark.Stage]bool{}
 		}
-		j.Broken[step] = true
+		j.Broken[at] = true
 	case !out:
-		delete(j.Broken, step)
+		delete(j.Broken, at)
 	}
 }
 
 // lose counts a loss; one that loses its workers again and again rests longer
 // each time, and fails its job only where the queue's row sets a bound.
-func (j *Job) lose(n int, t *Task, row blueprint.Row, now mark.Tick, wait time.Duration) {
+func (j *Job) lose(at mark.Stage, t *Task, row blueprint.Row, now mark.Tick, wait time.Duration) {
 	t.Lost++
-	t.Ready = now.Add(max(wait, min(5*time.Minute, 100*time.Millisecond<<min(t.Lost, 12))))
-	j.judge(n, t, row)
+	n := t.Lost
+	if j.Spec.Steps[at.Step()].Lasts {
+		n = 1
+	}
+	t.Ready = now.Add(max(wait, row.Pause(n)))
+	j.judge(t, row)
 }
 
-// fail counts a failure against the queue's tries.
-func (j *Job) fail(n int, t *Task, row blueprint.Row, now mark.Tick) {
-	t.Fails++
-	if t.Doubt == "" {
-		t.Ready = now.Add(pause(t.Fails))
+// fail counts a failure against the queue's tries; a gang fails as one, once
+// with each number that its members had.
+func (j *Job) fail(at mark.Stage, t *Task, leg int, row blueprint.Row, now mark.Tick) {
+	p := &j.Spec.Steps[at.Step()]
+	if p.Lasts {
+		t.Ready = now.Add(row.Pause(1))
+		return
+	}
+	all := []*Task{t}
+	if p.Joint {
+		all = all[:0]
+		for i := range j.Part(at) {
+			m := &j.Part(at)[i]
+			if m.Bad == leg {
+				return
+			}
+			all = append(all, m)
+		}
+	}
+	for _, m := range all {
+		m.Bad = leg
+		m.Fails++
+		if m.Doubt == "" {
+			m.Ready = now.Add(row.Pause(m.Fails))
+		}
+		j.judge(m, row)
 	}
-	j.judge(n, t, row)
 }
 
 // judge ends a task whose tries are spent, unless a lost leg of it may still
 // turn out to have ended well.
-func (j *Job) judge(n int, t *Task, row blueprint.Row) {
+func (j *Job) judge(t *Task, row blueprint.Row) {
 	if t.Done || t.Dead || t.Doubt != "" {
 		return
 	}
 	switch {
 	case t.Fails >= row.Tries:
-		t.Dead, j.Why = true, fmt.Sprintf("task %d failed %d times", n, t.Fails)
+		t.Dead, j.Why = true, fmt.Sprintf("task %d failed %d times", j.number(t), t.Fails)
 	case row.Losses > 0 && t.Lost >= row.Losses && t.Out == nil:
-		t.Dead, j.Why = true, fmt.Sprintf("task %d was lost with its worker %d times", n, t.Lost)
+		t.Dead, j.Why = true, fmt.Sprintf("task %d was lost with its worker %d times", j.number(t), t.Lost)
+	}
+}
+
+func (j *Job) number(t *Task) int {
+	for i := range j.Tasks {
+		if &j.Tasks[i] == t {
+			return j.Spec.No(i)
+		}
 	}
+	return -1
 }
 
 // Spent lists the lost legs of tasks that have no try left, whose ends have
 // been waited for as long as the queue says.
 func (j *Job) Spent(row blueprint.Row, now mark.Tick) (list []End) {
-	for n, t := range j.Tasks {
-		if j.State == Open && t.Out == nil && t.Doubt != "" && !t.Done && t.spent(row) && t.Ready <= now {
-			list = append(list, End{Leg: mark.Leg{Task: mark.Task{Job: j.ID, N: n}, Leg: t.Leg}, Fate: Waited})
+	for i := range j.Tasks {
+		if t := &j.Tasks[i]; j.State == Open && t.Out == nil && t.Doubt != "" && !t.Done && t.spent(row) && t.Ready <= now {
+			list = append(list, End{Leg: mark.Leg{Task: mark.Task{Job: j.ID, N: j.Spec.No(i)}, Leg: t.Leg}, Fate: Waited})
 		}
 	}
 	return
 }
 
-// pause is how long a task rests after its n-th bad end.
-func pause(n int) time.Duration {
-	return min(10*time.Second, 100*time.Millisecond<<min(n, 10))
-}
-
 // turn moves the job's state on after anything changed.
 func (j *Job) turn(now mark.Tick) {
 	dead := false
-	for _, t := range j.Tasks {
-		dead = dead || t.Dead
+	for i := range j.Tasks {
+		dead = dead || j.Tasks[i].Dead
 	}
-	full := j.Fine == j.Size
 	switch {
-	case full:
+	case j.Fine == j.Size:
 		j.State = Done
 	case j.Halt:
 		j.State = Stopped
--- a/store/marks_test.go
+++ b/store/marks_test.go
@@ -31,7 +31,7 @@
 	l := mark.Leg{Task: mark.Task{Job: mark.JobID(id)}}
 	s.must(at, Fact{Legs: []Give{{l, "k"}}})
 	l.Leg = 1
-	s.must(at, Fact{Ends: []End{{l, OK}}})
+	s.must(at, Fact{Ends: []End{{Leg: l, Fate: OK}}})
 }
 
 func TestIdsAreRememberedForADay(t *testing.T) {
@@ -105,7 +105,7 @@
 	case 4, 5, 6:
 		return Fact{Legs: []Give{{task(), "k"}, {task(), "m"}}}
 	}
-	return Fact{Ends: []End{{task(), []Fate{OK, OK, Bad, Lost, Cut, Gone, Halted, Unrun, Waited}[rnd.Intn(9)]}}}
+	return Fact{Ends: []End{{Leg: task(), Fate: []Fate{OK, OK, Bad, Lost, Cut, Gone, Halted, Unrun, Waited}[rnd.Intn(9)]}}}
 }
 
 func TestSnapshotsAndHeatAgainstTheSlowWay(t *testing.T) {
--- a/store/rules.go
+++ b/store/rules.go
@@ -14,7 +14,7 @@
 // Known tells whether a table is a repeat: it says just what the edition after
 // its base said.
 func (s *State) Known(t blueprint.Table) bool {
-	return slices.Contains(s.Past, Put{t.Edition + 1, t.Hash()})
+	return slices.Contains(s.Past, Put{t.Next().Edition, t.Hash()})
 }
 
 // CheckTable tells whether a table may be put now, or is a repeat.
@@ -25,7 +25,13 @@
 	if t.Edition != s.Table.Edition {
 		return fault.New(fault.Stale, "edition", fmt.Sprintf("based on edition %d, but %d is in force", t.Edition, s.Table.Edition))
 	}
+	if t.Becomes != 0 && t.Becomes <= s.Table.Edition {
+		return fault.New(fault.BadField, "becomes", fmt.Sprintf("edition %d is in force", s.Table.Edition))
+	}
 	for i, r := range s.Table.Rows {
+		if t.Orphans == blueprint.Finish {
+			break
+		}
 		if _, ok := t.Find(r.Name); !ok && s.held[r.Name].jobs > 0 {
 			return fault.New(fault.InUse, fmt.Sprintf("queues[%d].name", i),
 				fmt.Sprintf("queue %s of the table in force has %d unfinished jobs and may not be left out", r.Name, s.held[r.Name].jobs))
--- a/store/shot.go
+++ b/store/shot.go
@@ -22,6 +22,8 @@
 	Count  map[mark.Queue]*Counts `json:"count"`
 	Drains []Drain                `json:"drains,omitempty"`
 	Plans  []Plan                 `json:"plans,omitempty"`
+	// Retired are the rows of queues that were left out with unfinished jobs.
+	Retired map[mark.Queue]blueprint.Row `json:"retired,omitempty"`
 }
 
 type shot struct {
--- a/store/spec.go
+++ b/store/spec.go
@@ -15,7 +15,12 @@
 	"coppercourse/mark"
 )
 
-// Step is one stage of a job: so many tasks of one shape.
+// Step is one stage of a job: so many tasks of one shape. Rack and Labels say
+// where its tasks must run, Near the rack where its data is; OneRack that they
+// are slower when spread over racks. With Copies a second attempt may run beside
+// a first, with Keeps an attempt goes on from what the last one saved, and what
+// Lasts is started again however it ends. The members of a Joint gang work only
+// together, and one good end stands for all of them.
 type Step struct {
 	Name   string          `json:"name"`
 	After  []string        `json:"after,omitempty"`
@@ -29,20 +34,41 @@
 	Not    string          `json:"not_before,omitempty"`
 	Limit  int             `json:"limit_ms,omitempty"`
 	Work   json.RawMessage `json:"work,omitempty"`
+
+	Labels   []string  `json:"labels,omitempty"`
+	Near     mark.Rack `json:"near,omitempty"`
+	OneRack  bool      `json:"one_rack,omitempty"`
+	Estimate int       `json:"estimate_ms,omitempty"`
+	Copies   bool      `json:"copies,omitempty"`
+	Keeps    bool      `json:"keeps,omitempty"`
+	Lasts    bool      `json:"lasts,omitempty"`
+	Joint    bool      `json:"joint,omitempty"`
+}
+
+// Times are when a job's steps run: Count times, the first at First, counted in
+// milliseconds from 1970, the others Every milliseconds after one another.
+type Times struct {
+	First int64 `json:"first_ms"`
+	Every int64 `json:"every_ms"`
+	Count int   `json:"count"`
 }
 
-// Spec is a whole job.
+// Spec is a whole job. Work is for steps that bring none of their own.
 type Spec struct {
-	Queue   mark.Queue `json:"queue"`
-	Urgency int        `json:"urgency,omitempty"`
-	Steps   []Step     `json:"steps"`
+	Queue   mark.Queue      `json:"queue"`
+	Urgency int             `json:"urgency,omitempty"`
+	Steps   []Step          `json:"steps"`
+	Times   *Times          `json:"times,omitempty"`
+	Work    json.RawMessage `json:"work,omitempty"`
 }
 
 const (
-	steps = 64
-	tasks = 1000
-	total = 2000
-	work  = 16 << 10
+	steps  = mark.MostSteps
+	tasks  = mark.MostTasks
+	total  = 20_000
+	times  = 10_000
+	work   = 16 << 10
+	labels = 16
 	// Body is how large a job or a table may be.
 	Body = 256 << 10
 )
@@ -50,19 +76,33 @@
 // ReadSpec reads and checks a job.
 func ReadSpec(b []byte, heap *fault.Heap) (s Spec) {
 	r := blueprint.NewReader(b, heap)
+	var raw []byte
 	r.Whole(map[string]blueprint.Field{
+		"work":    blueprint.Raw(r, &raw, work),
+		"times":   func(at string) { s.Times = readTimes(r, at) },
 		"queue":   blueprint.Text(r, &s.Queue, blueprint.Name),
 		"urgency": blueprint.Num(r, &s.Urgency, 0, 9),
 		"steps": func(at string) {
 			r.List(at, steps, func(at string, _ int) { s.Steps = append(s.Steps, readStep(r, at)) })
 		},
 	})
+	s.Work = raw
 	if len(heap.List()) == 0 {
-		s.check(heap)
+		s.Check(heap)
 	}
 	return
 }
 
+func readTimes(r *blueprint.Reader, at string) *Times {
+	t := &Times{Count: 1}
+	r.Obj(at, map[string]blueprint.Field{
+		"first_ms": blueprint.Num(r, &t.First, 0, 1<<53),
+		"every_ms": blueprint.Num(r, &t.Every, 0, 1<<40),
+		"count":    blueprint.Num(r, &t.Count, 1, times),
+	})
+	return t
+}
+
 func readStep(r *blueprint.Reader, at string) (s Step) {
 	s.Tasks, s.Room = 1, mark.Room{Cores: mark.Core}
 	var raw []byte
@@ -96,12 +136,27 @@
 		})),
 		"limit_ms": blueprint.Num(r, &s.Limit, 0, 86_400_000),
 		"work":     blueprint.Raw(r, &raw, work),
+		"labels": func(at string) {
+			r.List(at, labels, func(at string, _ int) {
+				var n string
+				blueprint.Text(r, &n, blueprint.Name)(at)
+				s.Labels = append(s.Labels, n)
+			})
+		},
+		"near":        blueprint.Text(r, &s.Near, blueprint.Maybe(blueprint.Name)),
+		"one_rack":    blueprint.Bool(r, &s.OneRack),
+		"estimate_ms": blueprint.Num(r, &s.Estimate, 0, 86_400_000),
+		"copies":      blueprint.Bool(r, &s.Copies),
+		"keeps":       blueprint.Bool(r, &s.Keeps),
+		"lasts":       blueprint.Bool(r, &s.Lasts),
+		"joint":       blueprint.Bool(r, &s.Joint),
 	})
 	s.Work = raw
 	return
 }
 
-func (s Spec) check(h *fault.Heap) {
+// Check tells all that is wrong with a job as a whole.
+func (s Spec) Check(h *fault.Heap) {
 	h.Check(s.Queue != "", "queue", "missing")
 	h.Check(len(s.Steps) > 0, "steps", "missing or empty")
 	sum, at := 0, map[string]int{}
@@ -114,6 +169,10 @@
 		at[p.Name] = i
 		sum += p.Tasks
 	}
+	if s.Times != nil {
+		h.Check(s.Times.Count >= 1 && s.Times.Count <= times, "times.count", fmt.Sprintf("want 1 to %d", times))
+		sum *= s.Times.Count
+	}
 	h.Check(sum <= total, "steps", fmt.Sprintf("more than %d tasks in all", total))
 	for i, p := range s.Steps {
 		for j, a := range p.After {
@@ -157,34 +216,75 @@
 // Bytes is about what the job takes in memory and on disk.
 func (s Spec) Bytes() (n int) {
 	for _, p := range s.Steps {
-		n += 256 + len(p.Work) + 64*p.Tasks
+		n += 256 + len(p.Work) + 64*p.Tasks*s.Count()
 	}
-	return
+	return n + len(s.Work)
 }
 
-// Total is how many tasks the job has.
-func (s Spec) Total() (n int) {
+// Count is how many times the steps run.
+func (s Spec) Count() int {
+	if s.Times == nil {
+		return 1
+	}
+	return s.Times.Count
+}
+
+// once is how many tasks the steps have together.
+func (s Spec) once() (n int) {
 	for _, p := range s.Steps {
 		n += p.Tasks
 	}
 	return
 }
 
-// Step gives the index of the step a task belongs to.
+// Total is how many tasks the job has.
+func (s Spec) Total() int { return s.Count() * s.once() }
+
+// Step gives the step that a task's number names, or -1 if the job has no such
+// task.
 func (s Spec) Step(n int) int {
-	for i, p := range s.Steps {
-		if n < p.Tasks {
-			return i
+	time, step, place := mark.Parts(n)
+	if n < 0 || time >= s.Count() || step >= len(s.Steps) || place >= s.Steps[step].Tasks {
+		return -1
+	}
+	return step
+}
+
+// Index gives a task's place in the flat list of all of the job's, or -1.
+func (s Spec) Index(n int) int {
+	step := s.Step(n)
+	if step < 0 {
+		return -1
+	}
+	time, _, place := mark.Parts(n)
+	return time*s.once() + s.base(step) + place
+}
+
+// No gives the number of the task at a place of the flat list.
+func (s Spec) No(i int) int {
+	once := s.once()
+	time, i := i/once, i%once
+	for step, p := range s.Steps {
+		if i < p.Tasks {
+			return mark.No(time, step, i)
 		}
-		n -= p.Tasks
+		i -= p.Tasks
 	}
 	return -1
 }
 
-// Base is the number of a step's first task.
-func (s Spec) Base(step int) (n int) {
+// base is where a step's tasks begin within one time's.
+func (s Spec) base(step int) (n int) {
 	for _, p := range s.Steps[:step] {
 		n += p.Tasks
 	}
 	return
 }
+
+// What is the work of a step.
+func (s Spec) What(step int) json.RawMessage {
+	if w := s.Steps[step].Work; w != nil {
+		return w
+	}
+	return s.Work
+}
--- a/store/state.go
+++ b/store/state.go
@@ -3,6 +3,7 @@
 package store
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -39,9 +40,11 @@
 	Shard mark.Shard `json:"shard"`
 }
 
+// End is how a leg ended; Ref is what it saved, if it saves anything.
 type End struct {
 	Leg  mark.Leg `json:"leg"`
 	Fate Fate     `json:"fate"`
+	Ref  string   `json:"ref,omitempty"`
 }
 
 // Shape is what a worker is made of, kept so that a job that no worker could
@@ -149,9 +152,9 @@
 	switch {
 	case f.Table != nil:
 		bad = s.CheckTable(*f.Table)
-		if bad == nil && f.Table.Edition == s.Table.Edition {
-			s.Table = *f.Table
-			s.Table.Edition++
+		if bad == nil && !s.Known(*f.Table) {
+			s.retire(s.Table, *f.Table)
+			s.Table = f.Table.Next()
 			s.Past = append(s.Past, Put{s.Table.Edition, s.Table.Hash()})
 			s.Past = s.Past[max(0, len(s.Past)-puts):]
 			s.judge()
@@ -172,15 +175,7 @@
 	for _, b := range f.Backs {
 		s.back(b)
 	}
-	for _, g := range f.Legs {
-		j := s.live[g.Leg.Job]
-		if j == nil {
-			continue
-		}
-		if s.touch(j); j.give(g.Leg.N, g.Shard, s.row(j.Queue), s.Tick) {
-			legs = append(legs, Give{mark.Leg{Task: g.Leg.Task, Leg: j.Tasks[g.Leg.N].Leg}, g.Shard})
-		}
-	}
+	legs = s.give(f.Legs)
 	for _, e := range f.Ends {
 		s.end(e)
 	}
@@ -191,6 +186,34 @@
 	return
 }
 
+// give hands out legs; a gang of a joint step is given whole or not at all.
+func (s *State) give(list []Give) (legs []Give) {
+	type gang struct {
+		job mark.JobID
+		at  mark.Stage
+	}
+	part := map[gang]int{}
+	for _, g := range list {
+		if j := s.live[g.Leg.Job]; j != nil && j.may(j.Task(g.Leg.N), s.row(j.Queue), s.Tick) {
+			part[gang{j.ID, mark.StageOf(g.Leg.N)}]++
+		}
+	}
+	for _, g := range list {
+		j := s.live[g.Leg.Job]
+		if j == nil || j.Task(g.Leg.N) == nil {
+			continue
+		}
+		at := mark.StageOf(g.Leg.N)
+		if p := j.Spec.Steps[at.Step()]; p.Joint && part[gang{j.ID, at}] < p.Tasks {
+			continue
+		}
+		if s.touch(j); j.give(g.Leg.N, g.Leg.Leg, g.Shard, s.row(j.Queue), s.Tick) {
+			legs = append(legs, Give{mark.Leg{Task: g.Leg.Task, Leg: j.Task(g.Leg.N).Leg}, g.Shard})
+		}
+	}
+	return
+}
+
 func (s *State) accept(m Submit) *fault.Fault {
 	known, bad := s.CheckJob(m.ID, m.Spec)
 	if known != nil || bad != nil {
@@ -241,18 +264,45 @@
 		c.Lost++
 	}
 	s.touch(j)
-	j.end(e.Leg.N, e.Leg.Leg, e.Fate, s.row(j.Queue), s.Tick)
+	j.end(e, s.row(j.Queue), s.Tick)
 	s.close(j)
 }
 
+// Row is the row that a queue's jobs go by: the table's, or the last one of a
+// queue that was left out while it had unfinished jobs.
+func (s *State) Row(q mark.Queue) (row blueprint.Row, ok bool) {
+	if row, ok = s.Table.Find(q); !ok {
+		row, ok = s.Retired[q]
+	}
+	return
+}
+
 func (s *State) row(q mark.Queue) blueprint.Row {
-	row, ok := s.Table.Find(q)
+	row, ok := s.Row(q)
 	if !ok {
 		row.Tries = 1
 	}
 	return row
 }
 
+// retire keeps the rows of queues that have unfinished jobs and are not in the
+// new table.
+func (s *State) retire(old, next blueprint.Table) {
+	rows := maps.Clone(s.Retired)
+	if rows == nil {
+		rows = map[mark.Queue]blueprint.Row{}
+	}
+	for _, r := range old.Rows {
+		rows[r.Name] = r
+	}
+	for q := range rows {
+		if _, ok := next.Find(q); ok || s.held[q].jobs == 0 {
+			delete(rows, q)
+		}
+	}
+	s.Retired = rows
+}
+
 // judge ends what a new table leaves no try.
 func (s *State) judge() {
 	for _, j := range s.Live() {
@@ -261,7 +311,7 @@
 		}
 		s.touch(j)
 		for n := range j.Tasks {
-			j.judge(n, &j.Tasks[n], s.row(j.Queue))
+			j.judge(&j.Tasks[n], s.row(j.Queue))
 		}
 		j.turn(s.Tick)
 		s.close(j)
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -42,7 +42,7 @@
 }
 
 func give(n int) []Give         { return []Give{{leg(n, 0), "k"}} }
-func end(n, l int, f Fate) Fact { return Fact{Ends: []End{{leg(n, l), f}}} }
+func end(n, l int, f Fate) Fact { return Fact{Ends: []End{{Leg: leg(n, l), Fate: f}}} }
 
 func TestLegNumbersAndTries(t *testing.T) {
 	is := is.New(t)
@@ -96,10 +96,10 @@
 		at   mark.Tick
 		want Stage
 	}{
-		{"it ended well", End{leg(0, 2), OK}, 17 * sec, Done},
-		{"it failed too", End{leg(0, 2), Bad}, 17 * sec, Failed},
-		{"too early to give up", End{leg(0, 2), Waited}, 17 * sec, Open},
-		{"nobody ever told", End{leg(0, 2), Waited}, 30 * sec, Failed},
+		{"it ended well", End{Leg: leg(0, 2), Fate: OK}, 17 * sec, Done},
+		{"it failed too", End{Leg: leg(0, 2), Fate: Bad}, 17 * sec, Failed},
+		{"too early to give up", End{Leg: leg(0, 2), Fate: Waited}, 17 * sec, Open},
+		{"nobody ever told", End{Leg: leg(0, 2), Fate: Waited}, 30 * sec, Failed},
 	} {
 		s := town(t)
 		row := s.Table.Rows[0]
--- /dev/null
+++ b/store/task.go
@@ -0,0 +1,77 @@
+// One task of a job: how its legs ended, what is known of it, and whether it may
+// have another.
+package store
+
+import (
+	"slices"
+
+	"coppercourse/blueprint"
+	"coppercourse/mark"
+)
+
+// Fate is how a leg ended.
+type Fate string
+
+const (
+	OK     Fate = "ok"
+	Bad    Fate = "failed"
+	Lost   Fate = "lost"
+	Cut    Fate = "cut off" // lost with its whole locality, which may come back
+	Waited Fate = "waited"  // a lost leg's end has been waited for long enough
+	Halted Fate = "stopped"
+	Unrun  Fate = "refused" // it never ran and never will
+	Gone   Fate = "gone"    // its worker process is known to have ended
+	Lapsed Fate = "lapsed"  // its lease ended unseen: nothing that it did counts any more
+)
+
+// doubtful fates are not the last word: the leg may have ended well unseen.
+func (f Fate) doubtful() bool { return f == Lost || f == Cut }
+
+// Fact is true for what a worker did, whoever tells it.
+func (f Fate) Fact() bool { return f == OK || f == Bad }
+
+// Out is the leg given out and not ended.
+type Out struct {
+	Shard mark.Shard `json:"shard"`
+	At    mark.Tick  `json:"at"`
+	Back  Why        `json:"back,omitempty"` // it is being taken back
+}
+
+// Task is one task's account. Fails are what the queue's tries count.
+type Task struct {
+	Leg   int        `json:"leg"`
+	Out   *Out       `json:"out,omitempty"`
+	Done  bool       `json:"done,omitempty"`
+	Dead  bool       `json:"dead,omitempty"`
+	Fails int        `json:"fails,omitempty"`
+	Lost  int        `json:"lost,omitempty"`
+	Halts int        `json:"stopped,omitempty"`
+	Moved int        `json:"displaced,omitempty"`
+	Shun  mark.Shard `json:"shun,omitempty"` // where a leg of it stalled or failed last
+	Ready mark.Tick  `json:"ready"`
+	// Doubt is the worker whose word is awaited: the last leg was lost there,
+	// and may yet turn out to have ended well.
+	Doubt mark.Shard `json:"doubt,omitempty"`
+	Limbo []int      `json:"limbo,omitempty"` // legs lost whose true end is not known
+	Shut  int        `json:"shut,omitempty"`  // legs up to this one have lapsed
+	Bad   int        `json:"bad,omitempty"`   // the last leg of it that was counted failed
+	Ref   string     `json:"ref,omitempty"`   // what its last leg saved, to go on from
+}
+
+// spent tells whether a task may be given out no more.
+func (t Task) spent(row blueprint.Row) bool {
+	return t.Fails >= row.Tries || row.Losses > 0 && t.Lost >= row.Losses
+}
+
+// Knows tells whether an end of a leg would change nothing any more.
+func (t Task) Knows(leg int, f Fate) bool {
+	switch {
+	case t.Out != nil && t.Leg == leg:
+		return false
+	case leg <= t.Shut:
+		return true
+	case slices.Contains(t.Limbo, leg):
+		return f.doubtful()
+	}
+	return f != OK || t.Done
+}
--- a/store/window.go
+++ b/store/window.go
@@ -31,11 +31,11 @@
 
 func (s *State) back(b Back) {
 	j := s.live[b.Leg.Job]
-	if j == nil || j.State != Open || b.Leg.N < 0 || b.Leg.N >= len(j.Tasks) {
+	if j == nil || j.State != Open {
 		return
 	}
-	t := &j.Tasks[b.Leg.N]
-	if t.Out == nil || t.Leg != b.Leg.Leg || t.Out.Back != "" {
+	t := j.Task(b.Leg.N)
+	if t == nil || t.Out == nil || t.Leg != b.Leg.Leg || t.Out.Back != "" {
 		return
 	}
 	s.touch(j)
--- a/trial/check.go
+++ b/trial/check.go
@@ -264,7 +264,7 @@
 			}
 			for _, a := range p.After {
 				for i, q := range j.spec.Steps {
-					for m := j.spec.Base(i); q.Name == a && m < j.spec.Base(i)+q.Tasks; m++ {
+					for m := mark.No(0, i, 0); q.Name == a && m < mark.No(0, i, q.Tasks); m++ {
 						if !j.good(m, s.from) {
 							c.bad("order", s.from, "%v starts before task %d of step %s ended well", s.leg, m, a)
 						}
--- a/trial/check2.go
+++ b/trial/check2.go
@@ -42,8 +42,8 @@
 				continue
 			}
 			at := 0
-			for m := j.spec.Base(i); m < j.spec.Base(i)+p.Tasks; m++ {
-				for _, o := range j.spans[m] {
+			for m := range p.Tasks {
+				for _, o := range j.spans[mark.No(0, i, m)] {
 					if o.who == s.who && o.from <= s.from && o.to > s.from {
 						at++
 					}
@@ -93,7 +93,7 @@
 		if !p.Gang {
 			continue
 		}
-		b := j.spec.Base(i)
+		b := mark.No(0, i, 0)
 		for n := b; n < b+p.Tasks; n++ {
 			for _, s := range j.spans[n] {
 				for m := b; m < b+p.Tasks; m++ {
@@ -172,7 +172,8 @@
 
 func (c *checker) told(j *job, h Happening) {
 	dead, late := false, 0
-	for n := range j.spec.Total() {
+	for i := range j.spec.Total() {
+		n := j.spec.No(i)
 		fails, last := 0, int64(0)
 		for _, s := range j.spans[n] {
 			if s.runs(h.At, c.end) {
--- a/truth/head.go
+++ b/truth/head.go
@@ -25,7 +25,7 @@
 type Hold struct {
 	Leg   mark.Leg
 	Shard mark.Shard
-	Step  int
+	Stage mark.Stage // or -1, where the log does not have it
 	Room  mark.Room
 	Phase phase
 	Usual string // what its time is compared with
@@ -198,7 +198,7 @@
 		if o := h.holds[r.Leg]; o != nil && o.Shard == s.Shard {
 			o.Phase = sure
 		} else if o == nil {
-			h.holds[r.Leg] = &Hold{Leg: r.Leg, Shard: s.Shard, Step: -1, Room: r.Room, Phase: sure, At: h.now}
+			h.holds[r.Leg] = &Hold{Leg: r.Leg, Shard: s.Shard, Stage: -1, Room: r.Room, Phase: sure, At: h.now}
 		}
 	}
 	fate := store.Lost
@@ -266,8 +266,8 @@
 }
 
 // Order marks a leg running and sends it, once.
-func (h *Head) Order(shard mark.Shard, step int, usual string, j Job) {
-	o := &Hold{Leg: j.Leg, Shard: shard, Step: step, Room: j.Room, Phase: sent, Usual: usual, Limit: time.Duration(j.Limit) * time.Millisecond, At: h.now}
+func (h *Head) Order(shard mark.Shard, at mark.Stage, usual string, j Job) {
+	o := &Hold{Leg: j.Leg, Shard: shard, Stage: at, Room: j.Room, Phase: sent, Usual: usual, Limit: time.Duration(j.Limit) * time.Millisecond, At: h.now}
 	h.holds[j.Leg] = o
 	s := h.seats[shard]
 	if s == nil || s.State != Healthy || s.Leaving || h.grace <= 0 {
