--- a/word/step.go
+++ b/word/step.go
@@ -16,6 +16,7 @@
 	Note   *Note
 	Ask    *Ask
 	Synced uint64
+	Reply  *WorkerReply
 	Close  bool
 }
 
@@ -27,18 +28,21 @@
 	Body  json.RawMessage
 }
 
-// Answer ends an ask: a body, or a fault.
+// Answer ends an ask: a body, or a fault. Lead is whom to ask instead, where a
+// daemon that does not lead was asked for what only the leader can tell.
 type Answer struct {
 	Token uint64
 	Code  int
 	Body  json.RawMessage
 	Fault *fault.Fault
+	Lead  mark.Addr
 }
 
 // Out is what a step wants done. Batch is one group of records to sync as
 // number Seq; Whole puts it in place of the file.
 type Out struct {
 	Sends   []Send
+	Calls   []WorkerCall
 	Batch   [][]byte
 	Seq     uint64
 	Whole   bool
