Daemons start from the platform's settings file and find one another

Cause: the users run everything on their platform, which gives each process one YAML file, several addresses to listen on and bounds in place of timings. Ruled out: timings typed in beside the bounds (they would contradict at the next deployment); one listener for all (the platform calls fronts, readiness and control at addresses of their own); a helm without a disk that refuses to start (a spare machine may get the role): it runs as a gate and hands over. Conclusion: the processes stand; the platform's calls come next.

--- a/cmd/coppercourse/daemons.go
+++ b/cmd/coppercourse/daemons.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand"
+	"net/http"
 	"os"
 	"os/signal"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 
+	"coppercourse/blueprint"
 	"coppercourse/door"
 	"coppercourse/fault"
 	"coppercourse/gate"
@@ -38,7 +40,7 @@
 	"ward": "Run the daemon beside a worker.",
 }
 
-var starts = map[string]func(context.Context, logr.Logger, place.Settings) error{"helm": runHelm, "gate": runGate, "ward": runWard}
+var starts = map[string]func(*daemon) error{"helm": runHelm, "gate": runGate, "ward": runWard}
 
 func daemons(app *kingpin.Application, runs map[string]func() error) {
 	for _, role := range []string{"helm", "gate", "ward"} {
@@ -96,15 +98,18 @@
 		fmt.Println("settings are fine")
 		return nil
 	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return starts[role](&daemon{ctx: ctx, log: logger(role, s), s: s})
+}
+
+func logger(role string, s place.Settings) logr.Logger {
 	level := 0
 	if s.Log == "debug" {
 		level = 1
 	}
-	log := funcr.NewJSON(func(line string) { fmt.Fprintln(os.Stderr, line) }, funcr.Options{LogTimestamp: true, Verbosity: level}).
+	return funcr.NewJSON(func(line string) { fmt.Fprintln(os.Stderr, line) }, funcr.Options{LogTimestamp: true, Verbosity: level}).
 		WithName(role).WithValues("address", s.Address)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	return starts[role](ctx, log, s)
 }
 
 func chance() *rand.Rand {
@@ -113,13 +118,43 @@
 	return rand.New(rand.NewSource(int64(binary.LittleEndian.Uint64(b[:]))))
 }
 
-func runHelm(ctx context.Context, log logr.Logger, s place.Settings) error {
+// daemon is one to run, and what a deployment adds to it: further addresses,
+// who else is given the table, and how its worker is called.
+type daemon struct {
+	ctx     context.Context
+	log     logr.Logger
+	s       place.Settings
+	ports   func(*door.Pages) []door.Port
+	publish func(blueprint.Table, bool)
+	caller  door.Caller
+	said    string
+}
+
+// serve runs the machine behind its pages on the inner address, and the rest.
+func (d *daemon) serve(p *door.Pages, h http.Handler) error {
+	ports := []door.Port{{Addr: d.s.Listen, Handler: h, Conns: d.s.Conns}}
+	if d.ports != nil {
+		ports = append(ports, d.ports(p)...)
+	}
+	return door.Serve(d.ctx, d.log, p, door.Leave(d.s.Bounds.Stops()), ports...)
+}
+
+// state logs what changed since it was last looked at.
+func (d *daemon) state(what ...any) {
+	if now := fmt.Sprint(what...); now != d.said {
+		d.said = now
+		d.log.Info("state", what...)
+	}
+}
+
+func runHelm(d *daemon) error {
+	s := d.s
 	file, recs, spoilt, err := lore.Open(s.Data)
 	if err != nil {
 		return err
 	}
 	if spoilt != "" {
-		log.Error(nil, "the data file is damaged; put aside, starting as a new member", "kept", spoilt)
+		d.log.Error(nil, "the data file is damaged; put aside, starting as a new member", "kept", spoilt)
 	}
 	post := door.NewPost(context.Background(), s.Source)
 	o := door.NewOwner(post, file)
@@ -127,61 +162,56 @@
 		Core: s.Pace.Core(), Truth: s.Pace.Truth()}, recs)
 	o.Carry(m)
 	var ready atomic.Bool
-	said := ""
 	o.Show = func() any {
 		v := m.Status()
-		if now := fmt.Sprint(v.Part, v.Term, v.Leader, v.Why, v.Wait == "", len(v.Roll)); now != said {
-			said = now
-			log.Info("state", "part", v.Part, "term", v.Term, "leader", v.Leader, "reason", v.Why, "initial_wait", v.Wait, "members", len(v.Roll))
-		}
+		d.state("part", v.Part, "term", v.Term, "leader", v.Leader, "reason", v.Why, "waits", v.Wait != "", "members", len(v.Roll))
 		return v
 	}
 	o.After = func() { ready.Store(m.Ready()) }
 	p := &door.Pages{Owner: o, Post: post, Trail: m.Trail, Ready: ready.Load}
-	return door.Serve(ctx, log, s.Listen, p, p.Router())
+	return d.serve(p, p.Router())
 }
 
-func runGate(ctx context.Context, log logr.Logger, s place.Settings) error {
+func runGate(d *daemon) error {
+	s := d.s
 	post := door.NewPost(context.Background(), s.Source)
 	o := door.NewOwner(post, nil)
-	m := gate.New(door.Now(), chance(), gate.Place{Addr: s.Addr(), Loc: s.Loc(), Seeds: s.Near(), Issue: version})
+	m := gate.New(door.Now(), chance(), gate.Place{Addr: s.Addr(), Loc: s.Loc(), Seeds: s.Near(), Issue: version, Stale: s.Pace.News()})
 	o.Carry(m)
 	var ready atomic.Bool
-	said := ""
 	o.Show = func() any {
 		v := m.Status()
-		if now := fmt.Sprint(v.Ready, v.Leader, v.Edition); now != said {
-			said = now
-			log.Info("state", "ready", v.Ready, "leader", v.Leader, "table_edition", v.Edition)
-		}
+		d.state("ready", v.Ready, "leader", v.Leader, "table_edition", v.Edition)
 		return v
 	}
 	entry := &door.Entry{}
 	o.After = func() {
 		ready.Store(m.Ready())
-		entry.Publish(m.Table())
+		t, fresh := m.Table()
+		entry.Publish(t, fresh)
+		if d.publish != nil {
+			d.publish(t, fresh)
+		}
 	}
 	p := &door.Pages{Owner: o, Post: post, Trail: m.Trail, Ready: ready.Load}
-	return door.Serve(ctx, log, s.Listen, p, entry.Routes(p))
+	return d.serve(p, entry.Routes(p))
 }
 
-func runWard(ctx context.Context, log logr.Logger, s place.Settings) error {
+func runWard(d *daemon) error {
+	s := d.s
 	post := door.NewPost(context.Background(), s.Source)
 	o := door.NewOwner(post, nil)
 	m := ward.New(door.Now(), chance(), ward.Place{Addr: s.Addr(), Loc: s.Loc(), Shard: s.ShardName(), Seeds: s.Near(),
 		Issue: version, Truth: s.Pace.Truth()})
 	o.Carry(m)
-	said := ""
+	o.Caller = d.caller
 	o.Show = func() any {
 		v := m.Status()
-		if now := fmt.Sprint(v.Account.State, v.Account.Term, v.Account.ID, v.Account.Leaving); now != said {
-			said = now
-			log.Info("state", "soundness", v.Account.State, "term", v.Account.Term, "instance", v.Account.ID, "leaving", v.Account.Leaving)
-		}
+		d.state("soundness", v.Account.State, "term", v.Account.Term, "instance", v.Account.ID, "leaving", v.Account.Leaving)
 		return v
 	}
 	p := &door.Pages{Owner: o, Post: post, Trail: m.Trail, Ready: func() bool { return true }}
 	r := p.Router()
 	r.HandleFunc("/v1/poll", p.Ask("poll")).Methods("POST")
-	return door.Serve(ctx, log, s.Listen, p, r)
+	return d.serve(p, r)
 }
--- /dev/null
+++ b/cmd/coppercourse/deployed.go
@@ -0,0 +1,58 @@
+// The daemons as they run on the users' platform: settings from its file, the
+// same machines and pages, and beside them what the platform calls.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"coppercourse/door"
+	"coppercourse/platform"
+)
+
+func deployed(app *kingpin.Application, runs map[string]func() error) {
+	c := app.Command("platform", "Run a daemon from the settings file of the platform, or check one.")
+	for _, role := range platform.Roles {
+		c.Command(role, roles[role])
+		runs["platform "+role] = func() error { return deploy(role) }
+	}
+	check := c.Command("check", "Check a settings file and tell what the daemon would do.")
+	file := check.Arg("file", "Settings file (YAML).").Required().String()
+	runs["platform check"] = func() error {
+		b, err := platform.LoadFile("", *file)
+		if err == nil {
+			fmt.Println(strings.Join(b.Tell(), "\n"))
+		}
+		return err
+	}
+}
+
+func deploy(role string) error {
+	signal.Ignore(syscall.SIGHUP) // until the file is watched
+	b, path, err := platform.Load(role)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	d := &daemon{ctx: ctx, log: logger(role, b.Settings), s: b.Settings}
+	platform.Watch(ctx, d.log, path, b, func(platform.Boot) {})
+	outside[role](b, d)
+	return starts[b.Machine()](d)
+}
+
+// outside is what the platform calls on each role, beside the inner address.
+var outside = map[string]func(platform.Boot, *daemon){
+	"gate": func(b platform.Boot, d *daemon) {
+		d.ports = func(p *door.Pages) []door.Port { return nil }
+	},
+	"helm": func(b platform.Boot, d *daemon) {
+	},
+	"ward": func(b platform.Boot, d *daemon) {
+	},
+}
--- a/cmd/coppercourse/main.go
+++ b/cmd/coppercourse/main.go
@@ -19,6 +19,7 @@
 	app.UsageTemplate(kingpin.CompactUsageTemplate)
 	runs := map[string]func() error{}
 	daemons(app, runs)
+	deployed(app, runs)
 	verbs(app, runs)
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := runs[name](); err != nil {
--- a/door/owner.go
+++ b/door/owner.go
@@ -39,6 +39,8 @@
 	shown  time.Time
 	Show   func() any // run by the owner, to publish
 	After  func()     // run by the owner after each step
+	Caller Caller     // carries calls to a worker
+	slots  chan struct{}
 	view   atomic.Pointer[json.RawMessage]
 	idle   atomic.Bool
 	full   atomic.Uint64
@@ -53,7 +55,8 @@
 }
 
 func NewOwner(post *Post, file *lore.File) *Owner {
-	o := &Owner{post: post, in: make(chan event, inbox), closed: make(chan struct{}), asks: map[uint64]chan word.Answer{}}
+	o := &Owner{post: post, in: make(chan event, inbox), closed: make(chan struct{}), asks: map[uint64]chan word.Answer{},
+		slots: make(chan struct{}, callsAtOnce)}
 	if file != nil {
 		o.disk = &Disk{file: file, in: make(chan batch, 1024), done: o.synced}
 	}
@@ -143,6 +146,9 @@
 	for _, s := range out.Sends {
 		o.post.Send(s)
 	}
+	for _, c := range out.Calls {
+		o.call(c)
+	}
 	if out.Batch != nil {
 		o.disk.in <- batch{out.Batch, out.Seq, out.Whole}
 	}
--- a/door/post.go
+++ b/door/post.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -41,16 +40,6 @@
 	return &Post{ctx: ctx, client: Client(source, 2*time.Second), lanes: map[mark.Addr]chan word.Note{}}
 }
 
-// Client is an HTTP client that dials from one source IP.
-func Client(source string, wait time.Duration) *http.Client {
-	d := &net.Dialer{Timeout: limit}
-	if ip := net.ParseIP(source); ip != nil {
-		d.LocalAddr = &net.TCPAddr{IP: ip}
-	}
-	return &http.Client{Timeout: wait, Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 64,
-		IdleConnTimeout: 30 * time.Second, MaxConnsPerHost: 512}}
-}
-
 // Send puts a note into its lane; a full lane drops it.
 func (p *Post) Send(s word.Send) {
 	p.mu.Lock()
--- a/door/serve.go
+++ b/door/serve.go
@@ -1,7 +1,7 @@
 // Running a daemon: listen, keep its parts going under the supervisor, and on
 // a warning stop in order. First it says that it is not ready and hands its
 // duties over, then it waits until all that was read is answered, and only
-// then does it close the listener and end.
+// then does it close the listeners and end.
 package door
 
 import (
@@ -14,74 +14,198 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/net/netutil"
 
+	"coppercourse/blueprint"
 	"coppercourse/care"
 	"coppercourse/fault"
 )
 
-const (
-	linger = 700 * time.Millisecond
-	finish = 4 * time.Second
-	conns  = 4096
-)
+// Port is one address a daemon listens on, and what it answers there. Limits,
+// where given, bound what connections made from then on may bring; Conns is how
+// many there may be at once.
+type Port struct {
+	Addr    string
+	Handler http.Handler
+	Limits  func() blueprint.Limits
+	Conns   int
+}
+
+// Parting is how a daemon ends: it goes on as before for Linger, so that all
+// have seen that it is not ready, then turns away what is new, and has ended
+// after Finish.
+type Parting struct{ Linger, Finish time.Duration }
+
+// Leave is the parting within what there is between a warning and the end, when
+// all have seen after notice that the daemon is not ready.
+func Leave(grace, notice time.Duration) Parting {
+	return Parting{Linger: min(notice, grace/2), Finish: grace * 3 / 4}
+}
+
+const conns = 4096
 
 // Serve runs the daemon until ctx is done, then stops it in order.
-func Serve(ctx context.Context, log logr.Logger, listen string, p *Pages, h http.Handler) error {
-	ln, err := net.Listen("tcp", listen)
-	if err != nil {
-		return fault.Wrap(fault.BadSetting, err, "listen")
-	}
-	srv := &http.Server{Handler: p.Wrap(h), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 15 * time.Second,
-		IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10}
+func Serve(ctx context.Context, log logr.Logger, p *Pages, end Parting, ports ...Port) error {
 	root, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	kids := []care.Child{
-		{Name: "owner", Vital: true, Run: p.Owner.Run},
-		{Name: "http", Vital: true, Run: func(c context.Context) error {
-			if err := srv.Serve(netutil.LimitListener(ln, conns)); !errors.Is(err, http.ErrServerClosed) {
-				return err
-			}
-			return nil
-		}},
-		{Name: "stop", Run: func(c context.Context) error {
-			select {
-			case <-ctx.Done():
-				p.wind(c, log)
-				stop()
-			case <-c.Done():
-			}
-			end, done := context.WithTimeout(context.Background(), finish)
-			defer done()
-			if err := srv.Shutdown(end); err != nil {
-				srv.Close()
-			}
-			return nil
-		}},
+	kids := []care.Child{{Name: "owner", Vital: true, Run: p.Owner.Run}}
+	var servers []*server
+	for _, port := range ports {
+		s, err := open(ctx, p, port)
+		if err != nil {
+			return fault.Wrap(fault.BadSetting, err, "listen")
+		}
+		servers = append(servers, s)
+		kids = append(kids, care.Child{Name: "http " + port.Addr, Vital: true, Run: s.run})
+		log.Info("serving", "listen", port.Addr)
 	}
+	kids = append(kids, care.Child{Name: "stop", Run: func(c context.Context) error {
+		select {
+		case <-ctx.Done():
+			p.wind(c, log, end)
+			stop()
+		case <-c.Done():
+		}
+		for _, s := range servers {
+			s.close()
+		}
+		return nil
+	}})
 	if p.Owner.disk != nil {
 		kids = append(kids, care.Child{Name: "disk", Vital: true, Run: p.Owner.disk.Run})
 	}
-	log.Info("serving", "listen", listen)
 	return care.Run(root, log, care.Branch(log, "daemon", kids...))
 }
 
 // wind stops taking part: unready first, duties handed over, then answers.
-func (p *Pages) wind(ctx context.Context, log logr.Logger) {
+func (p *Pages) wind(ctx context.Context, log logr.Logger, end Parting) {
 	log.Info("stopping: not ready, handing duties over")
 	p.drain.Store(true)
 	p.Owner.Close()
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
 	from := time.Now()
-	for time.Since(from) < finish {
+	for time.Since(from) < end.Finish {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
-		p.shut.Store(time.Since(from) > linger)
+		p.shut.Store(time.Since(from) > end.Linger)
 		if p.shut.Load() && p.Owner.Idle() && p.under.Load() == 0 {
 			break
 		}
 	}
 	log.Info("stopped", "unanswered", p.under.Load(), "after", time.Since(from).String())
 }
+
+// server is one port. The standard server fixes its bounds when it starts, so
+// when they change another one takes the connections made from then on.
+type server struct {
+	port Port
+	ln   net.Listener
+	h    http.Handler
+	now  blueprint.Limits
+	web  *http.Server
+	in   *feed
+	olds []*http.Server
+	stop chan struct{}
+}
+
+func open(ctx context.Context, p *Pages, port Port) (*server, error) {
+	ln, err := Listen(ctx, port.Addr)
+	if err != nil {
+		return nil, err
+	}
+	if port.Conns == 0 {
+		port.Conns = conns
+	}
+	return &server{port: port, ln: netutil.LimitListener(ln, port.Conns), h: p.Wrap(port.Handler), stop: make(chan struct{})}, nil
+}
+
+func or[T int | time.Duration](v, other T) T {
+	if v > 0 {
+		return v
+	}
+	return other
+}
+
+// turn makes a server within the bounds of now.
+func (s *server) turn(l blueprint.Limits) {
+	if s.web != nil {
+		s.olds = append(s.olds, s.web)
+	}
+	head := or(time.Duration(l.HeaderMS)*time.Millisecond, 5*time.Second)
+	s.now, s.in = l, &feed{in: make(chan net.Conn), done: make(chan struct{}), addr: s.ln.Addr()}
+	s.web = &http.Server{Handler: s.h, ReadHeaderTimeout: head, ReadTimeout: head + 10*time.Second,
+		IdleTimeout: or(time.Duration(l.IdleMS)*time.Millisecond, time.Minute), MaxHeaderBytes: or(l.Header, 16<<10)}
+	go s.web.Serve(s.in)
+}
+
+func (s *server) limits() blueprint.Limits {
+	if s.port.Limits == nil {
+		return blueprint.Limits{}
+	}
+	return s.port.Limits()
+}
+
+func (s *server) run(ctx context.Context) error {
+	defer close(s.stop)
+	s.turn(s.limits())
+	for {
+		c, err := s.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil { // out of descriptors, or a peer that is gone already
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(5 * time.Millisecond):
+			}
+			continue
+		}
+		if l := s.limits(); l != s.now {
+			s.turn(l)
+		}
+		s.in.in <- c
+	}
+}
+
+// close ends the port once what is under way has been answered.
+func (s *server) close() {
+	s.ln.Close()
+	<-s.stop
+	end, done := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer done()
+	for _, w := range append(s.olds, s.web) {
+		if w.Shutdown(end) != nil {
+			w.Close()
+		}
+	}
+}
+
+// feed hands accepted connections to one server.
+type feed struct {
+	in   chan net.Conn
+	done chan struct{}
+	addr net.Addr
+}
+
+func (f *feed) Accept() (net.Conn, error) {
+	select {
+	case c := <-f.in:
+		return c, nil
+	case <-f.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (f *feed) Close() error {
+	select {
+	case <-f.done:
+	default:
+		close(f.done)
+	}
+	return nil
+}
+
+func (f *feed) Addr() net.Addr { return f.addr }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -25,6 +25,7 @@
 	Loc   mark.Locality
 	Seeds []mark.Addr
 	Issue string
+	Stale time.Duration // how old a confirmation of the table may be; 0 is news.Stale
 }
 
 // Bounds and timings, ours.
@@ -68,7 +69,10 @@
 }
 
 func New(now mark.Now, rnd *rand.Rand, p Place) *Gate {
-	g := &Gate{place: p, now: now, news: news.NewReader(p.Addr), calls: map[uint64]*call{}, Trail: trail.New(),
+	if p.Stale == 0 {
+		p.Stale = news.Stale
+	}
+	g := &Gate{place: p, now: now, news: news.NewReader(p.Addr, p.Stale), calls: map[uint64]*call{}, Trail: trail.New(),
 		next: rnd.Uint64() >> 12, lost: now.Mono}
 	g.kin = kin.New(rnd, g.card(), p.Seeds)
 	return g
--- a/news/news.go
+++ b/news/news.go
@@ -17,7 +17,6 @@
 
 const (
 	hold  = 400 * time.Millisecond
-	Stale = 1500 * time.Millisecond
 	again = 700 * time.Millisecond
 	most  = 500
 )
@@ -25,9 +24,17 @@
 type ask struct {
 	Have mark.Edition `json:"have"`
 	Any  bool         `json:"any"`
+	Wait int64        `json:"wait_ms,omitempty"` // how long no news may be held back
 	Mark mark.Stamp   `json:"mark"`
 }
 
+func (a ask) hold() time.Duration {
+	if a.Wait == 0 {
+		return hold
+	}
+	return min(hold, time.Duration(a.Wait)*time.Millisecond)
+}
+
 type told struct {
 	Edition mark.Edition     `json:"edition"`
 	Table   *blueprint.Table `json:"table,omitempty"`
@@ -39,6 +46,9 @@
 	by  mark.Stamp
 }
 
+// Stale is the default for how long a confirmation lasts.
+const Stale = 1500 * time.Millisecond
+
 // Desk is the leader's side.
 type Desk struct {
 	me    mark.Addr
@@ -49,7 +59,7 @@
 
 func (d *Desk) Take(now mark.Stamp, n word.Note) {
 	if a, ok := word.Read[ask](n); ok && len(d.waits) < most {
-		d.waits[n.From] = wait{a, now.Add(hold)}
+		d.waits[n.From] = wait{a, now.Add(a.hold())}
 	}
 }
 
@@ -74,6 +84,7 @@
 // Reader is the data-plane side.
 type Reader struct {
 	me    mark.Addr
+	stale time.Duration
 	Table blueprint.Table
 	any   bool
 	open  bool
@@ -81,18 +92,24 @@
 	sure  mark.Stamp
 }
 
-func NewReader(me mark.Addr) *Reader { return &Reader{me: me, sure: -1 << 61, asked: -1 << 61} }
+// NewReader makes one that does not decide by what was last confirmed so long ago.
+func NewReader(me mark.Addr, stale time.Duration) *Reader {
+	return &Reader{me: me, stale: stale, sure: -1 << 61, asked: -1 << 61}
+}
 
 // Fresh tells whether the table may be decided by.
-func (r *Reader) Fresh(now mark.Stamp) bool { return r.any && now.Sub(r.sure) < Stale }
+func (r *Reader) Fresh(now mark.Stamp) bool { return r.any && now.Sub(r.sure) < r.stale }
+
+// part is as much of a timing as the confirmation's life is of the default.
+func (r *Reader) part(d time.Duration) time.Duration { return min(r.stale, Stale) * d / Stale }
 
 // Tick asks the leader again, at once after an answer.
 func (r *Reader) Tick(now mark.Stamp, lead mark.Addr) (sends []word.Send) {
-	if lead == "" || r.open && now.Sub(r.asked) < again {
+	if lead == "" || r.open && now.Sub(r.asked) < r.part(again) {
 		return nil
 	}
 	r.open, r.asked = true, now
-	return []word.Send{word.Make(r.me, lead, word.News, ask{r.Table.Edition, r.any, now})}
+	return []word.Send{word.Make(r.me, lead, word.News, ask{r.Table.Edition, r.any, r.part(hold).Milliseconds(), now})}
 }
 
 // Take handles an answer; true when the table changed. What it confirms counts
--- a/place/place.go
+++ b/place/place.go
@@ -11,6 +11,7 @@
 	"coppercourse/blueprint"
 	"coppercourse/fault"
 	"coppercourse/mark"
+	"coppercourse/news"
 	"coppercourse/truth"
 )
 
@@ -24,13 +25,17 @@
 	Data     string
 	Shard    string
 	Log      string
+	Founders []string // helms that found a cluster together, where settings name them
+	First    bool     // no cluster has been before
+	Conns    int      // connections at once on one address; 0 is the daemon's own bound
+	Bounds   Bounds
 	Pace     Pace
 }
 
 // Pace is every timing an operator may set, in milliseconds.
 type Pace struct {
 	Beat, Ill, Loss, Grant, Worker, Again int
-	Round, Election, Stall, Dead          int
+	Round, Election, Stall, Dead, Stale   int
 }
 
 func ms(d time.Duration) int { return int(d / time.Millisecond) }
@@ -39,9 +44,9 @@
 // Defaults are the settings before file and flags.
 func Defaults() Settings {
 	t, a := truth.Defaults, accord.Defaults
-	return Settings{Listen: "127.0.0.1:7400", Log: "info", Pace: Pace{Beat: ms(t.Beat), Ill: ms(t.Ill), Loss: ms(t.Loss),
+	return Settings{Listen: "127.0.0.1:7400", Log: "info", Bounds: Usual, Pace: Pace{Beat: ms(t.Beat), Ill: ms(t.Ill), Loss: ms(t.Loss),
 		Grant: ms(t.Grant), Worker: ms(t.Worker), Again: ms(t.Again), Round: ms(a.Beat), Election: ms(a.Least),
-		Stall: ms(a.Stall), Dead: ms(a.Dead)}}
+		Stall: ms(a.Stall), Dead: ms(a.Dead), Stale: ms(news.Stale)}}
 }
 
 // ReadSettings lays a file over the defaults.
@@ -51,29 +56,37 @@
 	p := &s.Pace
 	num := func(to *int) blueprint.Field { return blueprint.Num(r, to, 1, 3_600_000) }
 	r.Whole(map[string]blueprint.Field{
-		"listen":   blueprint.Text(r, &s.Listen, any),
-		"address":  blueprint.Text(r, &s.Address, any),
-		"source":   blueprint.Text(r, &s.Source, any),
-		"locality": blueprint.Text(r, &s.Locality, any),
-		"data":     blueprint.Text(r, &s.Data, any),
-		"shard":    blueprint.Text(r, &s.Shard, any),
-		"log":      blueprint.Text(r, &s.Log, any),
-		"seeds": func(at string) {
-			s.Seeds = nil
-			r.List(at, 16, func(at string, _ int) {
-				var a string
-				blueprint.Text(r, &a, any)(at)
-				s.Seeds = append(s.Seeds, a)
-			})
-		},
+		"listen":    blueprint.Text(r, &s.Listen, any),
+		"address":   blueprint.Text(r, &s.Address, any),
+		"source":    blueprint.Text(r, &s.Source, any),
+		"locality":  blueprint.Text(r, &s.Locality, any),
+		"data":      blueprint.Text(r, &s.Data, any),
+		"shard":     blueprint.Text(r, &s.Shard, any),
+		"log":       blueprint.Text(r, &s.Log, any),
+		"seeds":     addrs(r, &s.Seeds),
+		"founders":  addrs(r, &s.Founders),
+		"first":     blueprint.Bool(r, &s.First),
+		"grace_ms":  num(&s.Bounds.Grace),
+		"notice_ms": num(&s.Bounds.Notice),
 		"pace": func(at string) {
 			r.Obj(at, map[string]blueprint.Field{"beat_ms": num(&p.Beat), "ill_ms": num(&p.Ill), "loss_ms": num(&p.Loss),
 				"grant_ms": num(&p.Grant), "worker_ms": num(&p.Worker), "again_ms": num(&p.Again), "round_ms": num(&p.Round),
-				"election_ms": num(&p.Election), "stall_ms": num(&p.Stall), "dead_ms": num(&p.Dead)})
+				"election_ms": num(&p.Election), "stall_ms": num(&p.Stall), "dead_ms": num(&p.Dead), "stale_ms": num(&p.Stale)})
 		},
 	})
 }
 
+func addrs(r *blueprint.Reader, to *[]string) blueprint.Field {
+	return func(at string) {
+		*to = nil
+		r.List(at, 16, func(at string, _ int) {
+			var a string
+			blueprint.Text(r, &a, func(string) string { return "" })(at)
+			*to = append(*to, a)
+		})
+	}
+}
+
 // Check tells all that is wrong with the settings of a role.
 func (s *Settings) Check(role string, heap *fault.Heap) {
 	if s.Address == "" {
@@ -95,6 +108,9 @@
 	for i, a := range s.Seeds {
 		addr(fmt.Sprintf("seeds[%d]", i), a)
 	}
+	for i, a := range s.Founders {
+		addr(fmt.Sprintf("founders[%d]", i), a)
+	}
 	heap.Check((s.Data != "") == (role == "helm"), "data", "a helm needs a data folder, and no other daemon may have one")
 	if role == "ward" {
 		bad := blueprint.Name(s.Shard)
@@ -104,6 +120,7 @@
 	}
 	heap.Check(s.Log == "info" || s.Log == "debug", "log", "want info or debug")
 	s.Pace.check(heap)
+	s.Bounds.check(s.Pace, heap)
 }
 
 // check ties the timings together: each line is a rule that the proofs of the
@@ -131,6 +148,12 @@
 	return accord.Pace{Beat: un(p.Round), Least: un(p.Election), Stall: un(p.Stall), Dead: un(p.Dead), Hold: un(p.Grant)}
 }
 
+// News is how old a gate's confirmation of the table may be.
+func (p Pace) News() time.Duration { return un(p.Stale) }
+
+// Stops bounds a planned stop.
+func (b Bounds) Stops() (grace, notice time.Duration) { return un(b.Grace), un(b.Notice) }
+
 func (s Settings) Addr() mark.Addr { return mark.Addr(s.Address) }
 
 func (s Settings) Near() (list []mark.Addr) {
