--- a/blueprint/read.go
+++ b/blueprint/read.go
@@ -18,9 +18,10 @@
 
 // Reader goes down a document and heaps up what is wrong with it.
 type Reader struct {
-	d    *jx.Decoder
-	Heap *fault.Heap
-	dead bool
+	d     *jx.Decoder
+	Heap  *fault.Heap
+	Loose bool // fields that nobody asks for are let pass
+	dead  bool
 }
 
 // Field reads the value of one field.
@@ -76,6 +77,7 @@
 		}
 		f, ok := fields[key]
 		switch {
+		case !ok && r.Loose:
 		case !ok:
 			r.Heap.Add(fault.BadField, at, "no such field")
 		case seen[key]:
--- a/cmd/coppercourse/deployed.go
+++ b/cmd/coppercourse/deployed.go
@@ -46,12 +46,18 @@
 	return starts[b.Machine()](d)
 }
 
+// few is how many connections an address needs that only the operator or one
+// worker calls.
+const few = 256
+
 // outside is what the platform calls on each role, beside the inner address.
 var outside = map[string]func(platform.Boot, *daemon){
 	"gate": func(b platform.Boot, d *daemon) {
-		d.ports = func(p *door.Pages) []door.Port { return nil }
 	},
 	"helm": func(b platform.Boot, d *daemon) {
+		d.ports = func(p *door.Pages) []door.Port {
+			return []door.Port{{Addr: b.Control, Handler: platform.NewControl(p.Owner, b.Control).Handler(), Conns: few}}
+		}
 	},
 	"ward": func(b platform.Boot, d *daemon) {
 	},
--- a/door/pages.go
+++ b/door/pages.go
@@ -2,9 +2,9 @@
 package door
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -91,18 +91,29 @@
 	write(w, a.Code, a.Body)
 }
 
-// Read takes a request's body up to a size, or answers why not.
-func Read(w http.ResponseWriter, q *http.Request, most int64) ([]byte, bool) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, q.Body, most))
+// ReadBody takes a request's body up to a size, or tells why not.
+func ReadBody(w http.ResponseWriter, q *http.Request, most int64) ([]byte, *fault.Fault) {
+	var buf bytes.Buffer
+	if q.ContentLength > 0 {
+		buf.Grow(int(min(q.ContentLength, most)) + bytes.MinRead)
+	}
+	_, err := buf.ReadFrom(http.MaxBytesReader(w, q.Body, most))
 	if err == nil {
-		return b, true
+		return buf.Bytes(), nil
 	}
-	f := fault.New(fault.BadBody, "", "the body could not be read")
 	if _, large := err.(*http.MaxBytesError); large {
-		f = fault.New(fault.TooLarge, "", fmt.Sprintf("larger than %d bytes", most))
+		return nil, fault.New(fault.TooLarge, "", fmt.Sprintf("larger than %d bytes", most))
+	}
+	return nil, fault.New(fault.BadBody, "", "the body could not be read")
+}
+
+// Read takes a request's body up to a size, or answers why not.
+func Read(w http.ResponseWriter, q *http.Request, most int64) ([]byte, bool) {
+	b, f := ReadBody(w, q, most)
+	if f != nil {
+		Fail(w, f)
 	}
-	Fail(w, f)
-	return nil, false
+	return b, f == nil
 }
 
 // Ask reads a body and has the machine answer it.
