Beats from the worker and the calls to it, in the platform's words

Cause: the platform's worker tells of itself by beats and is called for starts, stops and holds, with a life it must be, a fence, and lists of what runs and ended. Ruled out: a struct for the lists (mixed arrays, the hottest answer there is: read by hand); taking an answer that can't be read whole for one; a client of our own (the standard one keeps connections, and tells whether one was ever had). Conclusion: the ward's part can be joined to it.

--- a/cmd/coppercourse/deployed.go
+++ b/cmd/coppercourse/deployed.go
@@ -60,5 +60,9 @@
 		}
 	},
 	"ward": func(b platform.Boot, d *daemon) {
+		d.caller = platform.NewWorker().Call
+		d.ports = func(p *door.Pages) []door.Port {
+			return []door.Port{{Addr: b.Control, Handler: platform.NewSide(p.Owner, b.App).Handler(), Conns: few}}
+		}
 	},
 }
