Wards call workers that do not call by themselves

Cause: the users' workers are called (start, stop, hold) and keep a lease on their own clock; the product knew only workers that call their ward. Ruled out: an agent beside the worker that polls in its name (a third clock and a third place for the truth); a lease counted from receipt, which a late call would stretch. Change: Hand gains Caller: lives told apart by id, a lease that ends before the ward's own by a clock 2.5% slow, each start sent once, silence settled by a query that raises the fence, ends settled at the worker only once in the log. What lapsed is the last word for such workers. Helms answer requests that come to them directly, and count what waits in a queue.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -10,6 +10,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"coppercourse/blueprint"
@@ -21,6 +22,9 @@
 	Shard mark.Shard
 	Rack  mark.Rack
 	Kinds []mark.Kind
+
+	Labels []string
+
 	Free  mark.Room
 	Bad   float64
 	Slow  float64
@@ -45,6 +49,7 @@
 	Urgency int
 	Kind    mark.Kind
 	Rack    mark.Rack
+	Labels  []string
 	Room    mark.Room
 	Spread  int
 	Gang    bool
@@ -221,6 +226,11 @@
 
 // Suits tells whether a worker could run a task of a want if it were empty.
 func (s *Slot) Suits(w Want) bool {
+	for _, l := range w.Labels {
+		if !slices.Contains(s.Labels, l) {
+			return false
+		}
+	}
 	return s.Size.Holds(w.Room) && (w.Rack == "" || w.Rack == s.Rack) && slices.Contains(s.Kinds, w.Kind) &&
 		(s.Till == 0 || w.Long <= s.Till)
 }
@@ -269,11 +279,14 @@
 	return kept
 }
 
-func (w Want) shape() shape { return shape{w.Kind, w.Rack, w.Room, w.Long} }
+func (w Want) shape() shape {
+	return shape{w.Kind, w.Rack, strings.Join(w.Labels, " "), w.Room, w.Long}
+}
 
 type shape struct {
 	kind mark.Kind
 	rack mark.Rack
+	need string
 	room mark.Room
 	long time.Duration
 }
--- a/helm/calls.go
+++ b/helm/calls.go
@@ -23,30 +23,34 @@
 type verb func(h *Helm, w waiter, c word.CallBody)
 
 var verbs = map[string]verb{
-	"job.put":    (*Helm).putJob,
-	"job.get":    (*Helm).getJob,
-	"job.cancel": (*Helm).cancelJob,
-	"table.put":  (*Helm).putTable,
-	"table.get":  func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.state.Table) },
-	"queues":     func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.Queues()) },
-	"workers":    func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.Workers()) },
-	"drain.put":  (*Helm).putDrain,
-	"drain.drop": (*Helm).dropDrain,
-	"drains":     func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.Drains()) },
-	"plan.put":   (*Helm).putPlan,
-	"plan.drop":  (*Helm).dropPlan,
-	"plans":      func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.Plans()) },
-	"gone":       (*Helm).gone,
-	"status":     func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.Status()) },
+	"job.put":     (*Helm).putJob,
+	"job.get":     (*Helm).getJob,
+	"job.cancel":  (*Helm).cancelJob,
+	"table.put":   (*Helm).putTable,
+	"table.get":   func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.state.Table) },
+	"queues":      func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.Queues()) },
+	"workers":     func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.Workers()) },
+	"drain.put":   (*Helm).putDrain,
+	"drain.drop":  (*Helm).dropDrain,
+	"drains":      func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.Drains()) },
+	"plan.put":    (*Helm).putPlan,
+	"plan.drop":   (*Helm).dropPlan,
+	"plans":       func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.Plans()) },
+	"gone":        (*Helm).gone,
+	"queue.count": (*Helm).countQueue,
+	"status":      func(h *Helm, w waiter, _ word.CallBody) { h.good(w, 200, h.Status()) },
 }
 
 func (h *Helm) call(n word.Note) {
-	c, ok := word.Read[word.CallBody](n)
-	if !ok {
-		return
+	if c, ok := word.Read[word.CallBody](n); ok {
+		h.ask(waiter{from: n.From, id: c.ID}, c)
 	}
+}
+
+// ask takes a request, from a gate or that came here itself.
+func (h *Helm) ask(w waiter, c word.CallBody) {
 	h.Sums.Calls++
-	w := waiter{from: n.From, id: c.ID, term: h.core.Term()}
+	w.term = h.core.Term()
 	if h.head == nil || !h.core.Firm() {
 		h.reply(w, word.ReplyBody{Away: true, Lead: h.core.Leader()})
 		return
@@ -68,7 +72,15 @@
 	if r.Fault != nil {
 		h.Sums.Refused++
 	}
-	h.sends = append(h.sends, word.Make(h.place.Addr, w.from, word.Reply, r))
+	if w.token == 0 {
+		h.sends = append(h.sends, word.Make(h.place.Addr, w.from, word.Reply, r))
+		return
+	}
+	a := word.Answer{Token: w.token, Code: r.Code, Body: r.Body, Fault: r.Fault, Lead: r.Lead}
+	if r.Away {
+		a.Fault = fault.New(fault.NoLead, "", "this helm does not lead").After(time.Second)
+	}
+	h.answers = append(h.answers, a)
 }
 
 func (h *Helm) bad(w waiter, f *fault.Fault) { h.reply(w, word.ReplyBody{Fault: f}) }
@@ -146,6 +158,23 @@
 	h.good(w, 200, v)
 }
 
+// countQueue tells how many jobs of a queue wait: unfinished, with nothing that
+// runs or has run.
+func (h *Helm) countQueue(w waiter, c word.CallBody) {
+	q := mark.Queue(c.Arg)
+	if _, ok := h.state.Table.Find(q); !ok {
+		h.bad(w, fault.New(fault.NoQueue, "queue", "no queue is called "+c.Arg))
+		return
+	}
+	n := 0
+	for _, j := range h.state.Live() {
+		if j.Queue == q && j.Legs == 0 {
+			n++
+		}
+	}
+	h.good(w, 200, map[string]int{"waiting": n})
+}
+
 func (h *Helm) cancelJob(w waiter, c word.CallBody) {
 	id := mark.JobID(c.Arg)
 	switch repeat, bad := h.state.CheckCancel(id); {
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -34,39 +34,41 @@
 }
 
 type waiter struct {
-	from mark.Addr
-	id   uint64
-	term mark.Term
+	from  mark.Addr
+	id    uint64
+	token uint64 // of a request that came here itself, not by way of a gate
+	term  mark.Term
 }
 
 // Helm is one control daemon.
 type Helm struct {
-	place  Place
-	now    mark.Now
-	core   *accord.Core
-	kin    *kin.Roster
-	state  *store.State
-	done   mark.Index
-	head   *truth.Head
-	desk   *news.Desk
-	Trail  *trail.Ring
-	waits  map[mark.Index]waiter
-	flight map[store.End]bool
-	giving mark.Index
-	shaped mark.Index
-	timed  mark.Stamp
-	since  mark.Index // the entry of the latest snapshot, or of the one under way
-	shot   int        // bytes of the latest snapshot
-	drain  bool
-	late   mark.Stamp
-	moved  bool // something was applied, or time passed, since work was last placed
-	rates  map[mark.Queue]*rate
-	early  []early
-	kept   *choice.Reserve // workers kept for work that was passed over
-	waited map[choice.Part]mark.Stamp
-	moves  mark.Stamp // when something was last displaced
-	sends  []word.Send
-	Sums   Sums
+	place   Place
+	now     mark.Now
+	core    *accord.Core
+	kin     *kin.Roster
+	state   *store.State
+	done    mark.Index
+	head    *truth.Head
+	desk    *news.Desk
+	Trail   *trail.Ring
+	waits   map[mark.Index]waiter
+	flight  map[store.End]bool
+	giving  mark.Index
+	shaped  mark.Index
+	timed   mark.Stamp
+	since   mark.Index // the entry of the latest snapshot, or of the one under way
+	shot    int        // bytes of the latest snapshot
+	drain   bool
+	late    mark.Stamp
+	moved   bool // something was applied, or time passed, since work was last placed
+	rates   map[mark.Queue]*rate
+	early   []early
+	kept    *choice.Reserve // workers kept for work that was passed over
+	waited  map[choice.Part]mark.Stamp
+	moves   mark.Stamp // when something was last displaced
+	sends   []word.Send
+	answers []word.Answer
+	Sums    Sums
 }
 
 // Sums are counters since start.
@@ -127,6 +129,8 @@
 	switch {
 	case e.Note != nil:
 		h.take(*e.Note)
+	case e.Ask != nil:
+		h.ask(waiter{token: e.Ask.Token}, word.CallBody{Verb: e.Ask.Verb, Arg: e.Ask.Arg, Body: e.Ask.Body})
 	case e.Synced > 0:
 		h.core.Synced(e.Now, e.Synced)
 	case e.Close:
@@ -141,7 +145,8 @@
 	h.kin.Me(h.card())
 	out.Sends, out.Batch, out.Seq, out.Whole = h.core.Out()
 	out.Sends = append(append(out.Sends, h.sends...), h.kin.Out()...)
-	h.sends = nil
+	out.Answers = h.answers
+	h.sends, h.answers = nil, nil
 	out.Idle = h.drain && (!h.core.Leads() || h.now.Mono >= h.late) && len(h.waits) == 0
 	return out
 }
@@ -285,6 +290,7 @@
 		}
 		h.Sums.Elected++
 		h.head = truth.NewHead(h.now.Mono, h.place.Truth, h.place.Addr, h.core.Term(), h.outs())
+		h.head.Invoked = func(x mark.Shard) bool { return h.state.Shapes[x].Invoked }
 		h.head.Apart = func(x mark.Shard) bool { return h.kin.Apart(string(x)) }
 		h.head.Taken, h.head.Doubts = h.taken, func(x mark.Shard) []mark.Leg { return h.state.Doubts(x) }
 	}
--- a/helm/plan.go
+++ b/helm/plan.go
@@ -112,7 +112,7 @@
 				long = endless
 			}
 			list = append(list, choice.Want{Part: choice.Part{Job: j.ID, Stage: b.Stage}, Queue: j.Queue, Urgency: j.Spec.Urgency,
-				Kind: p.Kind, Rack: p.Rack, Room: p.Room, Spread: p.Spread, Gang: p.Gang, Tasks: b.Tasks, Long: long, Shun: b.Shun})
+				Kind: p.Kind, Rack: p.Rack, Labels: p.Labels, Room: p.Room, Spread: p.Spread, Gang: p.Gang, Tasks: b.Tasks, Long: long, Shun: b.Shun})
 		}
 	}
 	return
@@ -128,7 +128,7 @@
 		total += s.Room.Cores
 		if till, _, _ := h.till(s); !s.Leaving && s.Sound {
 			at[s.Shard] = len(list)
-			list = append(list, choice.Slot{Shard: s.Shard, Rack: s.Rack, Kinds: s.Kinds, Free: s.Room, Size: s.Room, Till: till,
+			list = append(list, choice.Slot{Shard: s.Shard, Rack: s.Rack, Kinds: s.Kinds, Labels: s.Labels, Free: s.Room, Size: s.Room, Till: till,
 				Bad: s.Worth.Bad, Slow: s.Worth.Slow, Has: map[choice.Part]int{}})
 		}
 	}
@@ -156,7 +156,7 @@
 		p := j.Spec.Steps[at.Step()]
 		h.Sums.Orders++
 		h.head.Order(g.Shard, at, usual(j, at), truth.Job{Leg: g.Leg, Kind: p.Kind, Rack: p.Rack, Room: p.Room,
-			Limit: int(h.limit(j, at).Milliseconds()), Work: j.Spec.What(at.Step())})
+			Limit: int(h.limit(j, at).Milliseconds()), Label: p.Labels, Ref: j.Task(g.Leg.N).Ref, Work: j.Spec.What(at.Step())})
 	}
 }
 
@@ -187,9 +187,13 @@
 	}
 	var list []store.Shape
 	for _, s := range h.head.Seats() {
-		x := store.Shape{Shard: s.Shard, Rack: s.Rack, Kinds: s.Kinds, Room: s.Room}
+		x := store.Shape{Shard: s.Shard, Rack: s.Rack, Kinds: s.Kinds, Room: s.Room, Labels: s.Labels, Invoked: s.Invoked}
 		y, ok := h.state.Shapes[s.Shard]
-		if s.State != truth.New && (!ok || y.Rack != x.Rack || y.Room != x.Room || !slices.Equal(y.Kinds, x.Kinds)) {
+		if s.Room.Cores == 0 && ok {
+			continue // a ward that has not heard its worker yet
+		}
+		if s.State != truth.New && (!ok || y.Rack != x.Rack || y.Room != x.Room || y.Invoked != x.Invoked ||
+			!slices.Equal(y.Kinds, x.Kinds) || !slices.Equal(y.Labels, x.Labels)) {
 			list = append(list, x)
 		}
 	}
--- a/store/state.go
+++ b/store/state.go
@@ -54,6 +54,9 @@
 	Rack  mark.Rack   `json:"rack"`
 	Kinds []mark.Kind `json:"kinds"`
 	Room  mark.Room   `json:"room"`
+
+	Labels  []string `json:"labels,omitempty"`
+	Invoked bool     `json:"invoked,omitempty"` // it is called, rather than calling its ward
 }
 
 // Bounds on what is remembered in full of ended jobs.
@@ -349,7 +352,11 @@
 	}
 }
 
-// Fits tells whether a worker has the kind of a step, and its rack.
+// Fits tells whether a worker has the kind of a step, and its rack and labels.
 func (x Shape) Fits(p Step) (kind, rack bool) {
-	return slices.Contains(x.Kinds, p.Kind), p.Rack == "" || p.Rack == x.Rack
+	rack = p.Rack == "" || p.Rack == x.Rack
+	for _, l := range p.Labels {
+		rack = rack && slices.Contains(x.Labels, l)
+	}
+	return slices.Contains(x.Kinds, p.Kind), rack
 }
--- /dev/null
+++ b/truth/caller.go
@@ -0,0 +1,215 @@
+// Caller is the ward's side towards a worker that is called rather than calling.
+// The worker's processes are told apart by their ids, its "lives". It runs
+// attempts only under a lease that ends at a reading of its own clock; the lease
+// is never longer than what the leader granted to the ward, counted from a
+// reading that the worker itself told, by a clock that may run slow. This file
+// keeps lives, clock and lease; line.go makes the calls and reads the replies.
+package truth
+
+import (
+	"time"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/word"
+)
+
+const (
+	slowest = 0.975                  // of our clock's pace, at which a worker's clock runs at least
+	early   = 20 * time.Millisecond  // a lease ends so much before the ward's own
+	listens = 400 * time.Millisecond // how long a hold waits for an end
+	answers = 700 * time.Millisecond // how long any call is waited for
+	settles = 60 * time.Millisecond  // how long an end may be on its way into the log before the next hold
+	retries = 100 * time.Millisecond // between holds that brought nothing
+	lists   = 500                    // ends that one reply holds at most
+	fences  = 1024                   // fences for each millisecond of the worker's clock
+	lives   = 64
+)
+
+// flight is a call that has no reply yet.
+type flight struct {
+	word.WorkerCall
+	at    mark.Stamp
+	prior int64 // the highest end of a lease that any other call brought
+}
+
+// ending is an end that the worker still lists.
+type ending struct {
+	leg     mark.Leg
+	settled bool
+}
+
+// Caller calls one worker.
+type Caller struct {
+	life  mark.ID
+	to    mark.Addr
+	seq   uint64
+	past  map[mark.ID]bool
+	heir  *word.WorkerBeat // a newer process, until this one is known to be over
+	clock int64            // the worker's, as of got or a little before
+	got   mark.Stamp
+	until int64 // the highest end of a lease that was sent
+	fence uint64
+	no    uint64
+	open  map[uint64]*flight
+	hold  uint64 // the hold that waits for an end, or 0
+	query uint64 // the hold that settles what is unsure, or 0
+	next  mark.Stamp
+	read  int64 // the clock of the newest list of runs heeded
+	seen  uint64
+	sick  mark.Stamp // until then it is not given work
+	ends  map[uint64]*ending
+	calls []word.WorkerCall
+	Sums  CallSums
+}
+
+// CallSums are counters since start.
+type CallSums struct {
+	Starts, Stops, Holds, Queries, Silent, Lapsed, Lives uint64
+}
+
+// Invoked tells whether the worker is one that is called.
+func (h *Hand) Invoked() bool { return h.caller != nil }
+
+// Calls drains the calls to make.
+func (h *Hand) Calls() []word.WorkerCall {
+	if h.caller == nil {
+		return nil
+	}
+	c := h.caller.calls
+	h.caller.calls = nil
+	return c
+}
+
+// Beat takes what the worker tells of itself. A process that is over is not
+// heard; a newer one waits until the one before it is known to be over.
+func (h *Hand) Beat(now mark.Stamp, b word.WorkerBeat) {
+	h.now = now
+	if h.caller == nil {
+		h.caller = &Caller{past: map[mark.ID]bool{}, open: map[uint64]*flight{}, ends: map[uint64]*ending{}}
+	}
+	c := h.caller
+	switch {
+	case c.past[b.Life]:
+	case c.life == "":
+		h.adopt(b)
+	case c.life != b.Life:
+		c.heir = &b
+		h.line()
+	case b.Seq > c.seq:
+		c.seq, c.to, h.heard = b.Seq, b.To, now
+		h.hear(b.Clock)
+		h.report(b)
+	}
+}
+
+// Leave takes it that a worker process ends now, all that it ran with it.
+func (h *Hand) Leave(now mark.Stamp, life mark.ID) {
+	if h.now = now; h.caller != nil && h.caller.life == life {
+		h.over()
+	}
+}
+
+func (h *Hand) report(b word.WorkerBeat) {
+	if b.Leaving != h.rep.Leaving || !h.rep.Sound {
+		h.beat = never
+	}
+	h.rep = Report{Rack: b.Rack, Kinds: b.Kinds, Room: b.Room, Labels: b.Labels, Leaving: b.Leaving, LeaveMS: b.LeaveMS,
+		Sound: h.rep.Sound, Invoked: true}
+	h.goes = h.now.Add(time.Duration(b.LeaveMS) * time.Millisecond)
+}
+
+// adopt takes up a worker process. What it runs is asked before anything else.
+func (h *Hand) adopt(b word.WorkerBeat) {
+	c := h.caller
+	c.life, c.to, c.seq, c.heir = b.Life, b.To, b.Seq, nil
+	c.clock, c.got, c.until, c.read, c.seen, c.sick = b.Clock, h.now, 0, 0, 0, never
+	c.fence = uint64(max(b.Clock, 0)) * fences
+	c.hold, c.query, c.next = 0, 0, never
+	clear(c.ends)
+	c.Sums.Lives++
+	h.worker, h.heard, h.told = b.Life, h.now, false
+	h.report(b)
+	h.line()
+}
+
+// over gives up the worker's present process: nothing of it runs any more.
+func (h *Hand) over() {
+	c := h.caller
+	if len(c.past) >= lives {
+		clear(c.past)
+	}
+	c.past[c.life] = true
+	c.life, c.hold, c.query = "", 0, 0
+	clear(c.open)
+	clear(c.ends)
+	for _, l := range h.sorted() {
+		if l.part != ended {
+			h.finish(l, store.Gone)
+		}
+		if l.settled {
+			delete(h.legs, l.job.Leg)
+		}
+	}
+	h.rep.Sound, h.beat = false, never
+	if c.heir != nil {
+		h.adopt(*c.heir)
+	}
+}
+
+// hear takes a reading of the worker's clock, if it says more than is known.
+func (h *Hand) hear(clock int64) {
+	if c := h.caller; clock > c.reads(h.now) {
+		c.clock, c.got = clock, h.now
+	}
+}
+
+// reads is what the worker's clock reads at a time, at the least.
+func (c *Caller) reads(now mark.Stamp) int64 {
+	return c.clock + int64(slowest*float64(now.Sub(c.got).Milliseconds()))
+}
+
+// lease is the end of the lease that the worker may have now, on its own clock,
+// or 0 for none.
+func (h *Hand) lease() int64 {
+	c := h.caller
+	if h.state == MustDie || h.until <= h.now {
+		return 0
+	}
+	end := c.clock + int64(slowest*float64((h.until.Sub(c.got)-early).Milliseconds()))
+	if end <= c.reads(h.now) {
+		return 0
+	}
+	return end
+}
+
+// expired is true when the worker's lease has surely ended, and with it all
+// that ran there. A ward that gave none yet waits for those of an earlier one.
+func (h *Hand) expired() bool {
+	c := h.caller
+	if c.until == 0 {
+		return h.now.Sub(h.boot) > h.pace.Loss
+	}
+	return c.reads(h.now) > c.until
+}
+
+// Lease is how the worker's lease stands, for the status page.
+type Lease struct {
+	Life   mark.ID  `json:"life"`
+	Clock  int64    `json:"clock_ms"`
+	Until  int64    `json:"until_ms"`
+	Fence  uint64   `json:"fence"`
+	Seen   uint64   `json:"settled_ends"`
+	Unseen int      `json:"unsettled_ends"`
+	Open   int      `json:"calls_under_way"`
+	Sums   CallSums `json:"sums"`
+}
+
+// Lease shows it, or nil where the worker calls by itself.
+func (h *Hand) Lease() *Lease {
+	c := h.caller
+	if c == nil {
+		return nil
+	}
+	return &Lease{c.life, c.reads(h.now), c.until, c.fence, c.seen, len(c.ends), len(c.open), c.Sums}
+}
--- a/truth/hand.go
+++ b/truth/hand.go
@@ -30,6 +30,17 @@
 	shown   bool
 	settled bool
 	ghost   bool // the worker runs it although it has ended here
+
+	// of a worker that is called
+	fence  uint64     // under which it was started
+	asked  mark.Stamp // when its stop was last asked for
+	sure   mark.Stamp // when the worker last said that it runs
+	turned mark.Stamp // when the worker took its stop
+	unsure bool       // its start had no clear answer
+	n      uint64     // the number of its end
+	ref    string     // what it has saved
+	saved  mark.Stamp // when that last changed
+	done   float64    // how far it is, in percent
 }
 
 // Hand is one ward's half.
@@ -64,6 +75,7 @@
 	goes   mark.Stamp // when the worker goes, if it said so
 	rep    Report
 	news   bool
+	caller *Caller // of a worker that is called
 	sends  []word.Send
 }
 
@@ -118,7 +130,7 @@
 func (h *Hand) Tick(now mark.Stamp, lead mark.Addr) {
 	h.now, h.lead = now, lead
 	was := h.rep.Sound
-	h.rep.Sound = h.told && now.Sub(h.heard) < h.pace.Ill*6/10
+	h.rep.Sound = h.told && now.Sub(h.heard) < h.pace.Ill*6/10 && (h.caller == nil || now >= h.caller.sick)
 	if was != h.rep.Sound {
 		h.beat = never
 	}
@@ -144,8 +156,15 @@
 			l.over = true
 			h.halt(l)
 		}
-		if l.part != ended && h.told && h.lapsed() {
+		if l.part == ended || !h.told {
+			continue
+		}
+		switch {
+		case h.caller == nil && h.lapsed():
 			h.finish(l, store.Lost)
+		case h.caller != nil && h.expired():
+			h.caller.Sums.Lapsed++
+			h.finish(l, store.Lapsed)
 		}
 	}
 	for l, by := range h.seen {
@@ -153,6 +172,7 @@
 			delete(h.seen, l)
 		}
 	}
+	h.line()
 	h.pulse()
 }
 
@@ -177,7 +197,7 @@
 		if h.rep.LeaveMS > 0 {
 			h.rep.LeaveMS = max(1, h.goes.Sub(h.now).Milliseconds())
 		}
-		h.say(h.lead, word.Beat, Beat{h.shard, h.id, h.past, h.now, h.set, h.rep})
+		h.say(h.lead, word.Beat, Beat{h.shard, h.id, h.past, h.now, h.set, h.rep, h.saves()})
 	}
 	if h.now.Sub(h.status) < h.pace.Again {
 		return
@@ -185,7 +205,7 @@
 	var list []store.End
 	for _, l := range h.sorted() {
 		if l.part == ended && !l.settled && len(list) < 500 {
-			list = append(list, store.End{Leg: l.job.Leg, Fate: l.fate})
+			list = append(list, store.End{Leg: l.job.Leg, Fate: l.fate, Ref: l.ref})
 		}
 	}
 	if list != nil {
@@ -215,6 +235,7 @@
 	Report
 	Grant  int64     `json:"grant_left_ms"`
 	Worker mark.ID   `json:"worker"`
+	Lease  *Lease    `json:"lease,omitempty"`
 	Legs   []LegView `json:"legs"`
 }
 
@@ -226,7 +247,7 @@
 
 func (h *Hand) View() View {
 	v := View{Shard: h.shard, ID: h.id, Term: h.term, State: h.state, ForMS: h.now.Sub(h.since).Milliseconds(),
-		Report: h.rep, Worker: h.worker, Legs: []LegView{}}
+		Report: h.rep, Worker: h.worker, Lease: h.Lease(), Legs: []LegView{}}
 	v.Grant = max(0, h.until.Sub(h.now).Milliseconds())
 	for _, l := range h.sorted() {
 		v.Legs = append(v.Legs, LegView{l.job.Leg, string(l.part), l.fate})
--- a/truth/head.go
+++ b/truth/head.go
@@ -31,6 +31,7 @@
 	Usual string // what its time is compared with
 	Limit time.Duration
 	At    mark.Stamp
+	Ref   string // what it has saved
 	halt  mark.Stamp
 }
 
@@ -77,6 +78,8 @@
 	Doubts func(mark.Shard) []mark.Leg
 	// Apart tells whether a shard is silent together with its whole locality.
 	Apart func(mark.Shard) bool
+	// Invoked tells whether a shard's worker is one that is called.
+	Invoked func(mark.Shard) bool
 	// Taken tells whether the log already has an end, or has no use for it.
 	Taken func(store.End) bool
 }
@@ -137,6 +140,11 @@
 	if b.Set.Born == h.term && b.Set.Ver > s.ver && b.Set.Ver < len(h.hist) {
 		s.ver = b.Set.Ver
 	}
+	for _, x := range b.Saves {
+		if o := h.holds[x.Leg]; o != nil {
+			o.Ref = x.Ref
+		}
+	}
 	h.spread()
 	if s.State == New {
 		h.ask(s)
@@ -202,6 +210,9 @@
 		}
 	}
 	fate := store.Lost
+	if h.Invoked(s.Shard) {
+		fate = store.Lapsed
+	}
 	if a.Whole {
 		fate = store.Unrun
 		h.clear(s.Shard, told)
@@ -235,9 +246,13 @@
 	return list
 }
 
-// gone is the fate of a leg whose worker is out of reach.
+// gone is the fate of a leg whose worker is out of reach. One that is called
+// has no lease any more by then, and what it did is not settled there.
 func (h *Head) gone(shard mark.Shard) store.Fate {
-	if h.Apart(shard) {
+	switch {
+	case h.Invoked(shard):
+		return store.Lapsed
+	case h.Apart(shard):
 		return store.Cut
 	}
 	return store.Lost
@@ -245,7 +260,11 @@
 
 // drop says that a leg has ended; it is held until that is committed.
 func (h *Head) drop(l mark.Leg, f store.Fate) {
-	h.ends = append(h.ends, store.End{Leg: l, Fate: f})
+	e := store.End{Leg: l, Fate: f}
+	if o := h.holds[l]; o != nil {
+		e.Ref = o.Ref
+	}
+	h.ends = append(h.ends, e)
 }
 
 // Settle forgets legs whose end is committed and tells their wards.
--- a/truth/heed.go
+++ b/truth/heed.go
@@ -102,6 +102,7 @@
 		{h.rep.Leaving, "worker is leaving"},
 		{!slices.Contains(h.rep.Kinds, o.Job.Kind), "worker has not this kind"},
 		{o.Job.Rack != "" && o.Job.Rack != h.rep.Rack, "worker is in another rack"},
+		{!h.rep.fits(o.Job.Label), "worker lacks a label"},
 		{twin, "another leg of the task is here"},
 		{!free.Holds(o.Job.Room), "no room"},
 	} {
@@ -142,7 +143,9 @@
 			continue
 		}
 		l.settled, h.news = true, true
-		if h.worker == "" {
+		if h.caller != nil {
+			h.settle(l)
+		} else if h.worker == "" {
 			delete(h.legs, e.Leg)
 		}
 	}
@@ -185,4 +188,5 @@
 	if f := hands[n.Kind]; f != nil {
 		f(h, n)
 	}
+	h.line()
 }
--- /dev/null
+++ b/truth/line.go
@@ -0,0 +1,311 @@
+// The calls that a ward makes to a worker that is called, and what their replies
+// mean. Each start is sent once. One that got no clear answer is unsure: a query
+// raises the fence, below which the worker starts nothing any more, and what it
+// then does not list was not started and never will be. Ends are settled at the
+// worker only once they are in the log; one that is first heard of after the
+// lease has ended counts for nothing, since its task may have gone elsewhere.
+package truth
+
+import (
+	"slices"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/word"
+)
+
+// line makes the calls that are due.
+func (h *Hand) line() {
+	c := h.caller
+	if c == nil || c.life == "" {
+		return
+	}
+	if c.heir != nil && h.expired() {
+		h.over()
+		return
+	}
+	unsure := !h.told || c.heir != nil
+	for _, l := range h.sorted() {
+		switch {
+		case l.part == waiting && !l.shown:
+			h.start(l)
+		case (l.part == halting || l.ghost) && (l.asked == 0 || h.now.Sub(l.asked) >= h.pace.Again):
+			l.asked = h.now
+			c.Sums.Stops++
+			h.send(word.WorkerCall{Kind: word.Halt, Leg: l.job.Leg})
+		}
+		unsure = unsure || l.unsure
+	}
+	if unsure && c.query == 0 && h.now >= c.next {
+		c.fence = max(c.fence+1, uint64(c.clock)*fences)
+		c.Sums.Queries++
+		c.query = h.send(word.WorkerCall{Kind: word.Hold})
+	}
+	if c.hold == 0 && c.query == 0 && h.now >= c.next && h.told {
+		wait := listens
+		if len(c.ends) > 0 {
+			wait = 0
+		}
+		c.hold = h.send(word.WorkerCall{Kind: word.Hold, Wait: wait})
+	}
+}
+
+// start sends an order on to the worker, once, or lets it go past its time.
+func (h *Hand) start(l *leg) {
+	end := h.lease()
+	switch {
+	case h.now >= l.until:
+		h.finish(l, store.Unrun)
+	case end == 0 || !h.told:
+	default:
+		l.shown = true
+		l.fence = h.caller.fence
+		h.caller.Sums.Starts++
+		h.send(word.WorkerCall{Kind: word.Start, Leg: l.job.Leg, Work: l.job.Work, Ref: l.job.Ref})
+	}
+}
+
+// send fills in what all calls have in common.
+func (h *Hand) send(w word.WorkerCall) uint64 {
+	c := h.caller
+	c.no++
+	w.No, w.To, w.Life, w.Fence, w.Limit = c.no, c.to, c.life, c.fence, answers+w.Wait
+	if w.Kind != word.Halt && h.told {
+		w.Until = h.lease()
+	}
+	if w.Kind == word.Hold {
+		w.Seen = c.seen
+		c.Sums.Holds++
+	}
+	for _, f := range c.open {
+		f.prior = max(f.prior, w.Until)
+	}
+	c.open[w.No] = &flight{w, h.now, c.until}
+	c.until = max(c.until, w.Until)
+	c.calls = append(c.calls, w)
+	return w.No
+}
+
+// Back takes the reply to a call, or that there was none.
+func (h *Hand) Back(now mark.Stamp, r word.WorkerReply) {
+	h.now = now
+	c := h.caller
+	if c == nil || c.open[r.No] == nil {
+		return
+	}
+	f := c.open[r.No]
+	delete(c.open, r.No)
+	if c.hold == r.No {
+		c.hold, c.next = 0, now
+	}
+	if c.query == r.No {
+		c.query = 0
+	}
+	if r.Result == word.Stranger {
+		h.over()
+		return
+	}
+	if r.Clock > 0 {
+		h.hear(r.Clock)
+		h.heard = now
+	} else {
+		c.Sums.Silent++
+	}
+	backs[f.Kind](h, f, r)
+	h.line()
+}
+
+var backs = map[word.CallKind]func(*Hand, *flight, word.WorkerReply){
+	word.Start: (*Hand).started,
+	word.Halt:  (*Hand).halted,
+	word.Hold:  (*Hand).held,
+}
+
+// started takes the reply to a start.
+func (h *Hand) started(f *flight, r word.WorkerReply) {
+	l := h.legs[f.Leg]
+	if l == nil || l.part == ended {
+		return
+	}
+	switch r.Result {
+	case word.Taken:
+		if l.part == waiting {
+			l.part, l.from = going, h.now
+		}
+		l.sure = h.now
+	case word.Silent:
+		l.unsure = true
+	default:
+		if r.Result == word.Sick || r.Result == word.Closed {
+			h.caller.sick, h.beat = h.now.Add(h.pace.Ill), never
+		}
+		h.finish(l, store.Unrun)
+	}
+}
+
+func (h *Hand) halted(f *flight, r word.WorkerReply) {
+	if l := h.legs[f.Leg]; l != nil && r.Result == word.Taken {
+		l.turned = max(l.turned, h.now)
+	}
+}
+
+// held takes the reply to a hold: what runs, and what has ended.
+func (h *Hand) held(f *flight, r word.WorkerReply) {
+	c := h.caller
+	switch {
+	case r.Result == word.Fenced:
+		c.fence = max(c.fence, uint64(c.clock)*fences)
+		return
+	case r.Result != word.Taken:
+		c.next = h.now.Add(retries)
+		return
+	}
+	void := f.prior > 0 && r.Clock > f.prior+1
+	runs := map[mark.Leg]bool{}
+	for _, e := range r.Ends {
+		runs[e.Leg] = true
+		if e.N > c.seen && c.ends[e.N] == nil {
+			h.list(e, void)
+		}
+	}
+	if r.Clock >= c.read {
+		c.read = r.Clock
+		for _, x := range r.Runs {
+			runs[x.Leg] = true
+			h.runs(x)
+		}
+		if len(r.Ends) < lists {
+			h.miss(f, runs)
+		}
+	}
+	h.forget(f.Seen)
+	h.told = true
+	if len(c.ends) > 0 {
+		c.next = h.now.Add(settles)
+	}
+}
+
+var hows = map[word.How]store.Fate{word.Done: store.OK, word.Failed: store.Bad, word.Stopped: store.Halted,
+	word.Expired: store.Lapsed, word.Broken: store.Halted, word.Lonely: store.Halted}
+
+// list takes an end that the worker tells for the first time. What was over
+// before the lease ended, and is heard of only now, is void.
+func (h *Hand) list(e word.WorkerEnd, void bool) {
+	c := h.caller
+	c.ends[e.N] = &ending{leg: e.Leg}
+	l := h.legs[e.Leg]
+	if l == nil {
+		l = &leg{job: Job{Leg: e.Leg}, part: going}
+		h.legs[e.Leg] = l
+	}
+	l.ghost, l.unsure, l.n = false, false, e.N
+	if l.part == ended {
+		if l.settled {
+			h.settle(l)
+		}
+		return
+	}
+	f := hows[e.How]
+	if f == "" || void && (f == store.OK || f == store.Bad) {
+		f = store.Lapsed
+	}
+	l.ref = e.Ref
+	h.finish(l, f)
+}
+
+// runs takes an attempt that the worker tells to be running. One that has ended
+// here, or that nobody sent since the worker told all, is stopped.
+func (h *Hand) runs(x word.WorkerRun) {
+	l := h.legs[x.Leg]
+	if l == nil {
+		l = &leg{job: Job{Leg: x.Leg}, part: going, from: h.now}
+		if h.told {
+			l.part = halting
+		}
+		h.legs[x.Leg] = l
+	}
+	if l.part == waiting {
+		l.part, l.from = going, h.now
+	}
+	l.ghost = l.part == ended && l.n == 0
+	if x.Ref != l.ref {
+		l.ref, l.saved = x.Ref, h.now
+	}
+	l.sure, l.unsure, l.done = h.now, false, x.Percent
+}
+
+// miss judges what a reply does not list: it can't be running, if the reply was
+// asked for after it was known to run, after it was turned away, or by a query
+// that raised the fence above it.
+func (h *Hand) miss(f *flight, listed map[mark.Leg]bool) {
+	for _, l := range h.sorted() {
+		if listed[l.job.Leg] || l.part == ended || !l.shown && l.part == waiting {
+			continue
+		}
+		switch {
+		case l.sure > 0 && l.sure < f.at:
+			h.finish(l, store.Gone)
+		case l.sure == 0 && (f.Fence > l.fence || l.turned > 0 && l.turned < f.at):
+			h.finish(l, store.Unrun)
+		}
+	}
+}
+
+// forget drops the ends that the worker has dropped.
+func (h *Hand) forget(seen uint64) {
+	c := h.caller
+	for n, e := range c.ends {
+		if n <= seen {
+			delete(c.ends, n)
+			if l := h.legs[e.leg]; l != nil && l.settled {
+				delete(h.legs, e.leg)
+			}
+		}
+	}
+}
+
+// settle takes it that the log has a leg's end; ends are settled at the worker
+// in their order.
+func (h *Hand) settle(l *leg) {
+	c := h.caller
+	if e := c.ends[l.n]; l.n > 0 && e != nil {
+		e.settled = true
+		for c.ends[c.seen+1] != nil && c.ends[c.seen+1].settled {
+			c.seen++
+		}
+		if c.seen == c.high() {
+			c.next = h.now
+		}
+		return
+	}
+	delete(h.legs, l.job.Leg)
+}
+
+// high is the highest end that the worker has told.
+func (c *Caller) high() uint64 {
+	n := c.seen
+	for k := range c.ends {
+		n = max(n, k)
+	}
+	return n
+}
+
+// saves lists what attempts have saved of late.
+func (h *Hand) saves() (list []Save) {
+	for _, l := range h.sorted() {
+		if l.part != ended && l.ref != "" && h.now.Sub(l.saved) < 4*h.pace.Beat {
+			list = append(list, Save{l.job.Leg, l.ref})
+		}
+	}
+	return
+}
+
+// fits tells whether a worker has all the labels that a task needs.
+func (r Report) fits(labels []string) bool {
+	for _, l := range labels {
+		if !slices.Contains(r.Labels, l) {
+			return false
+		}
+	}
+	return true
+}
--- a/truth/say.go
+++ b/truth/say.go
@@ -45,6 +45,8 @@
 	Leaving bool        `json:"leaving"`
 	LeaveMS int64       `json:"leave_in_ms,omitempty"` // how long until it goes; 0 is not told
 	Sound   bool        `json:"sound"`
+	Labels  []string    `json:"labels,omitempty"`
+	Invoked bool        `json:"invoked,omitempty"` // it is called, rather than calling its ward
 }
 
 // SetID names a worker set: which leader made it, its version there, its hash.
@@ -63,6 +65,13 @@
 	Stamp mark.Stamp `json:"stamp"`
 	Set   SetID      `json:"set"`
 	Report
+	Saves []Save `json:"saves,omitempty"`
+}
+
+// Save is what a running attempt has saved, for the next to go on from.
+type Save struct {
+	Leg mark.Leg `json:"leg"`
+	Ref string   `json:"ref"`
 }
 
 // Top is the part that every message of the scheduler begins with.
@@ -105,6 +114,8 @@
 	Rack  mark.Rack       `json:"rack,omitempty"`
 	Room  mark.Room       `json:"room"`
 	Limit int             `json:"limit_ms"`
+	Label []string        `json:"labels,omitempty"`
+	Ref   string          `json:"ref,omitempty"`
 	Work  json.RawMessage `json:"work,omitempty"`
 }
 
--- a/truth/truth_test.go
+++ b/truth/truth_test.go
@@ -36,6 +36,7 @@
 	b.head = NewHead(b.now, Defaults, "h", term, outs)
 	b.head.Taken = func(store.End) bool { return false }
 	b.head.Apart = func(mark.Shard) bool { return false }
+	b.head.Invoked = func(mark.Shard) bool { return false }
 	b.head.Doubts = func(mark.Shard) []mark.Leg { return nil }
 }
 
--- a/ward/ward.go
+++ b/ward/ward.go
@@ -73,7 +73,13 @@
 	case e.Note != nil:
 		w.take(*e.Note)
 	case e.Ask != nil:
-		w.poll(*e.Ask)
+		if f := asks[e.Ask.Verb]; f != nil {
+			f(w, *e.Ask)
+		} else {
+			w.outs = append(w.outs, word.Answer{Token: e.Ask.Token, Fault: fault.New(fault.NoPath, "", "no such verb")})
+		}
+	case e.Reply != nil:
+		w.hand.Back(w.now.Mono, *e.Reply)
 	case e.Close:
 		w.drain = true
 	default:
@@ -85,7 +91,7 @@
 		w.outs = append(w.outs, word.Answer{Token: w.token, Code: 200, Body: word.Body(w.hand.Reply(w.now.Mono))})
 		w.token = 0
 	}
-	out := word.Out{Sends: append(w.tell(w.hand.Out()), w.kin.Out()...), Answers: w.outs, Idle: w.drain && w.token == 0}
+	out := word.Out{Sends: append(w.tell(w.hand.Out()), w.kin.Out()...), Calls: w.hand.Calls(), Answers: w.outs, Idle: w.drain && w.token == 0}
 	w.outs = nil
 	return out
 }
@@ -127,12 +133,31 @@
 	}
 }
 
+var asks = map[string]func(*Ward, word.Ask){"poll": (*Ward).poll, "beat": (*Ward).beat, "leave": (*Ward).leave}
+
+// beat takes what a worker that is called tells of itself.
+func (w *Ward) beat(a word.Ask) {
+	var b word.WorkerBeat
+	if json.Unmarshal(a.Body, &b) != nil || b.Life == "" || b.To == "" {
+		w.outs = append(w.outs, word.Answer{Token: a.Token, Fault: fault.New(fault.BadBody, "", "not a worker's beat")})
+		return
+	}
+	w.hand.Beat(w.now.Mono, b)
+	w.outs = append(w.outs, word.Answer{Token: a.Token, Code: 200})
+}
+
+// leave takes it that a worker process ends now.
+func (w *Ward) leave(a word.Ask) {
+	w.hand.Leave(w.now.Mono, mark.ID(a.Arg))
+	w.outs = append(w.outs, word.Answer{Token: a.Token, Code: 200})
+}
+
 // poll takes a worker's call; the one held before it is then answered as stale.
 func (w *Ward) poll(a word.Ask) {
 	w.Sums.Polls++
 	var p truth.Poll
 	var heap fault.Heap
-	if a.Verb != "poll" || json.Unmarshal(a.Body, &p) != nil {
+	if json.Unmarshal(a.Body, &p) != nil {
 		heap.Add(fault.BadBody, "", "not a worker's call")
 	} else {
 		p.Check(&heap)
