Choice by priority and by when work must start; data racks, labels, one rack

Cause: rows have priorities and aims, steps name racks and labels; the choice knew shares and weights only. Ruled out: one weight for all of it (priorities could then be bought by waiting). Change: queues by priority, then as before; of queues with aims, the work that must start first, what is past its aim last. The rack of the data before others, one rack for a gang that is slower when spread. Tests of these, and of timed, lasting, joint, saving and lapsed work in the store.

--- a/blueprint/table.go
+++ b/blueprint/table.go
@@ -67,6 +67,9 @@
 	return min(10*time.Second, rest/2<<min(n, 10))
 }
 
+// Aims tells whether the queue's jobs are meant to be done by some time.
+func (r Row) Aims() bool { return r.Stretch > 0 }
+
 func (r Row) Limit() time.Duration   { return time.Duration(r.TaskMS) * time.Millisecond }
 func (r Row) WaitCut() time.Duration { return time.Duration(r.CutMS) * time.Millisecond }
 func (r Row) Wait() time.Duration    { return time.Duration(r.Patience) * time.Millisecond }
--- /dev/null
+++ b/choice/aims_test.go
@@ -0,0 +1,80 @@
+package choice
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"coppercourse/blueprint"
+	"coppercourse/mark"
+)
+
+func rows(list ...blueprint.Row) map[mark.Queue]*Due {
+	m := map[mark.Queue]*Due{}
+	for _, r := range list {
+		r.Running, r.Weight = 100, 1
+		m[r.Name] = &Due{Row: r}
+	}
+	return m
+}
+
+func TestPriorityGoesFirstThenWhatMustStartFirst(t *testing.T) {
+	is := is.New(t)
+	late, soon, far, low := want("late", "a", 1, 4), want("soon", "a", 1, 4), want("far", "b", 1, 4), want("low", "c", 1, 4)
+	late.By, soon.By, far.By, low.By = -time.Second, 100*time.Millisecond, time.Second, time.Millisecond
+	dues := rows(blueprint.Row{Name: "a", Stretch: 1.5}, blueprint.Row{Name: "b", Stretch: 2}, blueprint.Row{Name: "c", Stretch: 2, Priority: 1})
+	for room, jobs := range []int{0: 0, 1: 1, 2: 2, 3: 3, 4: 4} {
+		n := count(place([]Want{low, late, far, soon}, slots(room, 4), dues, 16))
+		order := []mark.JobID{"soon", "far", "late", "low"}
+		for i, id := range order {
+			is.Equal(n[id] == 1, i < jobs)
+		}
+		for _, d := range dues {
+			d.Running, d.Cores = 0, 0
+		}
+	}
+}
+
+func TestDataRackIsPreferredAndLabelsAreNeeded(t *testing.T) {
+	is := is.New(t)
+	w := want("j", "q", 2, 1)
+	w.Near = "r1"
+	list := slots(6, 4)
+	list[4].Free.Cores = mark.Core // little room, but on the rack of the data
+	picks := place([]Want{w}, list, rows(blueprint.Row{Name: "q"}), 24)
+	is.Equal(len(picks), 2)
+	for _, p := range picks {
+		is.True(p.Shard == "k3" || p.Shard == "k4" || p.Shard == "k5")
+	}
+	w.Near, w.Labels = "", []string{"ssd", "b"}
+	list = slots(6, 4)
+	is.Equal(len(place([]Want{w}, list, rows(blueprint.Row{Name: "q"}), 24)), 0)
+	list[2].Labels = []string{"b", "r0", "ssd"}
+	for _, p := range place([]Want{w}, list, rows(blueprint.Row{Name: "q"}), 24) {
+		is.Equal(p.Shard, mark.Shard("k2"))
+	}
+}
+
+func TestAGangThatIsSlowerWhenSpreadGoesOnOneRackIfItFits(t *testing.T) {
+	is := is.New(t)
+	racks := func(picks []Pick, list []Slot) map[mark.Rack]int {
+		m := map[mark.Rack]int{}
+		for _, p := range picks {
+			for _, s := range list {
+				if s.Shard == p.Shard {
+					m[s.Rack]++
+				}
+			}
+		}
+		return m
+	}
+	w := want("j", "q", 6, 2)
+	w.Gang, w.OneRack = true, true
+	list := slots(6, 4)
+	is.Equal(len(racks(place([]Want{w}, list, rows(blueprint.Row{Name: "q"}), 24), list)), 1)
+	list = slots(6, 4)
+	list[0].Free.Cores, list[3].Free.Cores = 0, 0
+	got := racks(place([]Want{w}, list, rows(blueprint.Row{Name: "q"}), 24), list)
+	is.Equal(got["r0"]+got["r1"], 6) // spread over two rather than not placed
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -56,6 +56,10 @@
 	Tasks   []int
 	Long    time.Duration // its time limit
 	Since   time.Duration // how long it has been ready
+
+	By      time.Duration // until when it should start, for its job to meet its aim
+	Near    mark.Rack     // where its data is
+	OneRack bool          // it is slower when spread over racks
 	Shun    map[mark.Shard]bool
 }
 
@@ -130,6 +134,8 @@
 	dead   map[shape]bool
 	missed *Want // the first whose turn it was, passed over for too long
 	passed bool  // and other work took room that would have suited it
+	free   []mark.Room
+	more   []int
 }
 
 // Place gives the round's placements.
@@ -309,13 +315,26 @@
 		t.wants = append(t.wants, w)
 	}
 	for _, t := range turns {
-		sort.SliceStable(t.wants, func(i, k int) bool { return t.wants[i].Urgency > t.wants[k].Urgency })
+		sort.SliceStable(t.wants, func(i, k int) bool {
+			a, b := &t.wants[i], &t.wants[k]
+			return a.Urgency > b.Urgency || a.Urgency == b.Urgency && t.due.Row.Aims() && sooner(a, b)
+		})
 	}
 	return
 }
 
-// next is the queue whose turn it is: those below their share first, the one
-// furthest below before the others, then by cores in use for each weight.
+// sooner puts what can still meet its aim before what can't, and then what must
+// start first.
+func sooner(a, b *Want) bool {
+	if x, y := a.By < 0, b.By < 0; x != y {
+		return y
+	}
+	return a.By < b.By
+}
+
+// next is the queue whose turn it is: by priority; then those below their share,
+// the one furthest below before the others; then by cores in use for each weight,
+// or, of queues whose jobs have aims, the one whose work must start first.
 func next(turns []*turn, total mark.Cores) (best *turn) {
 	rank := func(t *turn) (bool, float64) {
 		part := 100 * float64(t.due.Cores) / float64(max(total, 1))
@@ -332,52 +351,21 @@
 			best = t
 			continue
 		}
+		if p, q := t.due.Row.Priority, best.due.Row.Priority; p != q {
+			if p < q {
+				best = t
+			}
+			continue
+		}
 		a, x := rank(t)
 		b, y := rank(best)
-		if a && !b || a == b && x < y {
-			best = t
-		}
-	}
-	return
-}
-
-// fit finds workers for n tasks of a want, or nil.
-func (r *round) fit(w Want, n int) (got []int) {
-	free := make([]mark.Room, len(r.Slots))
-	more := make([]int, len(r.Slots))
-	for i := range r.Slots {
-		free[i] = r.Slots[i].Free
-	}
-	for range n {
-		best, mark := -1, 0.0
-		for i := range r.Slots {
-			s := &r.Slots[i]
-			if !free[i].Holds(w.Room) || !s.Suits(w) || w.Spread > 0 && s.Has[w.Part]+more[i] >= w.Spread ||
-				!free[i].Minus(s.held).Holds(w.Room) && w.Long > s.Clear {
-				continue
-			}
-			if s.Bad > r.mean+shun && s.Busy+more[i] > 0 {
-				continue
-			}
-			v := worth(s, free[i])
-			if w.Shun[s.Shard] {
-				v /= 1000
-			}
-			if best < 0 || v > mark {
-				best, mark = i, v
-			}
+		less := x < y
+		if t.due.Row.Aims() && best.due.Row.Aims() {
+			less = sooner(&t.wants[0], &best.wants[0])
 		}
-		if best < 0 {
-			return nil
+		if a && !b || a == b && less {
+			best = t
 		}
-		free[best] = free[best].Minus(w.Room)
-		more[best]++
-		got = append(got, best)
 	}
 	return
 }
-
-// worth prefers workers with much room that end their legs well and in time.
-func worth(s *Slot, free mark.Room) float64 {
-	return float64(free.Cores) * (1 - s.Bad) / max(s.Slow, 0.2)
-}
--- /dev/null
+++ b/choice/fit.go
@@ -0,0 +1,83 @@
+// Where the tasks of a step go: workers that suit them and have room, on the rack
+// of their data if they can, on one rack if they are slower when spread, away from
+// workers where they stalled or failed.
+package choice
+
+import "coppercourse/mark"
+
+// fit finds workers for n tasks of a want, or nil.
+func (r *round) fit(w Want, n int) (got []int) {
+	if w.OneRack {
+		if got = r.rack(w, n); got != nil {
+			return got
+		}
+	}
+	return r.among(w, n, "")
+}
+
+// rack finds one rack that holds n tasks of a want, the one of its data first.
+func (r *round) rack(w Want, n int) []int {
+	seen := map[mark.Rack]bool{"": true}
+	try := func(x mark.Rack) []int {
+		if seen[x] {
+			return nil
+		}
+		seen[x] = true
+		return r.among(w, n, x)
+	}
+	got := try(w.Near)
+	for i := 0; i < len(r.Slots) && got == nil; i++ {
+		if at := r.Slots[i].Rack; r.Slots[i].Has[w.Part] > 0 {
+			got = try(at)
+		}
+	}
+	for i := 0; i < len(r.Slots) && got == nil; i++ {
+		got = try(r.Slots[i].Rack)
+	}
+	return got
+}
+
+// among finds workers in a rack, or in any.
+func (r *round) among(w Want, n int, rack mark.Rack) (got []int) {
+	free, more := r.free[:0], r.more[:0]
+	for i := range r.Slots {
+		free, more = append(free, r.Slots[i].Free), append(more, 0)
+	}
+	r.free, r.more = free, more
+	for range n {
+		best, top := -1, 0.0
+		for i := range r.Slots {
+			s := &r.Slots[i]
+			if rack != "" && s.Rack != rack || !free[i].Holds(w.Room) || !s.Suits(w) ||
+				w.Spread > 0 && s.Has[w.Part]+more[i] >= w.Spread ||
+				!free[i].Minus(s.held).Holds(w.Room) && w.Long > s.Clear {
+				continue
+			}
+			if s.Bad > r.mean+shun && s.Busy+more[i] > 0 {
+				continue
+			}
+			v := worth(s, free[i])
+			if w.Near != "" && s.Rack != w.Near {
+				v /= 100
+			}
+			if w.Shun[s.Shard] {
+				v /= 1000
+			}
+			if best < 0 || v > top {
+				best, top = i, v
+			}
+		}
+		if best < 0 {
+			return nil
+		}
+		free[best] = free[best].Minus(w.Room)
+		more[best]++
+		got = append(got, best)
+	}
+	return
+}
+
+// worth prefers workers with much room that end their legs well and in time.
+func worth(s *Slot, free mark.Room) float64 {
+	return float64(free.Cores) * (1 - s.Bad) / max(s.Slow, 0.2)
+}
--- a/helm/plan.go
+++ b/helm/plan.go
@@ -112,7 +112,8 @@
 				long = endless
 			}
 			list = append(list, choice.Want{Part: choice.Part{Job: j.ID, Stage: b.Stage}, Queue: j.Queue, Urgency: j.Spec.Urgency,
-				Kind: p.Kind, Rack: p.Rack, Labels: p.Labels, Room: p.Room, Spread: p.Spread, Gang: p.Gang, Tasks: b.Tasks, Long: long, Shun: b.Shun})
+				Kind: p.Kind, Rack: p.Rack, Labels: p.Labels, Room: p.Room, Spread: p.Spread, Gang: p.Gang, Tasks: b.Tasks, Long: long, Shun: b.Shun,
+				By: b.By.Sub(now), Near: p.Near, OneRack: p.OneRack})
 		}
 	}
 	return
--- a/store/heat.go
+++ b/store/heat.go
@@ -3,6 +3,9 @@
 package store
 
 import (
+	"slices"
+	"time"
+
 	"coppercourse/blueprint"
 	"coppercourse/mark"
 )
@@ -11,6 +14,7 @@
 type Batch struct {
 	Stage mark.Stage
 	Tasks []int
+	By    mark.Tick           // when the last of them should start for the job to meet its aim
 	Shun  map[mark.Shard]bool // workers where legs of these stalled or failed
 }
 
@@ -34,6 +38,45 @@
 	return j.hot
 }
 
+// by tells when a stage should start at the latest for its job to be done within
+// the aim of its row, as far as the job's estimates go.
+func (j *Job) by(row blueprint.Row, at mark.Stage, due mark.Tick) mark.Tick {
+	from := j.At
+	if j.Spec.Times != nil {
+		from = max(from, due)
+	}
+	aim := time.Duration(row.Stretch*float64(j.Spec.chain(-1))) + time.Duration(row.Target)
+	return from.Add(aim*ms - time.Duration(j.Spec.chain(at.Step()))*ms)
+}
+
+// chain is the longest chain of estimated work in ms, of the whole job or from
+// one step on.
+func (s Spec) chain(from int) int {
+	long := make([]int, len(s.Steps))
+	var tail func(i int) int
+	tail = func(i int) int {
+		if long[i] > 0 {
+			return long[i]
+		}
+		rest := 0
+		for k, q := range s.Steps {
+			if slices.Contains(q.After, s.Steps[i].Name) {
+				rest = max(rest, tail(k))
+			}
+		}
+		long[i] = max(1, s.Steps[i].Estimate) + rest
+		return long[i]
+	}
+	if from >= 0 {
+		return tail(from)
+	}
+	most := 0
+	for i := range s.Steps {
+		most = max(most, tail(i))
+	}
+	return most
+}
+
 // heat works it out afresh.
 func (j *Job) heat(row blueprint.Row, now mark.Tick, off mark.Wall) *Heat {
 	h := &Heat{Doomed: j.Doomed(), Spent: j.Spent(row, now), until: far}
@@ -60,7 +103,7 @@
 		if due > now || !j.met(p, at.Time()) {
 			return
 		}
-		b, whole := Batch{Stage: at}, true
+		b, whole := Batch{Stage: at, By: j.by(row, at, due)}, true
 		for i := range part {
 			t := &part[i]
 			if t.Done {
--- /dev/null
+++ b/store/kinds_test.go
@@ -0,0 +1,178 @@
+// The sorts of job that the users' services have: at many times, lasting, joint
+// gangs, with progress kept, of workers whose lapse is the last word; and tables
+// that the operator numbers.
+package store
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"coppercourse/blueprint"
+	"coppercourse/fault"
+	"coppercourse/mark"
+)
+
+func put(t *testing.T, s *State, text string) *Job {
+	s.must(sec, Fact{Job: &Submit{"j", read(t, text)}})
+	return s.Jobs["j"]
+}
+
+func batches(s *State, j *Job, at mark.Tick) (list []int) {
+	for _, b := range s.Heat(j, at).Batches {
+		list = append(list, b.Tasks...)
+	}
+	return
+}
+
+func TestTimesRunSideBySideAndEachWaitsForItsOwn(t *testing.T) {
+	is := is.New(t)
+	s := town(t)
+	s.must(sec, Fact{Off: new(mark.Wall)})
+	j := put(t, s, `{"queue":"q","times":{"first_ms":5000,"every_ms":2000,"count":3},"steps":[{"name":"a","kind":"x"},{"name":"b","kind":"x","after":["a"]}]}`)
+	is.Equal(j.Size, 6)
+	is.Equal(len(batches(s, j, 4*sec)), 0)
+	is.Equal(batches(s, j, 5*sec), []int{mark.No(0, 0, 0)})
+	is.Equal(batches(s, j, 7*sec), []int{mark.No(0, 0, 0), mark.No(1, 0, 0)}) // the times may overlap
+	s.must(7*sec, Fact{Legs: give(mark.No(1, 0, 0))})
+	s.must(8*sec, end(mark.No(1, 0, 0), 1, OK))
+	is.Equal(batches(s, j, 8*sec), []int{mark.No(0, 0, 0), mark.No(1, 1, 0)}) // its own step a is done
+	for _, n := range []int{mark.No(0, 0, 0), mark.No(0, 1, 0), mark.No(1, 1, 0), mark.No(2, 0, 0), mark.No(2, 1, 0)} {
+		is.Equal(j.State, Open)
+		s.must(20*sec, Fact{Legs: give(n)})
+		s.must(20*sec, end(n, 1, OK))
+	}
+	is.Equal(j.State, Done)
+	is.Equal(len(s.must(20*sec, Fact{Legs: give(mark.No(3, 0, 0))})), 0) // there is no fourth time
+}
+
+func TestWhatLastsGoesAgainHoweverItEnds(t *testing.T) {
+	is := is.New(t)
+	s := town(t)
+	j := put(t, s, `{"queue":"q","steps":[{"name":"a","kind":"x","lasts":true}]}`)
+	for i, f := range []Fate{OK, Bad, Bad, Bad, Lapsed, Halted, Gone, OK} {
+		at := mark.Tick(i+2) * 20 * sec
+		is.Equal(len(s.must(at, Fact{Legs: give(0)})), 1)
+		s.must(at, end(0, i+1, f))
+		is.Equal(j.State, Open)
+	}
+	s.must(900*sec, Fact{Cancel: "j"})
+	is.Equal(j.State, Stopped)
+}
+
+func TestAJointGangEndsAndFailsAsOne(t *testing.T) {
+	is := is.New(t)
+	text := `{"queue":"q","steps":[{"name":"a","kind":"x","tasks":3,"gang":true,"joint":true}]}`
+	gang := func(n int, leg int) (list []Give) {
+		for i := range n {
+			list = append(list, Give{mark.Leg{Task: mark.Task{Job: "j", N: i}, Leg: leg}, "k"})
+		}
+		return
+	}
+	s := town(t)
+	j := put(t, s, text)
+	is.Equal(len(s.must(2*sec, Fact{Legs: gang(2, 1)})), 0) // whole or not at all
+	is.Equal(len(s.must(2*sec, Fact{Legs: gang(3, 1)})), 3)
+	s.must(3*sec, end(1, 1, Bad))
+	is.Equal(len(j.Doomed()), 2) // the others are stopped
+	s.must(3*sec, end(0, 1, Bad))
+	s.must(3*sec, end(2, 1, Halted))
+	is.Equal(j.Tasks[2].Fails, 1) // one failure of the gang, whoever tells it
+	is.Equal(j.State, Open)
+	legs := s.must(9*sec, Fact{Legs: gang(3, 2)})
+	is.Equal(len(legs), 3)
+	for _, l := range legs {
+		is.Equal(l.Leg.Leg, 2) // all members have one number
+	}
+	s.must(10*sec, end(2, 2, OK)) // stands for all
+	is.Equal(j.Fine, 3)
+	is.Equal(j.State, Ending)
+	s.must(10*sec, end(0, 2, OK))
+	s.must(10*sec, end(1, 2, Gone))
+	is.Equal(j.State, Done)
+
+	s = town(t)
+	j = put(t, s, text)
+	for leg := 1; leg <= 2; leg++ { // as many as the queue's tries
+		at := mark.Tick(leg) * 10 * sec
+		s.must(at, Fact{Legs: gang(3, leg)})
+		s.must(at, end(0, leg, Bad))
+		s.must(at, end(1, leg, Halted))
+		s.must(at, end(2, leg, Halted))
+	}
+	is.Equal(j.State, Failed)
+}
+
+func TestWhatWasSavedGoesWithTheNextLeg(t *testing.T) {
+	is := is.New(t)
+	s := town(t)
+	j := put(t, s, `{"queue":"q","steps":[{"name":"a","kind":"x","tasks":2,"gang":true,"joint":true,"keeps":true},{"name":"b","kind":"x"}]}`)
+	s.must(2*sec, Fact{Legs: []Give{{leg(0, 1), "k"}, {leg(1, 1), "k"}}})
+	s.must(3*sec, Fact{Ends: []End{{Leg: leg(0, 1), Fate: Halted, Ref: "r1"}, {Leg: leg(1, 1), Fate: Lapsed}}})
+	is.Equal(j.Tasks[0].Ref, "r1")
+	is.Equal(j.Tasks[1].Ref, "r1") // any member's is good for the gang
+	b := mark.No(0, 1, 0)
+	s.must(4*sec, Fact{Legs: give(b)})
+	s.must(5*sec, Fact{Ends: []End{{Leg: leg(b, 1), Fate: Halted, Ref: "r2"}}})
+	is.Equal(j.Task(b).Ref, "") // it keeps nothing
+}
+
+func TestALapseIsTheLastWord(t *testing.T) {
+	is := is.New(t)
+	s := town(t)
+	j := put(t, s, `{"queue":"q","steps":[{"name":"a","kind":"x"}]}`)
+	s.must(2*sec, Fact{Legs: give(0)})
+	s.must(3*sec, end(0, 1, Lapsed))
+	is.Equal(len(s.Doubts("k")), 0)
+	is.True(j.Task(0).Knows(1, OK))
+	s.must(3*sec, end(0, 1, OK)) // told late: it does not count
+	is.Equal(j.Fine, 0)
+	is.Equal(len(s.must(4*sec, Fact{Legs: give(0)})), 1)
+	s.must(4*sec, end(0, 1, Bad))
+	is.Equal(j.Task(0).Fails, 0)
+	s.must(5*sec, end(0, 2, OK))
+	is.Equal(j.State, Done)
+}
+
+func TestTablesThatTheOperatorNumbers(t *testing.T) {
+	is := is.New(t)
+	s := town(t) // edition 1
+	q := s.Table.Rows[0]
+	next := func(base, becomes mark.Edition, orphans blueprint.Orphans, rows ...blueprint.Row) *fault.Fault {
+		_, bad := s.Apply(Fact{Tick: 9 * sec, Table: &blueprint.Table{Edition: base, Becomes: becomes, Orphans: orphans, Rows: rows}})
+		return bad
+	}
+	is.True(next(1, 7, "", q) == nil)
+	is.Equal(int(s.Table.Edition), 7)
+	is.True(next(1, 7, "", q) == nil) // the same again
+	is.Equal(next(1, 8, "", q).Kind, fault.Stale)
+	is.Equal(next(7, 7, "", q).Kind, fault.BadField)
+	j := put(t, s, `{"queue":"q","steps":[{"name":"a","kind":"x"}]}`)
+	is.Equal(next(7, 9, "").Kind, fault.InUse)
+	is.True(next(7, 9, blueprint.Finish) == nil)
+	_, ok := s.Table.Find("q")
+	is.True(!ok)
+	row, ok := s.Row("q") // its jobs are finished by the last row
+	is.True(ok)
+	is.Equal(row.Tries, 2)
+	is.Equal(len(s.must(10*sec, Fact{Legs: give(0)})), 1)
+	s.must(11*sec, end(0, 1, OK))
+	is.Equal(j.State, Done)
+	is.True(next(9, 12, blueprint.Finish) == nil)
+	_, ok = s.Row("q")
+	is.True(!ok)
+	is.True(next(1, 7, "", q) == nil) // told the truth late: it was taken
+	is.Equal(int(s.Table.Edition), 12)
+}
+
+func TestWhenAStageShouldStart(t *testing.T) {
+	is := is.New(t)
+	s := town(t)
+	row := s.Table.Rows[0]
+	row.Stretch, row.Target = 1.5, 200
+	j := put(t, s, `{"queue":"q","steps":[{"name":"a","kind":"x","estimate_ms":400},{"name":"b","kind":"x","estimate_ms":600,"after":["a"]},{"name":"c","kind":"x","estimate_ms":100}]}`)
+	at := func(step int) mark.Tick { return j.by(row, mark.StageOf(mark.No(0, step, 0)), 0) - j.At }
+	is.Equal(at(0), mark.Tick((1500+200-1000)*ms)) // its chain is all of the longest one
+	is.Equal(at(1), mark.Tick((1500+200-600)*ms))
+	is.Equal(at(2), mark.Tick((1500+200-100)*ms))
+}
