Copies of slow attempts where a step allows them

Cause: a worker that turns slow or silent holds up every step with a task there. Ruled out: moving the attempt (its work is lost, and the estimate may be wrong). Change: a task may have a second leg out, in room that nothing else wants, once it takes 1.8 times its usual time and 150 ms more, or its worker is out of reach. A job whose tasks have all ended well tells its outcome before the last copy is stopped. Fuzzed with the other facts in the store's tests.

--- /dev/null
+++ b/helm/copies.go
@@ -0,0 +1,60 @@
+// Second attempts: where a step allows that its tasks run twice, one that takes far
+// longer than its like, or whose worker has fallen silent, gets a copy elsewhere, in
+// room that nothing else wants. Whichever ends well first counts; the other is stopped.
+package helm
+
+import (
+	"time"
+
+	"coppercourse/choice"
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/truth"
+)
+
+const (
+	slack  = 150 * time.Millisecond // beyond a task's usual time
+	behind = 1.8                    // times of it
+)
+
+// copies places second attempts in what the round has left.
+func (h *Helm) copies(in choice.Input) (legs []store.Give) {
+	var wants []choice.Want
+	for _, o := range h.head.Holds() {
+		j := h.state.Jobs[o.Leg.Job]
+		if j == nil || j.State != store.Open || o.Stage < 0 {
+			continue
+		}
+		p := &j.Spec.Steps[o.Stage.Step()]
+		t := j.Task(o.Leg.N)
+		if !p.Copies || p.Gang || t == nil || t.Done || t.Copy != nil || t.On(o.Leg.Leg) == nil || !h.slow(o, p) {
+			continue
+		}
+		wants = append(wants, choice.Want{Part: choice.Part{Job: j.ID, Stage: o.Stage}, Queue: j.Queue, Urgency: j.Spec.Urgency,
+			Kind: p.Kind, Rack: p.Rack, Labels: p.Labels, Room: p.Room, Spread: p.Spread, Near: p.Near,
+			Tasks: []int{o.Leg.N}, Long: h.limit(j, o.Stage), Shun: map[mark.Shard]bool{o.Shard: true}})
+	}
+	if wants == nil {
+		return nil
+	}
+	in.Wants, in.Kept = wants, nil
+	for _, p := range choice.Place(in).Picks {
+		t := h.state.Jobs[p.Task.Job].Task(p.Task.N)
+		if t.Out.Shard != p.Shard {
+			legs = append(legs, store.Give{Leg: mark.Leg{Task: p.Task, Leg: t.Leg + 1}, Shard: p.Shard, Copy: true})
+		}
+	}
+	return
+}
+
+// slow tells whether a leg is far behind its like, or its worker out of reach.
+func (h *Helm) slow(o *truth.Hold, p *store.Step) bool {
+	if s := h.head.Seat(o.Shard); s == nil || s.State != truth.Healthy || !s.Sound {
+		return true
+	}
+	usual := time.Duration(p.Estimate) * time.Millisecond
+	if u, ok := h.head.Usual(o.Usual); ok {
+		usual = max(usual, u)
+	}
+	return usual > 0 && h.now.Mono.Sub(o.At) > time.Duration(behind*float64(usual))+slack
+}
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -335,11 +335,11 @@
 func (h *Helm) outs() (list []truth.Hold) {
 	for _, j := range h.state.Live() {
 		for i := range j.Tasks {
-			if t := &j.Tasks[i]; t.Out != nil {
+			for _, o := range j.Tasks[i].Outs() {
 				n := j.Spec.No(i)
 				at := mark.StageOf(n)
-				list = append(list, truth.Hold{Leg: mark.Leg{Task: mark.Task{Job: j.ID, N: n}, Leg: t.Leg},
-					Shard: t.Out.Shard, Stage: at, Room: j.Spec.Steps[at.Step()].Room, Usual: usual(j, at), Limit: h.limit(j, at)})
+				list = append(list, truth.Hold{Leg: mark.Leg{Task: mark.Task{Job: j.ID, N: n}, Leg: o.Leg},
+					Shard: o.Shard, Stage: at, Room: j.Spec.Steps[at.Step()].Room, Usual: usual(j, at), Limit: h.limit(j, at)})
 			}
 		}
 	}
--- a/helm/plan.go
+++ b/helm/plan.go
@@ -43,16 +43,17 @@
 		return
 	}
 	in := choice.Input{Kept: h.kept}
-	if in.Wants, in.Dues = h.wants(); len(in.Wants) == 0 {
+	in.Wants, in.Dues = h.wants()
+	in.Slots, in.Total = h.slots()
+	if len(in.Wants) == 0 {
 		h.kept, h.waited = nil, nil
-		h.give(nil, backs)
+		h.give(h.copies(in), backs)
 		return
 	}
 	h.ages(in.Wants)
-	in.Slots, in.Total = h.slots()
 	out := choice.Place(in)
 	h.kept = out.Kept
-	legs := h.number(out.Picks)
+	legs := append(h.number(out.Picks), h.copies(in)...)
 	if legs == nil && backs == nil && h.kept == nil {
 		backs, h.kept = h.displace(in)
 	}
--- a/helm/view.go
+++ b/helm/view.go
@@ -17,6 +17,7 @@
 	ID        mark.JobID   `json:"id"`
 	Queue     mark.Queue   `json:"queue,omitempty"`
 	State     store.Stage  `json:"state"`
+	Fixed     store.Stage  `json:"outcome,omitempty"` // what it will end as, while the last legs are stopped
 	Why       string       `json:"reason,omitempty"`
 	Accepted  string       `json:"accepted_at,omitempty"`
 	Cancelled bool         `json:"cancel_accepted,omitempty"`
@@ -35,13 +36,14 @@
 	}
 	v := &JobView{ID: j.ID, Queue: j.Queue, State: j.State, Why: j.Why, Cancelled: j.Halt, Tasks: j.Size, Done: j.Fine,
 		Legs: j.Legs}
+	if j.State == store.Ending && j.Fine == j.Size {
+		v.Fixed = store.Done
+	}
 	if j.Wall != 0 {
 		v.Accepted = time.Unix(0, int64(j.Wall)).UTC().Format(time.RFC3339Nano)
 	}
-	for _, t := range j.Tasks {
-		if t.Out != nil {
-			v.Running++
-		}
+	for i := range j.Tasks {
+		v.Running += len(j.Tasks[i].Outs())
 	}
 	if len(j.Tasks) <= 200 {
 		v.List = append([]store.Task(nil), j.Tasks...)
--- a/helm/windows.go
+++ b/helm/windows.go
@@ -75,7 +75,11 @@
 		return false
 	}
 	t := j.Task(l.N)
-	return t != nil && t.Out != nil && t.Leg == l.Leg && t.Out.Back == ""
+	if t == nil {
+		return false
+	}
+	o := t.On(l.Leg)
+	return o != nil && o.Back == ""
 }
 
 // stalled tells a leg far beyond its step's usual time, once for a task.
--- a/store/heat.go
+++ b/store/heat.go
@@ -88,8 +88,9 @@
 	j.stages(func(at mark.Stage, p *Step, part []Task) {
 		for i := range part {
 			if t := &part[i]; t.Out != nil {
-				h.Running++
-				h.Cores += p.Room.Cores
+				n := len(t.Outs())
+				h.Running += n
+				h.Cores += p.Room.Cores * mark.Cores(n)
 			} else if !t.Done && !t.Dead {
 				wait(t.Ready)
 			}
--- a/store/job.go
+++ b/store/job.go
@@ -124,9 +124,7 @@
 
 func (j *Job) outs() (n int) {
 	for i := range j.Tasks {
-		if j.Tasks[i].Out != nil {
-			n++
-		}
+		n += len(j.Tasks[i].Outs())
 	}
 	return
 }
@@ -140,8 +138,10 @@
 	j.stages(func(at mark.Stage, _ *Step, part []Task) {
 		for i := range part {
 			t := &part[i]
-			if t.Out != nil && (j.State == Ending || t.Done || t.Out.Back != "" || j.Broken[at]) {
-				list = append(list, mark.Leg{Task: mark.Task{Job: j.ID, N: at.No(i)}, Leg: t.Leg})
+			for _, o := range t.Outs() {
+				if j.State == Ending || t.Done || o.Back != "" || j.Broken[at] {
+					list = append(list, mark.Leg{Task: mark.Task{Job: j.ID, N: at.No(i)}, Leg: o.Leg})
+				}
 			}
 		}
 	})
@@ -163,7 +163,20 @@
 	t.Leg = max(t.Leg+1, least)
 	t.Doubt = ""
 	j.Legs++
-	t.Out = &Out{Shard: shard, At: now}
+	t.Out = &Out{Leg: t.Leg, Shard: shard, At: now}
+	return true
+}
+
+// copy hands out a second leg beside the first, where the step allows that.
+func (j *Job) copy(n int, shard mark.Shard, row blueprint.Row, now mark.Tick) bool {
+	t := j.Task(n)
+	if j.State != Open || t == nil || t.Done || t.Dead || t.Out == nil || t.Copy != nil || t.spent(row) ||
+		t.Out.Shard == shard || !j.Spec.Steps[mark.StageOf(n).Step()].Copies {
+		return false
+	}
+	t.Leg++
+	j.Legs++
+	t.Copy = &Out{Leg: t.Leg, Shard: shard, At: now}
 	return true
 }
 
@@ -175,12 +188,12 @@
 		return
 	}
 	t := j.Task(e.Leg.N)
-	if t == nil || leg <= t.Shut {
+	if t == nil || leg <= t.Shut && t.On(leg) == nil {
 		return
 	}
 	at := mark.StageOf(e.Leg.N)
 	p := &j.Spec.Steps[at.Step()]
-	mine := t.Out != nil && t.Leg == leg
+	mine := t.On(leg)
 	if p.Lasts && f == OK {
 		f = Gone
 	}
@@ -194,14 +207,14 @@
 	}
 	late := slices.Index(t.Limbo, leg)
 	switch {
-	case mine:
-		from := t.Out.Shard
-		t.Out = nil
+	case mine != nil:
+		from := mine.Shard
+		t.drop(leg)
 		if f.doubtful() && !t.Done {
 			t.Doubt, t.Limbo = from, append(t.Limbo, leg)
 		}
 		if f == Lapsed {
-			t.Shut = leg
+			t.Shut = max(t.Shut, leg)
 		}
 		j.save(p, at, t, e.Ref)
 		if f == Bad {
--- a/store/kinds_test.go
+++ b/store/kinds_test.go
@@ -65,7 +65,7 @@
 	text := `{"queue":"q","steps":[{"name":"a","kind":"x","tasks":3,"gang":true,"joint":true}]}`
 	gang := func(n int, leg int) (list []Give) {
 		for i := range n {
-			list = append(list, Give{mark.Leg{Task: mark.Task{Job: "j", N: i}, Leg: leg}, "k"})
+			list = append(list, Give{Leg: mark.Leg{Task: mark.Task{Job: "j", N: i}, Leg: leg}, Shard: "k"})
 		}
 		return
 	}
@@ -107,7 +107,7 @@
 	is := is.New(t)
 	s := town(t)
 	j := put(t, s, `{"queue":"q","steps":[{"name":"a","kind":"x","tasks":2,"gang":true,"joint":true,"keeps":true},{"name":"b","kind":"x"}]}`)
-	s.must(2*sec, Fact{Legs: []Give{{leg(0, 1), "k"}, {leg(1, 1), "k"}}})
+	s.must(2*sec, Fact{Legs: []Give{{Leg: leg(0, 1), Shard: "k"}, {Leg: leg(1, 1), Shard: "k"}}})
 	s.must(3*sec, Fact{Ends: []End{{Leg: leg(0, 1), Fate: Halted, Ref: "r1"}, {Leg: leg(1, 1), Fate: Lapsed}}})
 	is.Equal(j.Tasks[0].Ref, "r1")
 	is.Equal(j.Tasks[1].Ref, "r1") // any member's is good for the gang
@@ -176,3 +176,31 @@
 	is.Equal(at(1), mark.Tick((1500+200-600)*ms))
 	is.Equal(at(2), mark.Tick((1500+200-100)*ms))
 }
+
+func TestACopyRunsBesideAndTheFirstGoodEndCounts(t *testing.T) {
+	is := is.New(t)
+	s := town(t)
+	j := put(t, s, `{"queue":"q","steps":[{"name":"a","kind":"x","copies":true}]}`)
+	twin := func(shard mark.Shard) []Give { return []Give{{Leg: leg(0, 0), Shard: shard, Copy: true}} }
+	is.Equal(len(s.must(2*sec, Fact{Legs: twin("m")})), 0) // there is no first yet
+	s.must(2*sec, Fact{Legs: give(0)})
+	is.Equal(len(s.must(2*sec, Fact{Legs: twin("k")})), 0) // not on the same worker
+	is.Equal(s.must(2*sec, Fact{Legs: twin("m")})[0].Leg.Leg, 2)
+	is.Equal(len(s.must(2*sec, Fact{Legs: twin("l")})), 0) // one copy at a time
+	s.must(3*sec, end(0, 2, Lapsed))
+	is.True(!j.Task(0).Knows(1, OK)) // the first is still out
+	is.Equal(s.must(3*sec, Fact{Legs: twin("l")})[0].Leg.Leg, 3)
+	s.must(4*sec, end(0, 1, Bad))
+	is.Equal(j.Task(0).Fails, 1)
+	is.Equal(j.Task(0).Out.Leg, 3) // the copy goes on as the only one
+	is.Equal(s.must(4*sec, Fact{Legs: twin("m")})[0].Leg.Leg, 4)
+	s.must(5*sec, end(0, 4, OK))
+	is.Equal(j.Doomed(), []mark.Leg{leg(0, 3)})
+	s.must(5*sec, end(0, 3, Halted))
+	is.Equal(j.State, Done)
+
+	s = town(t)
+	j = put(t, s, `{"queue":"q","steps":[{"name":"a","kind":"x"}]}`)
+	s.must(2*sec, Fact{Legs: give(0)})
+	is.Equal(len(s.must(2*sec, Fact{Legs: twin("m")})), 0) // the step does not allow it
+}
--- a/store/marks_test.go
+++ b/store/marks_test.go
@@ -29,7 +29,7 @@
 func (s *State) finish(at mark.Tick, id string) {
 	s.must(at, quick(id, 1))
 	l := mark.Leg{Task: mark.Task{Job: mark.JobID(id)}}
-	s.must(at, Fact{Legs: []Give{{l, "k"}}})
+	s.must(at, Fact{Legs: []Give{{Leg: l, Shard: "k"}}})
 	l.Leg = 1
 	s.must(at, Fact{Ends: []End{{Leg: l, Fate: OK}}})
 }
@@ -103,7 +103,7 @@
 		row.Tries = 1 + rnd.Intn(4)
 		return Fact{Table: &blueprint.Table{Edition: s.Table.Edition, Rows: []blueprint.Row{row}}}
 	case 4, 5, 6:
-		return Fact{Legs: []Give{{task(), "k"}, {task(), "m"}}}
+		return Fact{Legs: []Give{{Leg: task(), Shard: "k"}, {Leg: task(), Shard: "m", Copy: rnd.Intn(2) == 0}}}
 	}
 	return Fact{Ends: []End{{Leg: task(), Fate: []Fate{OK, OK, Bad, Lost, Cut, Gone, Halted, Unrun, Waited}[rnd.Intn(9)]}}}
 }
--- a/store/state.go
+++ b/store/state.go
@@ -38,6 +38,7 @@
 type Give struct {
 	Leg   mark.Leg   `json:"leg"`
 	Shard mark.Shard `json:"shard"`
+	Copy  bool       `json:"copy,omitempty"` // beside another that is out
 }
 
 // End is how a leg ended; Ref is what it saved, if it saves anything.
@@ -210,8 +211,16 @@
 		if p := j.Spec.Steps[at.Step()]; p.Joint && part[gang{j.ID, at}] < p.Tasks {
 			continue
 		}
-		if s.touch(j); j.give(g.Leg.N, g.Leg.Leg, g.Shard, s.row(j.Queue), s.Tick) {
-			legs = append(legs, Give{mark.Leg{Task: g.Leg.Task, Leg: j.Task(g.Leg.N).Leg}, g.Shard})
+		s.touch(j)
+		row, ok := s.row(j.Queue), false
+		if g.Copy {
+			ok = j.copy(g.Leg.N, g.Shard, row, s.Tick)
+		} else {
+			ok = j.give(g.Leg.N, g.Leg.Leg, g.Shard, row, s.Tick)
+		}
+		if ok {
+			g.Leg.Leg = j.Task(g.Leg.N).Leg
+			legs = append(legs, g)
 		}
 	}
 	return
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -41,7 +41,7 @@
 	return legs
 }
 
-func give(n int) []Give         { return []Give{{leg(n, 0), "k"}} }
+func give(n int) []Give         { return []Give{{Leg: leg(n, 0), Shard: "k"}} }
 func end(n, l int, f Fate) Fact { return Fact{Ends: []End{{Leg: leg(n, l), Fate: f}}} }
 
 func TestLegNumbersAndTries(t *testing.T) {
--- a/store/task.go
+++ b/store/task.go
@@ -32,6 +32,7 @@
 
 // Out is the leg given out and not ended.
 type Out struct {
+	Leg   int        `json:"leg"`
 	Shard mark.Shard `json:"shard"`
 	At    mark.Tick  `json:"at"`
 	Back  Why        `json:"back,omitempty"` // it is being taken back
@@ -41,6 +42,7 @@
 type Task struct {
 	Leg   int        `json:"leg"`
 	Out   *Out       `json:"out,omitempty"`
+	Copy  *Out       `json:"copy,omitempty"` // a second one beside it, where the step allows that
 	Done  bool       `json:"done,omitempty"`
 	Dead  bool       `json:"dead,omitempty"`
 	Fails int        `json:"fails,omitempty"`
@@ -58,15 +60,43 @@
 	Ref   string     `json:"ref,omitempty"`   // what its last leg saved, to go on from
 }
 
+// Outs are the legs given out and not ended.
+func (t *Task) Outs() (list []*Out) {
+	for _, o := range [...]*Out{t.Out, t.Copy} {
+		if o != nil {
+			list = append(list, o)
+		}
+	}
+	return
+}
+
+// On is the leg with a number, if it is out.
+func (t *Task) On(leg int) *Out {
+	for _, o := range [...]*Out{t.Out, t.Copy} {
+		if o != nil && o.Leg == leg {
+			return o
+		}
+	}
+	return nil
+}
+
+// drop takes a leg that has ended from those that are out.
+func (t *Task) drop(leg int) {
+	if t.Out.Leg == leg {
+		t.Out = t.Copy
+	}
+	t.Copy = nil
+}
+
 // spent tells whether a task may be given out no more.
-func (t Task) spent(row blueprint.Row) bool {
+func (t *Task) spent(row blueprint.Row) bool {
 	return t.Fails >= row.Tries || row.Losses > 0 && t.Lost >= row.Losses
 }
 
 // Knows tells whether an end of a leg would change nothing any more.
-func (t Task) Knows(leg int, f Fate) bool {
+func (t *Task) Knows(leg int, f Fate) bool {
 	switch {
-	case t.Out != nil && t.Leg == leg:
+	case t.On(leg) != nil:
 		return false
 	case leg <= t.Shut:
 		return true
--- a/store/window.go
+++ b/store/window.go
@@ -35,14 +35,18 @@
 		return
 	}
 	t := j.Task(b.Leg.N)
-	if t == nil || t.Out == nil || t.Leg != b.Leg.Leg || t.Out.Back != "" {
+	if t == nil {
+		return
+	}
+	o := t.On(b.Leg.Leg)
+	if o == nil || o.Back != "" {
 		return
 	}
 	s.touch(j)
-	t.Out.Back = b.Why
+	o.Back = b.Why
 	switch b.Why {
 	case Stalled:
-		t.Shun = t.Out.Shard
+		t.Shun = o.Shard
 	case Displaced:
 		t.Moved++
 	}
--- a/truth/head.go
+++ b/truth/head.go
@@ -346,6 +346,9 @@
 	}
 }
 
+// Seat finds a shard's, or gives nil.
+func (h *Head) Seat(shard mark.Shard) *Seat { return h.seats[shard] }
+
 // Seats lists the seats in order.
 func (h *Head) Seats() []*Seat {
 	list := make([]*Seat, 0, len(h.seats))
