--- a/store/state.go
+++ b/store/state.go
@@ -38,6 +38,7 @@
 type Give struct {
 	Leg   mark.Leg   `json:"leg"`
 	Shard mark.Shard `json:"shard"`
+	Copy  bool       `json:"copy,omitempty"` // beside another that is out
 }
 
 // End is how a leg ended; Ref is what it saved, if it saves anything.
@@ -54,6 +55,9 @@
 	Rack  mark.Rack   `json:"rack"`
 	Kinds []mark.Kind `json:"kinds"`
 	Room  mark.Room   `json:"room"`
+
+	Labels  []string `json:"labels,omitempty"`
+	Invoked bool     `json:"invoked,omitempty"` // it is called, rather than calling its ward
 }
 
 // Bounds on what is remembered in full of ended jobs.
@@ -207,8 +211,16 @@
 		if p := j.Spec.Steps[at.Step()]; p.Joint && part[gang{j.ID, at}] < p.Tasks {
 			continue
 		}
-		if s.touch(j); j.give(g.Leg.N, g.Leg.Leg, g.Shard, s.row(j.Queue), s.Tick) {
-			legs = append(legs, Give{mark.Leg{Task: g.Leg.Task, Leg: j.Task(g.Leg.N).Leg}, g.Shard})
+		s.touch(j)
+		row, ok := s.row(j.Queue), false
+		if g.Copy {
+			ok = j.copy(g.Leg.N, g.Shard, row, s.Tick)
+		} else {
+			ok = j.give(g.Leg.N, g.Leg.Leg, g.Shard, row, s.Tick)
+		}
+		if ok {
+			g.Leg.Leg = j.Task(g.Leg.N).Leg
+			legs = append(legs, g)
 		}
 	}
 	return
@@ -349,7 +361,11 @@
 	}
 }
 
-// Fits tells whether a worker has the kind of a step, and its rack.
+// Fits tells whether a worker has the kind of a step, and its rack and labels.
 func (x Shape) Fits(p Step) (kind, rack bool) {
-	return slices.Contains(x.Kinds, p.Kind), p.Rack == "" || p.Rack == x.Rack
+	rack = p.Rack == "" || p.Rack == x.Rack
+	for _, l := range p.Labels {
+		rack = rack && slices.Contains(x.Labels, l)
+	}
+	return slices.Contains(x.Kinds, p.Kind), rack
 }
