A helm that is silent is only asked whether it is there; lanes hold bounded bytes

Cause: with a helm cut off, the leader sent it the same 256 entries every 200 ms; up to 1,024 such notes waited in its lane and went out 128 to a request. A helm grew to 281 MB and was ended for it; no leader for seconds. Change: a member not heard of for the shortest election wait gets empty probes until it answers; a lane holds 2 MB and a request 256 KB, the oldest notes go. Tests: a cut helm is sent no entries (fails without the change); lanes.

--- a/accord/push.go
+++ b/accord/push.go
@@ -74,6 +74,13 @@
 			continue
 		}
 		t := c.mate(m.ID)
+		if c.now.Mono.Sub(t.heard) > c.pace.Least { // silent: only asked whether it is there
+			if due {
+				t.next = t.match + 1
+				c.probe(m, t)
+			}
+			continue
+		}
 		if due && t.match+1 < t.next && c.now.Mono.Sub(t.sent) > 2*c.pace.Beat {
 			t.next = t.match + 1
 		}
@@ -83,9 +90,20 @@
 	}
 }
 
-func (c *Core) feed(m Member, t *track) {
-	p := push{Name: c.name, ID: c.self.ID, To: m.ID, Term: c.vow.Term, Prev: t.next - 1, Commit: c.commit,
+func (c *Core) push(m Member, prev mark.Index) push {
+	t, _ := c.term(prev)
+	return push{Name: c.name, ID: c.self.ID, To: m.ID, Term: c.vow.Term, Prev: prev, PrevT: t, Commit: c.commit,
 		Round: c.now.Mono, Tick: c.Clock()}
+}
+
+// probe sends a member no entries, so that nothing piles up on the way to one
+// that does not take it.
+func (c *Core) probe(m Member, t *track) {
+	c.say(m.Addr, word.Append, c.push(m, max(t.match, c.snap.Index)))
+}
+
+func (c *Core) feed(m Member, t *track) {
+	p := c.push(m, t.next-1)
 	if t.next <= c.snap.Index {
 		if c.now.Mono.Sub(t.sent) > 5*c.pace.Beat && c.snap.Count > 0 {
 			t.sent, p.Prev, p.PrevT = c.now.Mono, c.snap.Index, c.snap.Term
@@ -94,7 +112,6 @@
 		}
 		return
 	}
-	p.PrevT, _ = c.term(p.Prev)
 	if t.next <= c.last() {
 		rest := c.log[t.next-c.snap.Index-1:]
 		p.Entries = rest[:min(len(rest), most)]
--- a/door/post.go
+++ b/door/post.go
@@ -19,7 +19,9 @@
 
 const (
 	depth = 1024
+	heavy = 2 << 20
 	share = 128
+	bulk  = 256 << 10
 	limit = time.Second
 	lanes = 4000
 )
@@ -29,49 +31,88 @@
 	ctx     context.Context
 	client  *http.Client
 	mu      sync.Mutex
-	lanes   map[mark.Addr]chan word.Note
+	lanes   map[mark.Addr]*lane
 	Sent    atomic.Uint64
 	Failed  atomic.Uint64
 	Dropped atomic.Uint64
 }
 
+// lane is what waits for one mate, oldest first. It holds so many bytes at most;
+// the oldest go first then, since newer ones say the same or more.
+type lane struct {
+	mu   sync.Mutex
+	list []word.Note
+	size int
+	wake chan struct{}
+}
+
+func (l *lane) put(n word.Note) (dropped int) {
+	l.mu.Lock()
+	l.list = append(l.list, n)
+	l.size += len(n.Body)
+	for l.size > heavy && len(l.list) > 1 || len(l.list) > depth {
+		l.size -= len(l.list[0].Body)
+		l.list = l.list[1:]
+		dropped++
+	}
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return
+}
+
+// take gives what fits into one request.
+func (l *lane) take() (group []word.Note) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	size := 0
+	for i, n := range l.list {
+		if i == share || i > 0 && size+len(n.Body) > bulk {
+			break
+		}
+		size += len(n.Body)
+		group = append(group, n)
+	}
+	l.size -= size
+	if l.list = l.list[len(group):]; len(l.list) == 0 {
+		l.list = nil
+	}
+	return
+}
+
 // NewPost makes a sender whose connections come from the given IP, if any.
 func NewPost(ctx context.Context, source string) *Post {
-	return &Post{ctx: ctx, client: Client(source, 2*time.Second), lanes: map[mark.Addr]chan word.Note{}}
+	return &Post{ctx: ctx, client: Client(source, 2*time.Second), lanes: map[mark.Addr]*lane{}}
 }
 
-// Send puts a note into its lane; a full lane drops it.
+// Send puts a note into its lane; a full lane drops its oldest.
 func (p *Post) Send(s word.Send) {
 	p.mu.Lock()
-	lane := p.lanes[s.To]
-	if lane == nil {
+	l := p.lanes[s.To]
+	if l == nil {
 		if len(p.lanes) >= lanes {
 			p.mu.Unlock()
 			p.Dropped.Add(1)
 			return
 		}
-		lane = make(chan word.Note, depth)
-		p.lanes[s.To] = lane
-		go p.run(s.To, lane)
+		l = &lane{wake: make(chan struct{}, 1)}
+		p.lanes[s.To] = l
+		go p.run(s.To, l)
 	}
 	p.mu.Unlock()
-	select {
-	case lane <- s.Note:
-	default:
-		p.Dropped.Add(1)
-	}
+	p.Dropped.Add(uint64(l.put(s.Note)))
 }
 
-func (p *Post) run(to mark.Addr, lane chan word.Note) {
+func (p *Post) run(to mark.Addr, l *lane) {
 	for {
 		select {
 		case <-p.ctx.Done():
 			return
-		case n := <-lane:
-			group := []word.Note{n}
-			for len(lane) > 0 && len(group) < share {
-				group = append(group, <-lane)
-			}
+		case <-l.wake:
+		}
+		for group := l.take(); len(group) > 0 && p.ctx.Err() == nil; group = l.take() {
 			p.deliver(to, group)
 		}
 	}
