A worker that is called is well while it owes no reply; holds wait longer

Cause: soundness asked for an answer within 0.6 of the time to UNHEALTHY, but a hold waits 400 ms for an end: with a quicker pace every worker seemed ill by turns and got copies of its work. Ruled out: shorter holds (more looks). Change: a worker is well unless a call is 300 ms past its time; holds wait up to a second, half a lease at most. The pace for the platform is tried quicker.

--- a/place/bounds.go
+++ b/place/bounds.go
@@ -37,6 +37,9 @@
 // Derive makes a pace that holds within the bounds: the default, or less of it.
 func Derive(b Bounds) Pace {
 	p := Defaults().Pace
+	if b != Usual && b != (Bounds{}) {
+		p.Beat, p.Ill, p.Loss, p.Grant, p.Worker, p.Again, p.Round, p.Election, p.Stall = 150, 600, 1750, 1400, 1050, 200, 75, 300, 600
+	}
 	p.Grant = min(some(p.Grant, b.Hold, 8, 10), some(p.Grant, b.Cancel, 2, 3))
 	p.Worker = min(p.Worker, p.Grant*3/4)
 	p.Stale = some(p.Stale, b.Apply, 3, 4)
--- a/truth/caller.go
+++ b/truth/caller.go
@@ -17,7 +17,8 @@
 const (
 	slowest = 0.975                  // of our clock's pace, at which a worker's clock runs at least
 	early   = 20 * time.Millisecond  // a lease ends so much before the ward's own
-	listens = 400 * time.Millisecond // how long a hold waits for an end
+	listens = time.Second            // how long a hold waits for an end at most
+	overdue = 300 * time.Millisecond // past its time, a reply tells that the worker is not well
 	answers = 700 * time.Millisecond // how long any call is waited for
 	settles = 60 * time.Millisecond  // how long an end may be on its way into the log before the next hold
 	retries = 100 * time.Millisecond // between holds that brought nothing
@@ -157,6 +158,23 @@
 	}
 }
 
+// listen is how long a hold waits for an end: the lease must be renewed in time.
+func (h *Hand) listen() time.Duration { return min(listens, h.pace.Grant/2) }
+
+// quiet tells whether a worker that is called owes a reply, or is sick.
+func (h *Hand) quiet() bool {
+	c := h.caller
+	if h.now < c.sick || c.life == "" {
+		return true
+	}
+	for _, f := range c.open {
+		if h.now.Sub(f.at) > f.Wait+overdue {
+			return true
+		}
+	}
+	return h.now.Sub(h.heard) > h.listen()+overdue+h.pace.Ill
+}
+
 // hear takes a reading of the worker's clock, if it says more than is known.
 func (h *Hand) hear(clock int64) {
 	if c := h.caller; clock > c.reads(h.now) {
--- a/truth/hand.go
+++ b/truth/hand.go
@@ -130,7 +130,11 @@
 func (h *Hand) Tick(now mark.Stamp, lead mark.Addr) {
 	h.now, h.lead = now, lead
 	was := h.rep.Sound
-	h.rep.Sound = h.told && now.Sub(h.heard) < h.pace.Ill*6/10 && (h.caller == nil || now >= h.caller.sick)
+	if h.caller != nil {
+		h.rep.Sound = h.told && !h.quiet()
+	} else {
+		h.rep.Sound = h.told && now.Sub(h.heard) < h.pace.Ill*6/10
+	}
 	if was != h.rep.Sound {
 		h.beat = never
 	}
--- a/truth/line.go
+++ b/truth/line.go
@@ -42,7 +42,7 @@
 		c.query = h.send(word.WorkerCall{Kind: word.Hold})
 	}
 	if c.hold == 0 && c.query == 0 && h.now >= c.next && h.told {
-		wait := listens
+		wait := h.listen()
 		if len(c.ends) > 0 {
 			wait = 0
 		}
