The simulator has workers that are called, and towns of them

Cause: wards call workers that do not call by themselves, and no test did. Ruled out: a stand-in inside the ward's package (it would share the ward's view of the lease and the clock); the polling stand-in with a second interface (its grants and ends are another protocol). Change: a stand-in with a life, a slow clock of its own, a fence, a lease never shortened, ends numbered and settled, room guarded or not, joint gangs, saved progress, tasks that last, percent. Calls out of a ward's step go over the same network as notes, and silence comes back as a reply.

--- /dev/null
+++ b/trial/attempt.go
@@ -0,0 +1,163 @@
+// What runs on a worker that is called: work that gets on by the clock, saves its
+// progress where its step says so, waits for its gang, and ends.
+package trial
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"math"
+	"strconv"
+	"time"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/word"
+)
+
+// mostWait is how long a hold may wait for an end.
+const mostWait = 2 * time.Second
+
+// attempt is one leg that runs.
+type attempt struct {
+	w     *Called
+	leg   mark.Leg
+	step  *store.Step // nil for what nobody sent
+	room  mark.Room
+	from  mark.Stamp
+	at    mark.Stamp // up to when it has got on
+	ready mark.Stamp // before that it does not
+	stops mark.Stamp // by when its stop is over, or 0
+	work  float64    // ms in all
+	did   float64
+	fails float64 // where in its work it fails, or beyond all of it
+	kept  float64 // what its reference stands for
+	ref   string
+	slow  float64 // times as long, for want of its data nearby
+	gang  *gang
+}
+
+// start begins an attempt, whoever sent it.
+func (w *Called) start(c word.WorkerCall, step *store.Step) {
+	now := w.time()
+	k := task(c.Work)
+	a := &attempt{w: w, leg: c.Leg, step: step, from: now, at: now, ready: now, work: k.length(c.Leg.Task), fails: math.Inf(1), slow: 1}
+	if k.Fail || w.rnd.Float64() < k.Fails+w.Fails {
+		a.fails = a.work * (0.1 + 0.9*w.rnd.Float64())
+	}
+	if step != nil {
+		a.room = step.Room
+		a.slow = w.floor.far(w, c.Leg, step)
+		switch {
+		case step.Lasts:
+			a.work, a.fails = math.Inf(1), 1000*w.rnd.ExpFloat64()*30
+		case step.Keeps && c.Ref != "":
+			a.ref, a.did = c.Ref, w.floor.saves[c.Ref]
+			a.kept, a.ready = a.did, now.Add(w.floor.Restore)
+		}
+	}
+	w.runs[c.Leg] = a
+	w.say(Happening{What: Started, Leg: c.Leg, Work: c.Work, Ref: c.Ref, Late: w.late})
+	if step != nil && step.Joint {
+		w.floor.join(a)
+	}
+}
+
+// length is how long a task takes on a sound worker near its data; the tasks of
+// a step differ, but each is the same in all its attempts.
+func (k Work) length(t mark.Task) float64 {
+	f := fnv.New32a()
+	f.Write([]byte(string(t.Job) + "/" + strconv.Itoa(t.N)))
+	return float64(k.MS) * (1 + k.Uneven*(2*float64(f.Sum32()%1024)/1023-1))
+}
+
+func (a *attempt) percent() float64 {
+	if math.IsInf(a.work, 1) || a.work <= 0 {
+		return 0
+	}
+	return min(100, 100*a.did/a.work)
+}
+
+// moves tells whether the attempt works, rather than waiting.
+func (a *attempt) moves() bool { return !a.w.Still && (a.gang == nil || a.gang.works) }
+
+// on lets the attempt work until a time.
+func (a *attempt) on(until mark.Stamp) {
+	if from := max(a.at, a.ready); until > from && a.moves() {
+		a.did += float64(until.Sub(from).Microseconds()) / 1000 / (a.w.Slow * a.slow)
+	}
+	a.at = max(a.at, until)
+	if every := float64(a.w.floor.Save.Milliseconds()); a.step != nil && a.step.Keeps && a.did-a.kept >= every {
+		a.save(math.Floor(a.did/every) * every)
+	}
+}
+
+// save takes a reference for what has been done.
+func (a *attempt) save(did float64) {
+	a.kept = min(did, a.work)
+	a.ref = a.w.floor.save(a.w.rnd, a.kept)
+	a.w.say(Happening{What: Saved, Leg: a.leg, Ref: a.ref})
+}
+
+// advance lets all that runs get on until now, and no further than the lease.
+func (w *Called) advance() {
+	now := w.time()
+	until, over := now, len(w.runs)+len(w.ends) > 0 && w.over()
+	if over {
+		until = min(now, w.born.Add(time.Duration(float64(w.lease-w.first)/w.pace*float64(time.Millisecond))))
+	}
+	for _, l := range w.sorted() {
+		a := w.runs[l]
+		if a == nil {
+			continue // it ended with another of its gang
+		}
+		a.on(until)
+		switch {
+		case a.did >= min(a.work, a.fails) && a.fails <= a.work:
+			w.end(a, word.Failed)
+		case a.did >= a.work && a.gang == nil:
+			w.end(a, word.Done)
+		case a.did >= a.work:
+			a.gang.finish()
+		case a.stops > 0 && until >= a.stops:
+			if a.step != nil && a.step.Keeps && a.did > a.kept {
+				a.save(a.did)
+			}
+			w.end(a, word.Stopped)
+		case a.gang != nil && !a.gang.works && until.Sub(a.from) >= w.floor.Gang:
+			w.end(a, word.Lonely)
+		}
+	}
+	if over {
+		w.lapse()
+	}
+}
+
+// lapse kills all that runs; ends not settled by now count for nothing.
+func (w *Called) lapse() {
+	for i := range w.ends {
+		w.ends[i].void = true
+	}
+	for _, l := range w.sorted() {
+		if a := w.runs[l]; a != nil {
+			w.end(a, word.Expired)
+		}
+	}
+}
+
+// quit tells an attempt's gang that it has ended.
+func (a *attempt) quit(how word.How) {
+	if a.gang != nil {
+		a.gang.leave(a, how)
+	}
+}
+
+// Work is what a leg's work says to a stand-in worker.
+type Work struct {
+	MS     int     `json:"ms"`
+	Fail   bool    `json:"fail,omitempty"`
+	Crash  bool    `json:"crash,omitempty"`  // takes its worker process down
+	Fails  float64 `json:"fails,omitempty"`  // part of its runs that fail
+	Uneven float64 `json:"uneven,omitempty"` // how much its tasks differ in length
+}
+
+func (k Work) raw() json.RawMessage { return word.Body(k) }
--- /dev/null
+++ b/trial/called.go
@@ -0,0 +1,249 @@
+// The stand-in for a worker that is called: it starts, stops and holds what it is
+// told by its ward alone, under a lease that ends at a reading of its own clock.
+// A process, a "life", knows nothing of the one before it: it runs nothing, has
+// seen no fence and counts its ends from 1. This file takes the calls; attempt.go
+// has what runs, floor.go what the workers of a town share.
+package trial
+
+import (
+	"encoding/json"
+	"math/rand"
+	"sort"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/word"
+)
+
+// Called is one process of such a worker.
+type Called struct {
+	Make
+	ID    mark.ID
+	Still bool // what runs gets no further, but calls are answered
+	Sick  bool // it turns all starts away and says so
+	Lax   bool // a start is late only when the lease is over, not when its own time is
+	Wild  bool // a planted bug: runs on without a lease
+	Rash  bool // a planted bug: heeds no fence
+
+	floor *Floor
+	rnd   *rand.Rand
+	tell  func(Happening)
+	time  func() mark.Stamp
+	born  mark.Stamp
+	first int64   // what its clock read at its birth
+	pace  float64 // of its clock
+	late  bool    // the call at hand is carried out late
+	lease int64   // when that ends, on its clock; 0 is none
+	fence uint64
+	n     uint64
+	seen  uint64
+	runs  map[mark.Leg]*attempt
+	shut  map[mark.Task]int
+	ends  []calledEnd
+	waits []waitingHold
+}
+
+// calledEnd is an end not yet settled; it is void once the lease has lapsed.
+type calledEnd struct {
+	word.WorkerEnd
+	void bool
+}
+
+// waitingHold is a hold that is answered when something ends, or at a time.
+type waitingHold struct {
+	call  word.WorkerCall
+	until mark.Stamp
+	reply func(word.WorkerReply)
+}
+
+// ends that one answer lists at most.
+const listed = 500
+
+// NewCalled starts a worker process. Its clock is up to 2% slow and begins
+// anywhere.
+func NewCalled(m Make, id mark.ID, floor *Floor, rnd *rand.Rand, time func() mark.Stamp, tell func(Happening)) *Called {
+	if m.Slow == 0 {
+		m.Slow = 1
+	}
+	return &Called{Make: m, ID: id, Lax: rnd.Intn(2) == 0, floor: floor, rnd: rnd, tell: tell, time: time, born: time(), first: 1 + rnd.Int63n(1<<40),
+		pace: 1 - 0.02*rnd.Float64(), runs: map[mark.Leg]*attempt{}, shut: map[mark.Task]int{}}
+}
+
+// Clock is what the worker's own clock reads.
+func (w *Called) Clock() int64 {
+	return w.first + int64(w.pace*float64(w.time().Sub(w.born).Microseconds())/1000)
+}
+
+// over tells whether the lease has ended.
+func (w *Called) over() bool { return !w.Wild && w.Clock() >= w.lease }
+
+func (w *Called) say(h Happening) {
+	h.Who, h.Shard = string(w.ID), w.Shard
+	w.tell(h)
+}
+
+// Tick lets time pass.
+func (w *Called) Tick() {
+	w.advance()
+	w.wake()
+}
+
+// Do takes a call. Reply is called once, when the call is answered.
+func (w *Called) Do(c word.WorkerCall, reply func(word.WorkerReply)) {
+	w.advance()
+	defer w.wake()
+	r := word.WorkerReply{No: c.No, Result: word.Taken, Clock: w.Clock()}
+	switch {
+	case c.Life != w.ID:
+		reply(word.WorkerReply{No: c.No, Result: word.Stranger})
+		return
+	case c.Fence < w.fence && !w.Rash:
+		r.Result = word.Fenced
+		reply(r)
+		return
+	}
+	w.fence = max(w.fence, c.Fence)
+	switch c.Kind {
+	case word.Start:
+		r.Result = w.begin(c)
+	case word.Halt:
+		w.halt(c.Leg)
+	case word.Hold:
+		w.hold(c.Until)
+		w.settle(c.Seen)
+		if c.Wait > 0 && len(w.ends) == 0 {
+			w.waits = append(w.waits, waitingHold{c, w.time().Add(min(c.Wait, mostWait)), reply})
+			return
+		}
+		r = w.list(c)
+	}
+	reply(r)
+}
+
+// hold takes up the end of a lease: never shortened, and not beyond the limit.
+func (w *Called) hold(until int64) {
+	now := w.Clock()
+	if until = min(until, now+w.floor.Lease.Milliseconds()); until > now {
+		w.lease = max(w.lease, until)
+	}
+}
+
+func (w *Called) begin(c word.WorkerCall) word.Result {
+	if w.Sick {
+		return word.Sick
+	}
+	if now := w.Clock(); c.Until <= now && !(w.Lax && w.lease > now) {
+		return word.Late
+	}
+	w.hold(c.Until)
+	switch {
+	case w.runs[c.Leg] != nil:
+		return word.Taken
+	case c.Leg.Leg <= w.shut[c.Leg.Task]:
+		return word.Outdated
+	}
+	step := w.floor.step(c.Leg)
+	if w.Guards && step != nil && !w.free().Holds(step.Room) {
+		w.say(Happening{What: Spared, Leg: c.Leg})
+		return word.Full
+	}
+	w.start(c, step)
+	return word.Taken
+}
+
+// free is the room that nothing takes; what is being stopped still does.
+func (w *Called) free() mark.Room {
+	r := w.Room
+	for _, a := range w.runs {
+		r = r.Minus(a.room)
+	}
+	return r
+}
+
+func (w *Called) halt(l mark.Leg) {
+	a := w.runs[l]
+	switch {
+	case a == nil:
+		w.shut[l.Task] = max(w.shut[l.Task], l.Leg)
+	case a.stops == 0:
+		a.stops = w.time().Add(w.floor.some(w.rnd, w.floor.Stop))
+	}
+}
+
+// settle forgets ends; those that had not lapsed are thereby noted for good.
+func (w *Called) settle(seen uint64) {
+	for len(w.ends) > 0 && w.ends[0].N <= seen {
+		e := w.ends[0]
+		w.ends = w.ends[1:]
+		what := Noted
+		if e.void {
+			what = Void
+		}
+		w.say(Happening{What: what, Leg: e.Leg, How: e.How})
+	}
+}
+
+func (w *Called) list(c word.WorkerCall) word.WorkerReply {
+	r := word.WorkerReply{No: c.No, Result: word.Taken, Clock: w.Clock()}
+	for _, l := range w.sorted() {
+		a := w.runs[l]
+		r.Runs = append(r.Runs, word.WorkerRun{Leg: l, Ref: a.ref, Percent: a.percent()})
+	}
+	for _, e := range w.ends[:min(len(w.ends), listed)] {
+		r.Ends = append(r.Ends, e.WorkerEnd)
+	}
+	return r
+}
+
+// wake answers the holds that wait, once something has ended or their time is up.
+func (w *Called) wake() {
+	kept := w.waits[:0]
+	for _, h := range w.waits {
+		if len(w.ends) > 0 || w.time() >= h.until {
+			h.reply(w.list(h.call))
+		} else {
+			kept = append(kept, h)
+		}
+	}
+	w.waits = kept
+}
+
+// end ends an attempt; a gang ends with any of its members.
+func (w *Called) end(a *attempt, how word.How) {
+	if w.runs[a.leg] != a {
+		return
+	}
+	delete(w.runs, a.leg)
+	w.shut[a.leg.Task] = max(w.shut[a.leg.Task], a.leg.Leg)
+	w.n++
+	w.ends = append(w.ends, calledEnd{WorkerEnd: word.WorkerEnd{N: w.n, Leg: a.leg, How: how, Ref: a.ref}})
+	w.say(Happening{What: Ended, Leg: a.leg, Fate: fates[how], How: how})
+	a.quit(how)
+}
+
+var fates = map[word.How]store.Fate{word.Done: store.OK, word.Failed: store.Bad, word.Stopped: store.Halted,
+	word.Expired: store.Lapsed, word.Broken: store.Halted, word.Lonely: store.Halted}
+
+// Die ends the process and all that it runs.
+func (w *Called) Die() {
+	legs, runs := w.sorted(), w.runs
+	w.waits, w.runs = nil, nil
+	for _, l := range legs {
+		runs[l].quit(word.Stopped)
+	}
+}
+
+func (w *Called) sorted() []mark.Leg {
+	list := make([]mark.Leg, 0, len(w.runs))
+	for l := range w.runs {
+		list = append(list, l)
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].Least(list[k]) })
+	return list
+}
+
+// task reads what a leg's work says to a stand-in.
+func task(b json.RawMessage) (k Work) {
+	json.Unmarshal(b, &k)
+	return
+}
--- /dev/null
+++ b/trial/callee.go
@@ -0,0 +1,188 @@
+// A called worker's process in the simulated world: it beats to the ward on its
+// machine, and takes its calls as well or as badly as the faults of the moment
+// make it.
+package trial
+
+import (
+	"fmt"
+	"time"
+
+	"coppercourse/mark"
+	"coppercourse/word"
+)
+
+// callee is the place of a called worker, and the process there if there is one.
+type callee struct {
+	node *node // its clocks and address; it carries no machine
+	ward mark.Addr
+	make Make
+	w    *Called
+	gen  int
+	seq  uint64
+	goes mark.Stamp // when it leaves; 0 is never
+	told bool       // its leaving was acknowledged
+
+	refuses    bool    // calls are refused while no process is there, rather than lost
+	hangs      bool    // calls get no answer, and may be carried out or not
+	lates      float64 // part of its calls that get no answer and are carried out late
+	lag        float64 // part of its beats that come late, after newer ones
+	wild, rash bool
+}
+
+// callee adds the place of a called worker.
+func (w *World) callee(addr, ward mark.Addr, loc mark.Locality, m Make) *callee {
+	k := &callee{ward: ward, make: m}
+	k.node = w.add(addr, "worker", loc, nil)
+	w.yard = append(w.yard, k)
+	w.lines[addr] = k
+	return k
+}
+
+func (k *callee) boot() {
+	n := k.node
+	k.gen++
+	k.seq, k.goes, k.told = 0, 0, false
+	k.w = NewCalled(k.make, mark.ID(fmt.Sprintf("%s.%d", n.addr, k.gen)), n.w.floor, n.w.chance(), n.mono, n.w.tell)
+	k.w.Wild, k.w.Rash = k.wild, k.rash
+	n.w.tell(Happening{What: Staying, Who: string(k.w.ID), Shard: k.make.Shard, Make: &k.make})
+	gen := k.gen
+	on := func() bool { return k.gen == gen && k.w != nil }
+	var tick, beat func()
+	tick = func() {
+		if on() {
+			k.w.Tick()
+			n.w.at(10*time.Millisecond, tick)
+		}
+	}
+	beat = func() {
+		if on() {
+			k.beat(0)
+			n.w.at(n.w.floor.Beat*95/100+time.Duration(n.w.rnd.Int63n(int64(n.w.floor.Beat/10))), beat)
+		}
+	}
+	tick()
+	beat()
+}
+
+// beat tells the ward of the worker, again if there is no answer in a second.
+func (k *callee) beat(tries int) {
+	w, gen := k.node.w, k.gen
+	k.seq++
+	b := word.WorkerBeat{Life: k.w.ID, To: k.node.addr, Seq: k.seq, Rack: k.make.Rack, Labels: k.make.Labels, Kinds: k.make.Kinds,
+		Room: k.make.Room, Clock: k.w.Clock()}
+	if k.goes != 0 {
+		b.Leaving, b.LeaveMS = true, max(1, k.goes.Sub(k.node.mono()).Milliseconds())
+	}
+	over := false
+	send := func() {
+		w.ask(k.node.addr, k.ward, "beat", "", word.Body(b), func(a word.Answer) {
+			if over = over || a.Fault == nil; a.Fault == nil && b.Leaving && k.gen == gen && !k.told {
+				k.told = true
+				w.tell(Happening{What: Leaving, Who: string(b.Life), Shard: k.make.Shard})
+			}
+		})
+	}
+	if k.lag > 0 && w.rnd.Float64() < k.lag {
+		w.at(2*time.Second+time.Duration(w.rnd.Int63n(int64(4*time.Second))), send)
+		return
+	}
+	send()
+	w.at(time.Second, func() {
+		if !over && k.gen == gen && k.w != nil && tries < 2 {
+			k.beat(tries + 1)
+		}
+	})
+}
+
+// kill ends the process; calls are then refused or lost.
+func (k *callee) kill(refuses bool) {
+	if k.w == nil {
+		return
+	}
+	k.refuses = refuses
+	k.node.w.tell(Happening{What: Died, Who: string(k.w.ID), Shard: k.make.Shard})
+	k.gen++
+	w := k.w
+	k.w = nil
+	w.Die()
+}
+
+// leave has the worker say that it goes within a time, and go then.
+func (k *callee) leave(within time.Duration) {
+	if k.w == nil || k.goes != 0 {
+		return
+	}
+	w, gen := k.node.w, k.gen
+	k.goes = k.node.mono().Add(within)
+	k.beat(0)
+	w.at(within, func() {
+		if k.gen != gen || k.w == nil {
+			return
+		}
+		w.ask(k.node.addr, k.ward, "leave", string(k.w.ID), nil, func(word.Answer) {})
+		w.tell(Happening{What: Removed, Who: string(k.w.ID), Shard: k.make.Shard, Text: within.String()})
+		k.kill(true)
+	})
+}
+
+// heal ends what is wrong with the worker.
+func (k *callee) heal() {
+	k.hangs, k.lates, k.lag = false, 0, 0
+	if k.w == nil {
+		k.boot()
+		return
+	}
+	k.w.Still, k.w.Sick = false, false
+	k.w.Slow, k.w.Fails = max(1, k.make.Slow), k.make.Fails
+}
+
+// take is a call that has come to the worker's address.
+func (k *callee) take(c word.WorkerCall, reply func(word.WorkerReply)) {
+	w, gen := k.node.w, k.gen
+	mute := func(word.WorkerReply) {}
+	switch {
+	case k.w == nil && k.refuses:
+		reply(word.WorkerReply{Result: word.Closed})
+	case k.w == nil:
+	case k.lates > 0 && w.rnd.Float64() < k.lates:
+		w.at(2*time.Second+time.Duration(w.rnd.Int63n(int64(10*time.Second))), func() {
+			if k.gen == gen && k.w != nil {
+				k.w.late = true
+				k.w.Do(c, mute)
+				k.w.late = false
+			}
+		})
+	case k.hangs:
+		if w.rnd.Intn(2) == 0 {
+			k.w.Do(c, mute)
+		}
+	default:
+		k.w.Do(c, reply)
+	}
+}
+
+// phone carries a ward's call to its worker, and the reply, or that there was
+// none in time, back.
+func (w *World) phone(n *node, c word.WorkerCall) {
+	if w.Dial != nil {
+		w.Dial(&c)
+	}
+	gen, over := n.gen, false
+	back := func(r word.WorkerReply) {
+		if over || n.gen != gen {
+			return
+		}
+		over = true
+		r.No = c.No
+		if w.Hear != nil {
+			w.Hear(c, &r)
+		}
+		n.deliver(func() { n.step(word.Event{Reply: &r}) })
+	}
+	w.at(c.Limit, func() { back(word.WorkerReply{Result: word.Silent}) })
+	w.carry(n.addr, c.To, func() {
+		if k := w.lines[c.To]; k != nil {
+			k.take(c, func(r word.WorkerReply) { w.carry(c.To, n.addr, func() { back(r) }) })
+		}
+	})
+}
--- a/trial/caller.go
+++ b/trial/caller.go
@@ -31,6 +31,8 @@
 	Races  bool
 	Count  map[fault.Kind]int
 	Rude   float64 // part of the callers that do not heed when to come back
+	Tries  int     // how often a job is sent, at most
+	halts  map[mark.JobID]time.Duration
 }
 
 func (c *Crew) pick(loc int) mark.Addr {
@@ -66,6 +68,25 @@
 	})
 }
 
+// stream sends jobs to the called workers' town until the crew is closed.
+func (c *Crew) stream(f Stream) {
+	gap := time.Duration((0.5 + c.w.rnd.Float64()) * float64(f.Every))
+	c.w.at(gap, func() {
+		if !c.open {
+			return
+		}
+		c.next++
+		id := mark.JobID(fmt.Sprintf("%s-%d", f.Queue, c.next))
+		s := f.Spec(c.w.rnd, c.w.now)
+		if c.w.rnd.Float64() < f.Cancel {
+			c.halts[id] = f.Within/3 + time.Duration(c.w.rnd.Int63n(int64(f.Within)))
+		}
+		c.w.tell(Happening{What: Sent, Job: id, Spec: &s})
+		c.send(id, word.Body(s), c.pick(c.w.rnd.Intn(3)), 0)
+		c.stream(f)
+	})
+}
+
 // try asks once; lost is called when no answer came in time.
 func (c *Crew) try(to mark.Addr, verb, arg string, body json.RawMessage, got func(word.Answer), lost func()) {
 	over := false
@@ -85,7 +106,7 @@
 
 func (c *Crew) send(id mark.JobID, body json.RawMessage, to mark.Addr, n int) {
 	again := func(d time.Duration) {
-		if n < 30 {
+		if n < c.Tries {
 			c.w.at(d, func() { c.send(id, body, c.any(), n+1) })
 		}
 	}
@@ -95,11 +116,18 @@
 			c.w.tell(Happening{What: Accepted, Job: id})
 			c.saw(id, a)
 			c.look(id)
-			if c.w.rnd.Float64() < c.Cancel {
+			if d, ok := c.halts[id]; ok {
+				c.w.at(d, func() { c.cancel(id, 0) })
+			} else if c.town.Manner == nil && c.w.rnd.Float64() < c.Cancel {
 				c.w.at(time.Duration(c.w.rnd.Int63n(int64(3*time.Second))), func() { c.cancel(id, 0) })
 			}
 		case a.Fault.Retry > 0:
 			c.Count[a.Fault.Kind]++
+			if a.Fault.Kind == fault.Unsure {
+				c.w.tell(Happening{What: Unclear, Job: id})
+			} else {
+				c.w.tell(Happening{What: Turned, Job: id, Text: a.Fault.Error()})
+			}
 			if c.Rude > 0 && c.w.rnd.Float64() < c.Rude {
 				again(200 * time.Millisecond)
 				return
@@ -109,7 +137,10 @@
 			c.Count[a.Fault.Kind]++
 			c.w.tell(Happening{What: Denied, Job: id, Text: a.Fault.Error()})
 		}
-	}, func() { again(100 * time.Millisecond) })
+	}, func() {
+		c.w.tell(Happening{What: Unclear, Job: id})
+		again(100 * time.Millisecond)
+	})
 }
 
 func (c *Crew) saw(id mark.JobID, a word.Answer) (over bool) {
--- /dev/null
+++ b/trial/floor.go
@@ -0,0 +1,160 @@
+// What the called workers of a town have in common: the jobs that callers sent,
+// gangs whose members find one another wherever they run, and what attempts have
+// saved. It is the users' world, not ours: no daemon sees it.
+package trial
+
+import (
+	"fmt"
+	"math/rand"
+	"sort"
+	"time"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/word"
+)
+
+// Manner is what holds for all workers of a town.
+type Manner struct {
+	Lease   time.Duration // a lease is cut to it
+	Stop    time.Duration // a stop takes at most so long
+	Gang    time.Duration // how long a member waits for the others
+	Save    time.Duration // of work, between two savings
+	Restore time.Duration // before an attempt goes on from what was saved
+	Far     float64       // times as long away from its data, or spread over racks
+	Beat    time.Duration // between two beats of a worker
+}
+
+// Floor is one town's.
+type Floor struct {
+	Manner
+	specs map[mark.JobID]*store.Spec
+	gangs map[gangID]*gang
+	saves map[string]float64
+}
+
+// gangID names the members of a joint step that were given out together.
+type gangID struct {
+	job mark.JobID
+	at  mark.Stage
+	leg int
+}
+
+// gang is members that work only together.
+type gang struct {
+	id    gangID
+	floor *Floor
+	need  int
+	works bool
+	over  bool
+	here  map[int]*attempt
+}
+
+func NewFloor(m Manner) *Floor {
+	return &Floor{Manner: m, specs: map[mark.JobID]*store.Spec{}, gangs: map[gangID]*gang{}, saves: map[string]float64{}}
+}
+
+// Sent takes note of a job that a caller sends.
+func (f *Floor) Sent(id mark.JobID, s *store.Spec) { f.specs[id] = s }
+
+// step finds what a leg is of, or nil where nobody sent that.
+func (f *Floor) step(l mark.Leg) *store.Step {
+	if s := f.specs[l.Job]; s != nil {
+		if i := s.Step(l.N); i >= 0 {
+			return &s.Steps[i]
+		}
+	}
+	return nil
+}
+
+// some is any time up to a most.
+func (f *Floor) some(rnd *rand.Rand, most time.Duration) time.Duration {
+	return time.Duration(rnd.Int63n(int64(most) + 1))
+}
+
+// far is how many times as long a task takes on a worker.
+func (f *Floor) far(w *Called, l mark.Leg, p *store.Step) float64 {
+	if p.Near != "" && p.Near != w.Rack {
+		return f.Far
+	}
+	return 1
+}
+
+func (f *Floor) save(rnd *rand.Rand, did float64) string {
+	ref := fmt.Sprintf("%016x", rnd.Uint64())
+	f.saves[ref] = did
+	return ref
+}
+
+// join has an attempt wait for its gang, or completes it.
+func (f *Floor) join(a *attempt) {
+	id := gangID{a.leg.Job, mark.StageOf(a.leg.N), a.leg.Leg}
+	g := f.gangs[id]
+	if g == nil {
+		g = &gang{id: id, floor: f, need: a.step.Tasks, here: map[int]*attempt{}}
+		f.gangs[id] = g
+	}
+	a.gang = g
+	if g.here[a.leg.N] = a; len(g.here) < g.need {
+		return
+	}
+	g.works = true
+	racks := map[mark.Rack]bool{}
+	for _, m := range g.members() {
+		racks[m.w.Rack] = true
+		m.at = max(m.at, m.w.time())
+	}
+	for _, m := range g.members() {
+		if a.step.OneRack && len(racks) > 1 {
+			m.slow *= f.Far
+		}
+		m.w.say(Happening{What: Working, Leg: m.leg})
+	}
+}
+
+func (g *gang) members() []*attempt {
+	list := make([]*attempt, 0, len(g.here))
+	for _, a := range g.here {
+		list = append(list, a)
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].leg.N < list[k].leg.N })
+	return list
+}
+
+// finish ends a gang well, if all its members have done their work and none of
+// their leases is over.
+func (g *gang) finish() {
+	for _, a := range g.members() {
+		if a.did < a.work {
+			return
+		}
+	}
+	for _, a := range g.members() {
+		if a.w.over() {
+			a.w.lapse()
+			return
+		}
+	}
+	g.close()
+	for _, a := range g.members() {
+		a.w.end(a, word.Done)
+	}
+}
+
+func (g *gang) close() {
+	g.over = true
+	delete(g.floor.gangs, g.id)
+}
+
+// leave breaks a gang of which a member has ended otherwise.
+func (g *gang) leave(a *attempt, how word.How) {
+	if g.over {
+		return
+	}
+	g.close()
+	for _, m := range g.members() {
+		if m != a {
+			m.w.end(m, word.Broken)
+		}
+	}
+}
--- a/trial/hist.go
+++ b/trial/hist.go
@@ -3,9 +3,12 @@
 package trial
 
 import (
+	"encoding/json"
+
 	"coppercourse/blueprint"
 	"coppercourse/mark"
 	"coppercourse/store"
+	"coppercourse/word"
 )
 
 // What names a kind of happening.
@@ -39,6 +42,14 @@
 	Trouble  What = "trouble"   // a fault begins
 	Healed   What = "healed"    // all faults are over
 	Dropped  What = "dropped"   // a request that was read got no answer
+
+	Noted   What = "noted"   // a called worker's end was settled there, and had not lapsed
+	Void    What = "void"    // or had
+	Saved   What = "saved"   // a leg saved its progress; Ref stands for it
+	Working What = "working" // all members of a gang are there, and it begins
+	Turned  What = "turned"  // a try to hand in a job was turned away: not taken
+	Unclear What = "unclear" // or may have been taken
+	Counted What = "counted" // an operator counted what waits in a queue; Who is the daemon asked
 )
 
 // Happening is one line of the history. At is true time in nanoseconds.
@@ -55,6 +66,13 @@
 	Make  *Make            `json:"make,omitempty"`
 	Table *blueprint.Table `json:"table,omitempty"`
 	Text  string           `json:"text,omitempty"`
+
+	// Of workers that are called.
+	How  word.How        `json:"how,omitempty"`
+	Work json.RawMessage `json:"work,omitempty"`
+	Ref  string          `json:"ref,omitempty"`
+	Late bool            `json:"late,omitempty"` // the order was carried out late
+	Hits []mark.Addr     `json:"hits,omitempty"` // whom a trouble touches; none: all
 }
 
 // History is the whole of it, in order.
--- /dev/null
+++ b/trial/operator.go
@@ -0,0 +1,90 @@
+// Operators of a town whose workers are called: they number the versions of the
+// table themselves, add and remove queues that nobody uses, send what is stale or
+// invalid, at times two at once, and count what waits at each gate.
+package trial
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"coppercourse/blueprint"
+	"coppercourse/fault"
+	"coppercourse/mark"
+	"coppercourse/word"
+)
+
+// change makes the next version of a table: time-outs, and a queue more or less.
+func (c *Crew) change(t blueprint.Table) blueprint.Table {
+	n := t
+	n.Rows = slices.Clone(t.Rows)
+	n.Becomes = t.Edition + 1 + mark.Edition(c.w.rnd.Intn(9))
+	n.Rows[c.w.rnd.Intn(3)].Timeout = 1000 + c.w.rnd.Intn(4000)
+	if i := slices.IndexFunc(n.Rows, idle); i >= 0 && c.w.rnd.Intn(2) == 0 {
+		n.Rows = slices.Delete(n.Rows, i, i+1)
+	} else if len(n.Rows) < 8 {
+		c.next++
+		n.Rows = append(n.Rows, blueprint.Row{Name: mark.Queue(fmt.Sprint("idle-", c.next)), Weight: 1, Running: 10, Waiting: 10, Tries: 1, TaskMS: 1000, Service: "work"})
+	}
+	return n
+}
+
+func idle(r blueprint.Row) bool { return strings.HasPrefix(string(r.Name), "idle") }
+
+// versions puts new tables now and then.
+func (c *Crew) versions() {
+	c.w.at(time.Duration(2+c.w.rnd.Intn(4))*time.Second, func() {
+		if !c.open || !c.Races {
+			return
+		}
+		c.read(func(t blueprint.Table) {
+			if len(t.Rows) < 3 {
+				return
+			}
+			for range 1 + c.w.rnd.Intn(2) {
+				n := c.change(t)
+				switch c.w.rnd.Intn(8) {
+				case 0:
+					n.Becomes = max(1, t.Edition)
+				case 1:
+					n.Edition--
+				}
+				c.put(n, c.any(), 0, func(ok bool) { c.counts(t, n) })
+			}
+		})
+		c.versions()
+	})
+}
+
+// counts asks each gate after queues that have just come or gone.
+func (c *Crew) counts(t, n blueprint.Table) {
+	var names []mark.Queue
+	for _, r := range slices.Concat(t.Rows, n.Rows) {
+		if idle(r) && !slices.Contains(names, r.Name) {
+			names = append(names, r.Name)
+		}
+	}
+	for _, at := range []time.Duration{300 * time.Millisecond, 2100 * time.Millisecond} {
+		for i, q := range names {
+			g := c.gates[(i+c.w.rnd.Intn(2))%len(c.gates)]
+			c.w.at(at, func() { c.count(q, g) })
+		}
+	}
+}
+
+// count writes down whether a gate knows a queue: when it was asked, and who
+// answered.
+func (c *Crew) count(q mark.Queue, g mark.Addr) {
+	began := c.w.now
+	c.try(g, "queue.count", string(q), nil, func(a word.Answer) {
+		h := Happening{What: Counted, Who: c.w.nodes[g].name(), Job: mark.JobID(q), Text: fmt.Sprint(began)}
+		switch {
+		case a.Fault == nil:
+			h.Stage = "there"
+		case a.Fault.Kind != fault.NoQueue:
+			return
+		}
+		c.w.tell(h)
+	}, func() {})
+}
--- a/trial/storm.go
+++ b/trial/storm.go
@@ -10,6 +10,7 @@
 
 	"coppercourse/fault"
 	"coppercourse/mark"
+	"coppercourse/truth"
 )
 
 // Plan is what a run does.
@@ -24,6 +25,8 @@
 	Settle   time.Duration // no new traffic; all must end
 	Patience time.Duration // of every queue
 	Last     bool          // one more fault at the very end of the traffic
+	Bare     bool          // called workers guard nothing
+	Pace     truth.Pace    // of wards and helms; the defaults if not set
 }
 
 // Run is a world with a town in it.
@@ -45,6 +48,12 @@
 func Build(p Plan) *Run {
 	r := &Run{World: NewWorld(p.Seed), Plan: p, zones: map[mark.Locality][]mark.Addr{}, drains: map[string]bool{}}
 	town := Towns[p.Town]
+	if town.Manner != nil {
+		r.floor = NewFloor(*town.Manner)
+	}
+	if p.Pace != (truth.Pace{}) {
+		r.pace = p.Pace
+	}
 	r.seeds = []mark.Addr{"h1", "g1", "w1"}
 	for i := range 3 {
 		r.helms = append(r.helms, r.helm(mark.Addr(fmt.Sprintf("h%d", i+1)), Zone(i)))
@@ -55,6 +64,11 @@
 	for i, m := range town.Workers() {
 		a := mark.Addr(fmt.Sprintf("w%d", i+1))
 		r.wards = append(r.wards, r.ward(a, Zone(i), m))
+		if town.Manner != nil {
+			m.Guards = !p.Bare
+			r.callee(mark.Addr(fmt.Sprintf("k%d", i+1)), a, Zone(i), m)
+			continue
+		}
 		r.worker(mark.Addr(fmt.Sprintf("k%d", i+1)), a, Zone(i), m)
 	}
 	for _, a := range r.order {
@@ -67,7 +81,11 @@
 	for _, h := range r.hands {
 		r.at(time.Duration(r.rnd.Int63n(int64(500*time.Millisecond))), h.boot)
 	}
-	r.Crew = &Crew{w: r.World, town: town, me: "caller", open: true, Cancel: 0.04, Races: true, Count: map[fault.Kind]int{}}
+	for _, k := range r.yard {
+		r.at(time.Duration(r.rnd.Int63n(int64(500*time.Millisecond))), k.boot)
+	}
+	r.Crew = &Crew{w: r.World, town: town, me: "caller", open: true, Cancel: 0.04, Races: true, Count: map[fault.Kind]int{},
+		Tries: 30, halts: map[mark.JobID]time.Duration{}}
 	for _, g := range r.gates {
 		r.Crew.gates = append(r.Crew.gates, g.addr)
 	}
@@ -87,10 +105,11 @@
 	}
 	r.at(3*time.Second, func() { r.Crew.put(t, r.Crew.any(), 0, func(bool) {}) })
 	r.at(6*time.Second, func() {
-		for _, f := range append(r.Crew.town.Flows[:3:3], r.Crew.town.Parade()) {
-			r.Crew.flow(f)
+		if r.traffic(); r.Crew.town.Manner != nil {
+			r.Crew.versions()
+		} else {
+			r.Crew.races()
 		}
-		r.Crew.races()
 		r.reads()
 	})
 	from := 6*time.Second + p.Calm
@@ -152,9 +171,24 @@
 			h.w.Slow = 1
 		}
 	}
+	for _, k := range r.yard {
+		k.heal()
+	}
 	r.tell(Happening{What: Healed})
 }
 
+// traffic begins all that a town's callers send.
+func (r *Run) traffic() {
+	for _, s := range r.Crew.town.Streams {
+		r.Crew.stream(s)
+	}
+	if r.Crew.town.Manner == nil {
+		for _, f := range append(r.Crew.town.Flows[:3:3], r.Crew.town.Parade()) {
+			r.Crew.flow(f)
+		}
+	}
+}
+
 func one[T any](rnd *rand.Rand, list []T) T { return list[rnd.Intn(len(list))] }
 
 // cause begins a fault and ends it after a while.
--- a/trial/town.go
+++ b/trial/town.go
@@ -18,6 +18,10 @@
 	Name  string
 	Cores mark.Cores
 	Flows []Flow
+
+	Manner  *Manner // of its workers, where they are called
+	Streams []Stream
+	rows    []blueprint.Row
 }
 
 // Flow is one stream of jobs of a shape, with its mean rate.
@@ -80,12 +84,12 @@
 
 // Towns are the two.
 var Towns = map[string]Town{
-	"kingston": {"kingston", 16 * mark.Core, []Flow{
+	"kingston": {Name: "kingston", Cores: 16 * mark.Core, Flows: []Flow{
 		{"quotes", 140 * time.Millisecond, gangs("quotes", "quote", 1)},
 		{"menus", 6 * time.Second, wide("menus", "menu", 2, 12)},
 		{"payments", 900 * time.Millisecond, duo("payments", "pay")},
 	}},
-	"romania": {"romania", 64 * mark.Core, []Flow{
+	"romania": {Name: "romania", Cores: 64 * mark.Core, Flows: []Flow{
 		{"searches", 220 * time.Millisecond, gangs("searches", "quote", 2)},
 		{"plans", 6 * time.Second, wide("plans", "menu", 4, 24)},
 		{"bookings", 330 * time.Millisecond, duo("bookings", "pay")},
@@ -94,6 +98,9 @@
 
 // Table is a town's first table.
 func (t Town) Table() blueprint.Table {
+	if t.Manner != nil {
+		return blueprint.Table{Orphans: blueprint.Finish, Rows: t.rows, Services: []blueprint.Service{{Name: "work", Guards: true}}}
+	}
 	row := func(f Flow, weight, share int) blueprint.Row {
 		return blueprint.Row{Name: f.Queue, Weight: weight, Share: share, Running: 500, Waiting: 400, Tries: 3, TaskMS: 60_000, Patience: 30_000, CutMS: 86_400_000, Stall: 10, Moves: 3}
 	}
@@ -104,6 +111,16 @@
 func (t Town) Workers() (list []Make) {
 	kinds := [][]mark.Kind{{"quote", "menu"}, {"quote", "pay"}, {"menu", "pay", "quote"}}
 	for i := range 11 {
+		if t.Manner != nil {
+			size := []float64{1, 1, 1.5}[i%3]
+			m := Make{Shard: mark.Shard(fmt.Sprintf("k%d", i+1)), Rack: mark.Rack(fmt.Sprintf("r%d", i/3+1)), Kinds: []mark.Kind{"work"},
+				Room: mark.Room{Cores: mark.Cores(float64(t.Cores) * size), Memory: int(float64(t.Cores) * size * 2048 / 1000)}, Guards: true}
+			if m.Labels = []string{"a"}; i%3 == 1 {
+				m.Labels = append(m.Labels, "b")
+			}
+			list = append(list, m)
+			continue
+		}
 		list = append(list, Make{Shard: mark.Shard(fmt.Sprintf("k%d", i+1)), Rack: mark.Rack(fmt.Sprintf("r%d", i/3+1)),
 			Kinds: kinds[i%3], Room: mark.Room{Cores: t.Cores, Memory: int(t.Cores) * 1024 / 1000}})
 	}
--- a/trial/worker.go
+++ b/trial/worker.go
@@ -24,13 +24,9 @@
 	Slow  float64 // times the usual length; 0 is 1
 	Fails float64 // part of its legs that fail
 	Stall float64 // part of its legs that take ten times as long
-}
 
-// Work is what a leg's work says to a stand-in worker.
-type Work struct {
-	MS    int  `json:"ms"`
-	Fail  bool `json:"fail"`
-	Crash bool `json:"crash"` // takes its worker process down
+	Labels []string
+	Guards bool // of one that is called: it turns away what does not fit
 }
 
 type run struct {
--- a/trial/world.go
+++ b/trial/world.go
@@ -59,6 +59,10 @@
 	nodes map[mark.Addr]*node
 	order []mark.Addr
 	hands []*hand
+	yard  []*callee
+	lines map[mark.Addr]*callee // by where they are called
+	floor *Floor
+	pace  truth.Pace
 	Hist  History
 	seeds []mark.Addr
 	// Planted bugs: what is sent, asked and answered may be changed on its way,
@@ -66,10 +70,14 @@
 	Tamper func(s *word.Send) bool
 	Bend   func(verb string, body *json.RawMessage)
 	Twist  func(verb string, a *word.Answer)
+	// Calls to workers and their replies may be changed on their way, too.
+	Dial func(c *word.WorkerCall)
+	Hear func(c word.WorkerCall, r *word.WorkerReply)
 }
 
 func NewWorld(seed int64) *World {
-	return &World{rnd: rand.New(rand.NewSource(seed)), cut: map[pair]bool{}, lag: map[pair]time.Duration{}, nodes: map[mark.Addr]*node{}}
+	return &World{rnd: rand.New(rand.NewSource(seed)), cut: map[pair]bool{}, lag: map[pair]time.Duration{}, nodes: map[mark.Addr]*node{},
+		lines: map[mark.Addr]*callee{}, pace: truth.Defaults}
 }
 
 // Run lets the world go on until a time.
@@ -84,6 +92,9 @@
 
 func (w *World) tell(h Happening) {
 	h.At = w.now
+	if h.What == Sent && w.floor != nil {
+		w.floor.Sent(h.Job, h.Spec)
+	}
 	w.Hist.Add(h)
 }
 
@@ -199,6 +210,9 @@
 			}
 		})
 	}
+	for _, c := range out.Calls {
+		w.phone(n, c)
+	}
 	if out.Batch != nil {
 		n.disk.put(write{out.Batch, out.Seq, out.Whole, func(seq uint64) {
 			if n.gen == gen {
@@ -257,7 +271,7 @@
 		}
 		n.disk.safe = n.disk.safe[:keep]
 		core := accord.Defaults
-		return helm.New(n.clock(), w.chance(), helm.Place{Addr: addr, Loc: loc, Seeds: w.seeds, Core: core, Truth: truth.Defaults, Every: 600}, recs)
+		return helm.New(n.clock(), w.chance(), helm.Place{Addr: addr, Loc: loc, Seeds: w.seeds, Core: core, Truth: w.pace, Every: 600}, recs)
 	})
 }
 
@@ -269,7 +283,7 @@
 
 func (w *World) ward(addr mark.Addr, loc mark.Locality, m Make) *node {
 	n := w.add(addr, "ward", loc, func(n *node) word.Machine {
-		return ward.New(n.clock(), w.chance(), ward.Place{Addr: addr, Loc: loc, Shard: m.Shard, Seeds: w.seeds, Truth: truth.Defaults})
+		return ward.New(n.clock(), w.chance(), ward.Place{Addr: addr, Loc: loc, Shard: m.Shard, Seeds: w.seeds, Truth: w.pace})
 	})
 	n.shard = m.Shard
 	return n
