--- /dev/null
+++ b/truth/caller_test.go
@@ -0,0 +1,212 @@
+// The ward's side towards a worker that is called, at the level of single calls:
+// what is lost, late, crossed or of another life, and leases on a slow clock.
+package truth_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/word"
+)
+
+const short, long = `{"ms":300}`, `{"ms":60000}`
+
+// first does something to the first call of a kind, and lets the others be.
+func (r *rig) first(k word.CallKind, w way) {
+	r.how = func(c word.WorkerCall) way {
+		if c.Kind != k {
+			return fine
+		}
+		r.how = func(word.WorkerCall) way { return fine }
+		return w
+	}
+}
+
+func TestAStartRunsAndItsEndIsNoted(t *testing.T) {
+	is, r := is.New(t), ready(t, 1)
+	r.give(leg("a", 1), short)
+	r.pass(time.Second)
+	is.Equal(r.log[leg("a", 1)], store.OK)
+	is.True(r.noted[leg("a", 1)])
+	is.Equal(len(r.hand.View().Legs), 0)
+}
+
+// What became of a start that got no answer is found out by a query, and no
+// later call can change it.
+func TestStartsWithoutAnAnswer(t *testing.T) {
+	for _, c := range []struct {
+		way  way
+		lag  time.Duration
+		fate store.Fate
+	}{
+		{lost, 0, store.Unrun},
+		{unsaid, 0, store.OK},
+		{late, 300 * ms, store.OK}, // before the query
+		{late, 900 * ms, store.Unrun},
+		{late, 1500 * ms, store.Unrun},
+		{late, 3 * time.Second, store.Unrun},
+	} {
+		is, r := is.New(t), ready(t, 2)
+		r.lag = func() time.Duration { return c.lag }
+		r.first(word.Start, c.way)
+		r.give(leg("a", 1), short)
+		r.pass(6 * time.Second)
+		is.Equal(r.log[leg("a", 1)], c.fate)
+		is.Equal(r.began[leg("a", 1)] > 0, c.fate == store.OK)
+		is.Equal(r.noted[leg("a", 1)], c.fate == store.OK)
+	}
+}
+
+// A ward that starts anew raises the fence above all that the one before it sent.
+func TestFenceRisesOverRestarts(t *testing.T) {
+	is, r := is.New(t), ready(t, 4)
+	r.pace.Grant, r.pace.Loss = 5*time.Second, 6*time.Second
+	r.first(word.Start, late)
+	r.give(leg("a", 1), short)
+	r.pass(20 * ms)
+	r.ward()
+	r.pass(2500 * ms)
+	is.Equal(r.worker.Clock() > 0, true)
+	r.pass(6 * time.Second)
+	is.Equal(r.began[leg("a", 1)], 0)
+}
+
+// An answer that crossed a newer one tells nothing new: what began between the
+// two is neither gone nor unrun.
+func TestAnswersThatCross(t *testing.T) {
+	is, r := is.New(t), ready(t, 6)
+	r.first(word.Start, unsaid) // so that there is a query beside the hold that waits
+	r.give(leg("a", 1), long)
+	r.slow = 390 * ms
+	r.pass(500 * ms)
+	r.give(leg("b", 1), long)
+	r.slow = 0
+	r.pass(1500 * ms)
+	is.Equal(len(r.log), 0)
+	for _, l := range []mark.Leg{leg("a", 1), leg("b", 1)} {
+		p, _ := r.part(l)
+		is.Equal(p, "running")
+	}
+}
+
+// A ward says that a leg lapsed only once it has: with the slowest clock, late
+// calls and readings, and grants that come and go.
+func TestLapseIsNeverToldTooSoon(t *testing.T) {
+	is := is.New(t)
+	lapsed := 0
+	for seed := range int64(60) {
+		r := ready(t, 100+seed)
+		r.give(leg("a", 1), long)
+		r.pass(time.Duration(r.rnd.Intn(2000)) * ms)
+		r.how = func(word.WorkerCall) way { return way(r.rnd.Intn(4)) }
+		r.cut = seed%2 == 0
+		r.pass(4 * time.Second)
+		r.cut, r.how = false, func(word.WorkerCall) way { return fine }
+		r.pass(4 * time.Second)
+		if f, ok := r.log[leg("a", 1)]; ok {
+			is.Equal(f, store.Lapsed) // the rig itself tells a leg that runs on
+			lapsed++
+		}
+	}
+	is.True(lapsed > 20)
+}
+
+// A new ward's own short lease does not make it forget that the one before it may
+// have given a longer one.
+func TestARestartedWardWaitsForItsPredecessorsLease(t *testing.T) {
+	is, r := is.New(t), ready(t, 8)
+	r.give(leg("a", 1), long)
+	r.pass(300 * ms)
+	r.ward()
+	r.pass(100 * ms)
+	r.how = func(c word.WorkerCall) way { return lost } // the worker can't be reached any more
+	for range 30 {
+		r.pass(100 * ms)
+		_, f := r.part(leg("a", 1))
+		is.True(f != store.Lapsed || !r.runs[leg("a", 1)])
+	}
+}
+
+// Another life at the worker's address: what ran has gone with the one before.
+func TestAnotherLife(t *testing.T) {
+	is, r := is.New(t), ready(t, 9)
+	r.give(leg("a", 1), long)
+	r.pass(300 * ms)
+	r.die()
+	r.life()
+	r.pass(time.Second) // it has not even beaten yet, but it answers
+	is.Equal(r.log[leg("a", 1)], store.Gone)
+	r.pass(3 * time.Second)
+	is.Equal(r.hand.View().Worker, mark.ID("k2"))
+	r.give(leg("a", 2), short)
+	r.pass(time.Second)
+	is.Equal(r.log[leg("a", 2)], store.OK)
+}
+
+// A worker that leaves takes along what it still ran; one that comes in its
+// place is taken up at once.
+func TestAWorkerLeaves(t *testing.T) {
+	is, r := is.New(t), ready(t, 11)
+	r.give(leg("a", 1), long)
+	r.pass(300 * ms)
+	r.hand.Leave(r.now, r.worker.ID)
+	r.die()
+	r.flow()
+	r.pass(200 * ms)
+	is.Equal(r.log[leg("a", 1)], store.Gone)
+	r.life()
+	r.pass(2 * time.Second)
+	is.Equal(r.hand.View().Worker, mark.ID("k2"))
+}
+
+// Ends that a leader did not live to put into the log are told to the next one,
+// and settled only when it has them.
+func TestUnsettledEndsOverANewLeader(t *testing.T) {
+	is, r := is.New(t), ready(t, 12)
+	r.give(leg("a", 1), short)
+	r.pass(250 * ms)
+	r.cut = true
+	r.pass(300 * ms)
+	is.Equal(r.hows[leg("a", 1)], word.Done)
+	is.True(!r.noted[leg("a", 1)])
+	r.lead()
+	r.cut = false
+	r.pass(1500 * ms)
+	is.Equal(r.log[leg("a", 1)], store.OK)
+	is.True(r.noted[leg("a", 1)])
+}
+
+// A ward that starts anew, twice within seconds, neither notes what the leader
+// has given up nor has what it did not give up run again.
+func TestAWardRestartedTwice(t *testing.T) {
+	for seed := range int64(60) {
+		is, r := is.New(t), ready(t, 200+seed)
+		r.give(leg("a", 1), `{"ms":1800}`)
+		r.give(leg("b", 1), long)
+		for range 2 {
+			r.pass(time.Duration(r.rnd.Intn(2600)) * ms)
+			r.ward()
+		}
+		r.pass(9 * time.Second)
+		is.True(r.log[leg("a", 1)] != "")
+		is.Equal(len(r.hand.View().Legs) <= 1, true) // all settled but what may run on
+	}
+}
+
+// A ward that starts anew goes on settling ends where the one before it stopped.
+func TestARestartedWardSettlesEnds(t *testing.T) {
+	is, r := is.New(t), ready(t, 13)
+	r.give(leg("a", 1), short)
+	r.pass(time.Second)
+	r.ward()
+	r.pass(6 * time.Second)
+	r.give(leg("b", 1), short)
+	r.pass(time.Second)
+	is.Equal(r.log[leg("b", 1)], store.OK)
+	is.True(r.noted[leg("b", 1)])
+	is.Equal(len(r.hand.View().Legs), 0)
+}
--- a/truth/line.go
+++ b/truth/line.go
@@ -162,6 +162,9 @@
 	}
 	void := f.prior > 0 && r.Clock > f.prior+1
 	runs := map[mark.Leg]bool{}
+	if len(r.Ends) > 0 { // those before it were settled, maybe by an earlier ward
+		c.seen = max(c.seen, r.Ends[0].N-1)
+	}
 	for _, e := range r.Ends {
 		runs[e.Leg] = true
 		if e.N > c.seen && c.ends[e.N] == nil {
