One query settles an unsure start

Cause: a start that got no answer stayed unsure after the query had shown that it was not and will not be run, until its end was in the log; each answer to a query then led to the next at once. Ruled out: a pause between queries (one is enough). Change: what has ended is not unsure. Conclusion: mended; each query is a call to the worker that its users pay for.

--- a/truth/caller_test.go
+++ b/truth/caller_test.go
@@ -61,6 +61,19 @@
 	}
 }
 
+// Once what was unsure is known, no more queries are made for it, though its end
+// may take long to be settled.
+func TestOneQuerySettlesAnUnsureStart(t *testing.T) {
+	is, r := is.New(t), ready(t, 3)
+	was := r.hand.Lease().Sums
+	r.first(word.Start, lost)
+	r.give(leg("a", 1), short)
+	r.pass(650 * ms)
+	r.cut = true // what the ward tells is not heard, nor settled
+	r.pass(800 * ms)
+	is.Equal(r.hand.Lease().Sums.Queries-was.Queries, uint64(1))
+}
+
 // A ward that starts anew raises the fence above all that the one before it sent.
 func TestFenceRisesOverRestarts(t *testing.T) {
 	is, r := is.New(t), ready(t, 4)
--- a/truth/hand.go
+++ b/truth/hand.go
@@ -113,7 +113,7 @@
 	if l.over && f != store.OK {
 		f = store.Bad
 	}
-	l.part, l.fate, l.settled, h.status = ended, f, false, never
+	l.part, l.fate, l.settled, l.unsure, h.status = ended, f, false, false, never
 }
 
 // halt has a leg stopped. One that the worker was never shown ends at once.
