The fence of a ward that starts anew is made of a reading it got itself

Cause: the first fence came from the clock in the worker's beat; a beat that is repeated late to the next ward gave it the same fence as the one before it, and a start of that one, still under way, began after the new ward had told that nothing runs. Ruled out: fences out of the log (a ward would wait for the leader before it may ask its worker); a random part (makes it rare, not impossible). Change: the first answer only lifts the fence above its own reading; what is asked from then on counts. It costs one more call for each life. Figures: the test with the repeated beat starts the leg before, not after. Conclusion: mended.

--- a/truth/caller.go
+++ b/truth/caller.go
@@ -50,6 +50,7 @@
 	got   mark.Stamp
 	until int64 // the highest end of a lease that was sent
 	fence uint64
+	firm  bool // the fence is above all that an earlier ward sent
 	no    uint64
 	open  map[uint64]*flight
 	hold  uint64 // the hold that waits for an end, or 0
@@ -124,7 +125,7 @@
 	c := h.caller
 	c.life, c.to, c.seq, c.heir = b.Life, b.To, b.Seq, nil
 	c.clock, c.got, c.until, c.read, c.seen, c.sick = b.Clock, h.now, 0, 0, 0, never
-	c.fence = uint64(max(b.Clock, 0)) * fences
+	c.fence, c.firm = uint64(max(b.Clock, 0))*fences, false
 	c.hold, c.query, c.next = 0, 0, never
 	clear(c.ends)
 	c.Sums.Lives++
--- a/truth/caller_test.go
+++ b/truth/caller_test.go
@@ -10,6 +10,7 @@
 
 	"coppercourse/mark"
 	"coppercourse/store"
+	"coppercourse/truth"
 	"coppercourse/word"
 )
 
@@ -88,6 +89,31 @@
 	is.Equal(r.began[leg("a", 1)], 0)
 }
 
+// So it does where it first hears the very beat by which the one before it took
+// the worker up, which came twice.
+func TestFenceRisesAfterARepeatedBeat(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 5)
+	r.idle = true
+	b := r.beat()
+	r.hand.Beat(r.now, b)
+	r.flow()
+	r.pass(4 * time.Second)
+	is.Equal(r.hand.View().State, truth.Healthy)
+	r.lag = func() time.Duration { return 100 * ms }
+	r.first(word.Start, late)
+	r.give(leg("a", 1), long)
+	r.pass(10 * ms)
+	r.ward()
+	r.hand.Beat(r.now, b)
+	r.flow()
+	r.pass(20 * ms)
+	_, told := r.part(leg("a", 1))
+	is.Equal(told, store.Fate(""))    // it has asked its worker, and knows of nothing that runs
+	r.pass(500 * ms)                  // so what the ward before it sent
+	is.Equal(r.began[leg("a", 1)], 0) // is not started any more
+}
+
 // An answer that crossed a newer one tells nothing new: what began between the
 // two is neither gone nor unrun.
 func TestAnswersThatCross(t *testing.T) {
--- a/truth/line.go
+++ b/truth/line.go
@@ -105,13 +105,19 @@
 		h.over()
 		return
 	}
-	if r.Clock > 0 {
+	switch {
+	case r.Clock == 0:
+		c.Sums.Silent++
+		backs[f.Kind](h, f, r)
+	case !c.firm: // a beat's reading may be old, and a fence made of it no higher than an earlier ward's
+		c.firm, c.fence = true, max(c.fence, uint64(r.Clock)*fences)
 		h.hear(r.Clock)
 		h.heard = now
-	} else {
-		c.Sums.Silent++
+	default:
+		h.hear(r.Clock)
+		h.heard = now
+		backs[f.Kind](h, f, r)
 	}
-	backs[f.Kind](h, f, r)
 	h.line()
 }
 
