An end counts unless the log has its leg as lapsed

Cause: an end first heard of after the time to which all other calls had lengthened the lease was held void. But the very call that was answered may have lengthened it in time; the worker then counted the end as good once it was settled, while the log had it as lapsed and its task ran again. Ruled out: telling the two apart by what else runs (a worker with one task tells nothing); leaving such an end unsettled (it would block those behind it). Change: nothing is void. The order in the log decides: what it has as lapsed before its end is told stays so, and the worker had surely dropped it by then.

--- a/truth/caller.go
+++ b/truth/caller.go
@@ -29,8 +29,7 @@
 // flight is a call that has no reply yet.
 type flight struct {
 	word.WorkerCall
-	at    mark.Stamp
-	prior int64 // the highest end of a lease that any other call brought
+	at mark.Stamp
 }
 
 // ending is an end that the worker still lists.
--- a/truth/caller_test.go
+++ b/truth/caller_test.go
@@ -3,6 +3,7 @@
 package truth_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -132,6 +133,33 @@
 	}
 }
 
+// A grant runs down and is renewed at the last moment, while a task ends well: the
+// end is noted by the worker only if the log has it so.
+func TestAGoodEndWhileTheLeaseIsRenewedLate(t *testing.T) {
+	is := is.New(t)
+	good, lapsed := 0, 0
+	for _, cut := range []time.Duration{1300 * ms, 1400 * ms, 1500 * ms, 1600 * ms, 1700 * ms, 1800 * ms, 1900 * ms} {
+		for work := 1500; work < 2600; work += 50 {
+			r := ready(t, int64(work))
+			r.give(leg("a", 1), fmt.Sprintf(`{"ms":%d}`, work))
+			r.cut = true // the grant runs down
+			r.pass(cut)
+			r.cut = false // and is renewed, in time or not
+			r.pass(4 * time.Second)
+			switch {
+			case r.noted[leg("a", 1)] && r.hows[leg("a", 1)] == word.Done:
+				is.Equal(r.log[leg("a", 1)], store.OK)
+				good++
+			case r.hows[leg("a", 1)] == word.Expired:
+				is.Equal(r.log[leg("a", 1)], store.Lapsed)
+				lapsed++
+			}
+		}
+	}
+	is.True(good > 20)
+	is.True(lapsed > 5)
+}
+
 // A ward says that a leg lapsed only once it has: with the slowest clock, late
 // calls and readings, and grants that come and go.
 func TestLapseIsNeverToldTooSoon(t *testing.T) {
--- a/truth/line.go
+++ b/truth/line.go
@@ -2,8 +2,8 @@
 // mean. Each start is sent once. One that got no clear answer is unsure: a query
 // raises the fence, below which the worker starts nothing any more, and what it
 // then does not list was not started and never will be. Ends are settled at the
-// worker only once they are in the log; one that is first heard of after the
-// lease has ended counts for nothing, since its task may have gone elsewhere.
+// worker only once they are in the log. What the log has as lapsed when its end is
+// heard of stays lapsed: the worker does not count such an end either.
 package truth
 
 import (
@@ -77,10 +77,7 @@
 		w.Seen = c.seen
 		c.Sums.Holds++
 	}
-	for _, f := range c.open {
-		f.prior = max(f.prior, w.Until)
-	}
-	c.open[w.No] = &flight{w, h.now, c.until}
+	c.open[w.No] = &flight{w, h.now}
 	c.until = max(c.until, w.Until)
 	c.calls = append(c.calls, w)
 	return w.No
@@ -166,7 +163,6 @@
 		c.next = h.now.Add(retries)
 		return
 	}
-	void := f.prior > 0 && r.Clock > f.prior+1
 	runs := map[mark.Leg]bool{}
 	if len(r.Ends) > 0 { // those before it were settled, maybe by an earlier ward
 		c.seen = max(c.seen, r.Ends[0].N-1)
@@ -174,7 +170,7 @@
 	for _, e := range r.Ends {
 		runs[e.Leg] = true
 		if e.N > c.seen && c.ends[e.N] == nil {
-			h.list(e, void)
+			h.list(e)
 		}
 	}
 	if r.Clock >= c.read {
@@ -197,9 +193,10 @@
 var hows = map[word.How]store.Fate{word.Done: store.OK, word.Failed: store.Bad, word.Stopped: store.Halted,
 	word.Expired: store.Lapsed, word.Broken: store.Halted, word.Lonely: store.Halted}
 
-// list takes an end that the worker tells for the first time. What was over
-// before the lease ended, and is heard of only now, is void.
-func (h *Hand) list(e word.WorkerEnd, void bool) {
+// list takes an end that the worker tells for the first time. It counts even if
+// the lease may have ended since, unless the log has the leg as lapsed by then:
+// then its task may be elsewhere.
+func (h *Hand) list(e word.WorkerEnd) {
 	c := h.caller
 	c.ends[e.N] = &ending{leg: e.Leg}
 	l := h.legs[e.Leg]
@@ -215,7 +212,7 @@
 		return
 	}
 	f := hows[e.How]
-	if f == "" || void && (f == store.OK || f == store.Bad) {
+	if f == "" {
 		f = store.Lapsed
 	}
 	l.ref = e.Ref
