--- a/truth/caller.go
+++ b/truth/caller.go
@@ -44,7 +44,8 @@
 	to    mark.Addr
 	seq   uint64
 	past  map[mark.ID]bool
-	heir  *word.WorkerBeat // a newer process, until this one is known to be over
+	heir  *word.WorkerBeat // another process, until this one is known to be over, or to live
+	came  mark.Stamp       // when that one beat
 	clock int64            // the worker's, as of got or a little before
 	got   mark.Stamp
 	until int64 // the highest end of a lease that was sent
@@ -82,7 +83,8 @@
 }
 
 // Beat takes what the worker tells of itself. A process that is over is not
-// heard; a newer one waits until the one before it is known to be over.
+// heard; another one waits until the present one is known to be over. If that
+// still answers, the beat was late, of a process before it.
 func (h *Hand) Beat(now mark.Stamp, b word.WorkerBeat) {
 	h.now = now
 	if h.caller == nil {
@@ -94,7 +96,7 @@
 	case c.life == "":
 		h.adopt(b)
 	case c.life != b.Life:
-		c.heir = &b
+		c.heir, c.came = &b, now
 		h.line()
 	case b.Seq > c.seq:
 		c.seq, c.to, h.heard = b.Seq, b.To, now
@@ -106,7 +108,7 @@
 // Leave takes it that a worker process ends now, all that it ran with it.
 func (h *Hand) Leave(now mark.Stamp, life mark.ID) {
 	if h.now = now; h.caller != nil && h.caller.life == life {
-		h.over()
+		h.over(true)
 	}
 }
 
@@ -133,13 +135,17 @@
 	h.line()
 }
 
-// over gives up the worker's present process: nothing of it runs any more.
-func (h *Hand) over() {
+// over gives up the worker's present process: nothing of it runs any more. If it
+// is gone, rather than out of reach for longer than its lease, it is not heard
+// again.
+func (h *Hand) over(gone bool) {
 	c := h.caller
 	if len(c.past) >= lives {
 		clear(c.past)
 	}
-	c.past[c.life] = true
+	if gone {
+		c.past[c.life] = true
+	}
 	c.life, c.hold, c.query = "", 0, 0
 	clear(c.open)
 	clear(c.ends)
--- a/truth/caller_test.go
+++ b/truth/caller_test.go
@@ -78,8 +78,7 @@
 
 // A ward that starts anew raises the fence above all that the one before it sent.
 func TestFenceRisesOverRestarts(t *testing.T) {
-	is, r := is.New(t), ready(t, 4)
-	r.pace.Grant, r.pace.Loss = 5*time.Second, 6*time.Second
+	is, r := is.New(t), paced(t, 4, ample)
 	r.first(word.Start, late)
 	r.give(leg("a", 1), short)
 	r.pass(20 * ms)
@@ -94,7 +93,7 @@
 // the worker up, which came twice.
 func TestFenceRisesAfterARepeatedBeat(t *testing.T) {
 	is := is.New(t)
-	r := newRig(t, 5)
+	r := newRig(t, 5, truth.Defaults)
 	r.idle = true
 	b := r.beat()
 	r.hand.Beat(r.now, b)
@@ -214,6 +213,32 @@
 	is.Equal(r.log[leg("a", 2)], store.OK)
 }
 
+// A beat of a life that is over, and that this ward never knew, comes late: the
+// life that answers stays the worker, and few calls are made to find out.
+func TestABeatOfAFormerLifeComesLate(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 10, truth.Defaults)
+	old := r.beat()
+	r.die()
+	r.life()
+	r.pass(4 * time.Second)
+	r.give(leg("a", 1), long)
+	r.pass(500 * ms)
+	was := r.hand.Lease().Sums
+	r.hand.Beat(r.now, old)
+	r.flow()
+	r.pass(1400 * ms)
+	is.True(r.hand.Lease().Sums.Queries-was.Queries < 3)
+	r.cut = true // its lease runs out
+	r.pass(3 * time.Second)
+	r.cut = false
+	r.pass(4 * time.Second)
+	is.Equal(r.hand.View().Worker, mark.ID("k2"))
+	r.give(leg("b", 1), short)
+	r.pass(time.Second)
+	is.Equal(r.log[leg("b", 1)], store.OK)
+}
+
 // A worker that leaves takes along what it still ran; one that comes in its
 // place is taken up at once.
 func TestAWorkerLeaves(t *testing.T) {
--- a/truth/line.go
+++ b/truth/line.go
@@ -21,7 +21,7 @@
 		return
 	}
 	if c.heir != nil && h.expired() {
-		h.over()
+		h.over(false)
 		return
 	}
 	unsure := !h.told || c.heir != nil
@@ -99,9 +99,12 @@
 		c.query = 0
 	}
 	if r.Result == word.Stranger {
-		h.over()
+		h.over(true)
 		return
 	}
+	if r.Clock > 0 && f.at >= c.came {
+		c.heir = nil
+	}
 	switch {
 	case r.Clock == 0:
 		c.Sums.Silent++
--- a/truth/rig_test.go
+++ b/truth/rig_test.go
@@ -19,6 +19,13 @@
 
 const ms = time.Millisecond
 
+// ample is a pace with leases of five seconds.
+var ample = func() truth.Pace {
+	p := truth.Defaults
+	p.Grant, p.Loss = 5*time.Second, 6*time.Second
+	return p
+}()
+
 // way is what becomes of a call.
 type way int
 
@@ -68,8 +75,8 @@
 	shows  []store.End // what the ward has told, in order
 }
 
-func newRig(t *testing.T, seed int64) *rig {
-	r := &rig{t: t, rnd: rand.New(rand.NewSource(seed)), pace: truth.Defaults, now: mark.Stamp(time.Hour),
+func newRig(t *testing.T, seed int64, pace truth.Pace) *rig {
+	r := &rig{t: t, rnd: rand.New(rand.NewSource(seed)), pace: pace, now: mark.Stamp(time.Hour),
 		floor: trial.NewFloor(trial.Manner{Lease: 6 * time.Second, Stop: 400 * ms, Gang: 3 * time.Second, Save: 2 * time.Second, Restore: 600 * ms, Far: 1.5}),
 		made:  trial.Make{Shard: "s", Rack: "r", Kinds: []mark.Kind{"x"}, Room: mark.Room{Cores: 8 * mark.Core}, Guards: true},
 		how:   func(word.WorkerCall) way { return fine }, lag: func() time.Duration { return 3 * time.Second },
@@ -84,7 +91,7 @@
 		}
 	})
 	r.every(20*ms, func() { r.hand.Tick(r.now, "h"); r.flow() })
-	r.every(20*ms, func() { r.head.Tick(r.now, 2*time.Second); r.flow() })
+	r.every(20*ms, func() { r.head.Tick(r.now, r.pace.Grant); r.flow() })
 	r.every(1500*ms, func() {
 		if r.worker != nil && !r.idle {
 			r.hand.Beat(r.now, r.beat())
@@ -196,7 +203,7 @@
 				r.shows = append(r.shows, u.Ends...)
 			}
 			if !r.cut {
-				r.head.Take(r.now, 2*time.Second, s.Note)
+				r.head.Take(r.now, r.pace.Grant, s.Note)
 			}
 		}
 		for _, s := range sends {
@@ -294,9 +301,11 @@
 func leg(job string, n int) mark.Leg { return mark.Leg{Task: mark.Task{Job: mark.JobID(job)}, Leg: n} }
 
 // ready is a rig in which all have found each other healthy.
-func ready(t *testing.T, seed int64) *rig {
-	r := newRig(t, seed)
-	r.pass(4 * time.Second)
+func ready(t *testing.T, seed int64) *rig { return paced(t, seed, truth.Defaults) }
+
+func paced(t *testing.T, seed int64, pace truth.Pace) *rig {
+	r := newRig(t, seed, pace)
+	r.pass(pace.Loss + 1500*ms)
 	if s := r.hand.View().State; s != truth.Healthy {
 		t.Fatal("the ward is", s)
 	}
