A lost leg is named by its task's number, not its place in the list

Cause: since a task's number is made of time, step and place, the list of legs in doubt on a worker named the tasks by their place: those of a second step or time were never found again, and stayed in doubt for their whole patience. Ruled out: nothing else; the first step's numbers hid it. Change: the number, with a test of a second time and step. Figures: the test fails before, passes after. Conclusion: mended.

--- a/store/kinds_test.go
+++ b/store/kinds_test.go
@@ -204,3 +204,17 @@
 	s.must(2*sec, Fact{Legs: give(0)})
 	is.Equal(len(s.must(2*sec, Fact{Legs: twin("m")})), 0) // the step does not allow it
 }
+
+// A lost leg of any step, at any time, is named as it was given out.
+func TestDoubtsNameTheirTasks(t *testing.T) {
+	is := is.New(t)
+	s := town(t)
+	s.must(sec, Fact{Off: new(mark.Wall)})
+	put(t, s, `{"queue":"q","times":{"first_ms":0,"every_ms":0,"count":2},"steps":[{"name":"a","kind":"x"},{"name":"b","kind":"x","tasks":2}]}`)
+	n := mark.No(1, 1, 1)
+	s.must(2*sec, Fact{Legs: give(n)})
+	s.must(3*sec, end(n, 1, Lost))
+	is.Equal(s.Doubts("k"), []mark.Leg{leg(n, 1)})
+	s.must(4*sec, Fact{Gone: "k"})
+	is.Equal(len(s.Doubts("k")), 0)
+}
--- a/store/state.go
+++ b/store/state.go
@@ -139,7 +139,7 @@
 	for _, j := range s.Live() {
 		for n, t := range j.Tasks {
 			if t.Doubt == shard && t.Out == nil {
-				list = append(list, mark.Leg{Task: mark.Task{Job: j.ID, N: n}, Leg: t.Leg})
+				list = append(list, mark.Leg{Task: mark.Task{Job: j.ID, N: j.Spec.No(n)}, Leg: t.Leg})
 			}
 		}
 	}
