--- a/truth/line.go
+++ b/truth/line.go
@@ -2,8 +2,8 @@
 // mean. Each start is sent once. One that got no clear answer is unsure: a query
 // raises the fence, below which the worker starts nothing any more, and what it
 // then does not list was not started and never will be. Ends are settled at the
-// worker only once they are in the log; one that is first heard of after the
-// lease has ended counts for nothing, since its task may have gone elsewhere.
+// worker only once they are in the log. What the log has as lapsed when its end is
+// heard of stays lapsed: the worker does not count such an end either.
 package truth
 
 import (
@@ -21,7 +21,7 @@
 		return
 	}
 	if c.heir != nil && h.expired() {
-		h.over()
+		h.over(false)
 		return
 	}
 	unsure := !h.told || c.heir != nil
@@ -77,10 +77,7 @@
 		w.Seen = c.seen
 		c.Sums.Holds++
 	}
-	for _, f := range c.open {
-		f.prior = max(f.prior, w.Until)
-	}
-	c.open[w.No] = &flight{w, h.now, c.until}
+	c.open[w.No] = &flight{w, h.now}
 	c.until = max(c.until, w.Until)
 	c.calls = append(c.calls, w)
 	return w.No
@@ -102,16 +99,25 @@
 		c.query = 0
 	}
 	if r.Result == word.Stranger {
-		h.over()
+		h.over(true)
 		return
 	}
-	if r.Clock > 0 {
+	if r.Clock > 0 && f.at >= c.came {
+		c.heir = nil
+	}
+	switch {
+	case r.Clock == 0:
+		c.Sums.Silent++
+		backs[f.Kind](h, f, r)
+	case !c.firm: // a beat's reading may be old, and a fence made of it no higher than an earlier ward's
+		c.firm, c.fence = true, max(c.fence, uint64(r.Clock)*fences)
 		h.hear(r.Clock)
 		h.heard = now
-	} else {
-		c.Sums.Silent++
+	default:
+		h.hear(r.Clock)
+		h.heard = now
+		backs[f.Kind](h, f, r)
 	}
-	backs[f.Kind](h, f, r)
 	h.line()
 }
 
@@ -160,12 +166,14 @@
 		c.next = h.now.Add(retries)
 		return
 	}
-	void := f.prior > 0 && r.Clock > f.prior+1
 	runs := map[mark.Leg]bool{}
+	if len(r.Ends) > 0 { // those before it were settled, maybe by an earlier ward
+		c.seen = max(c.seen, r.Ends[0].N-1)
+	}
 	for _, e := range r.Ends {
 		runs[e.Leg] = true
 		if e.N > c.seen && c.ends[e.N] == nil {
-			h.list(e, void)
+			h.list(e)
 		}
 	}
 	if r.Clock >= c.read {
@@ -188,9 +196,10 @@
 var hows = map[word.How]store.Fate{word.Done: store.OK, word.Failed: store.Bad, word.Stopped: store.Halted,
 	word.Expired: store.Lapsed, word.Broken: store.Halted, word.Lonely: store.Halted}
 
-// list takes an end that the worker tells for the first time. What was over
-// before the lease ended, and is heard of only now, is void.
-func (h *Hand) list(e word.WorkerEnd, void bool) {
+// list takes an end that the worker tells for the first time. It counts even if
+// the lease may have ended since, unless the log has the leg as lapsed by then:
+// then its task may be elsewhere.
+func (h *Hand) list(e word.WorkerEnd) {
 	c := h.caller
 	c.ends[e.N] = &ending{leg: e.Leg}
 	l := h.legs[e.Leg]
@@ -206,7 +215,7 @@
 		return
 	}
 	f := hows[e.How]
-	if f == "" || void && (f == store.OK || f == store.Bad) {
+	if f == "" {
 		f = store.Lapsed
 	}
 	l.ref = e.Ref
