One reply overdue does not make a worker ill that answers others

Cause: an order that gets no answer made its worker count as ill until the call was given up, and the next orders were refused; with one order in twenty unsaid a worker would be out for a third of the time. Found by TestAnswersThatCross, which is back to its 390 ms. Change: only when nothing at all was heard since the overdue call was made.

--- a/truth/caller.go
+++ b/truth/caller.go
@@ -167,14 +167,15 @@
 // listen is how long a hold waits for an end: the lease must be renewed in time.
 func (h *Hand) listen() time.Duration { return min(listens, h.pace.Grant/2) }
 
-// quiet tells whether a worker that is called owes a reply, or is sick.
+// quiet tells whether a worker that is called owes a reply and has said nothing
+// since it was asked, or is sick.
 func (h *Hand) quiet() bool {
 	c := h.caller
 	if h.now < c.sick || c.life == "" {
 		return true
 	}
 	for _, f := range c.open {
-		if h.now.Sub(f.at) > f.Wait+overdue {
+		if h.now.Sub(f.at) > f.Wait+overdue && h.heard <= f.at {
 			return true
 		}
 	}
--- a/truth/caller_test.go
+++ b/truth/caller_test.go
@@ -120,7 +120,7 @@
 	is, r := is.New(t), ready(t, 6)
 	r.first(word.Start, unsaid) // so that there is a query beside the hold that waits
 	r.give(leg("a", 1), long)
-	r.slow = 290 * ms // less than what makes the worker seem ill
+	r.slow = 390 * ms
 	r.pass(500 * ms)
 	r.give(leg("b", 1), long)
 	r.slow = 0
