The initial wait counts from the last authority of an earlier leader; quick dials

Cause: after power came back to all, nothing started for 3.3 s: the new leader counted the loss timeout from its own birth, and a lane's first dial to a machine still without power held up everything to it for a second (a pre-vote too). Ruled out: a shorter loss timeout alone (costs running work at each hiccup). Change: a vote tells how long its voter has heard no leader. One of those who voted answered the last round that gave an earlier leader authority, so the wait counts from the latest of these. Dials give up after 300 ms, requests after 500 and their size.

--- a/accord/ballot.go
+++ b/accord/ballot.go
@@ -16,6 +16,7 @@
 	c.role, c.pre, c.votes = stand, pre, map[mark.ID]bool{c.self.ID: true}
 	c.leader, c.leadAt = "", ""
 	next := c.vow.Term + 1
+	c.ruled = max(c.heard, c.led)
 	if !pre {
 		c.swear(Vow{Term: next, For: c.self.ID})
 	}
@@ -42,9 +43,9 @@
 	newer := b.LastT > t || b.LastT == t && b.Last >= c.last()
 	if b.Pre {
 		yes := calm && newer && b.Term > c.vow.Term
-		c.say(from, word.Vote, vote{c.name, c.self.ID, b.Term, true, yes})
+		c.say(from, word.Vote, vote{Name: c.name, ID: c.self.ID, Term: b.Term, Pre: true, Yes: yes})
 		if !yes && b.Term <= c.vow.Term {
-			c.say(from, word.Vote, vote{c.name, c.self.ID, c.vow.Term, false, false})
+			c.say(from, word.Vote, vote{Name: c.name, ID: c.self.ID, Term: c.vow.Term})
 		}
 		return
 	}
@@ -59,7 +60,7 @@
 		c.swear(Vow{Term: b.Term, For: b.ID})
 		c.rest()
 	}
-	c.say(from, word.Vote, vote{c.name, c.self.ID, c.vow.Term, false, yes})
+	c.say(from, word.Vote, vote{Name: c.name, ID: c.self.ID, Term: c.vow.Term, Yes: yes, Quiet: c.now.Mono.Sub(max(c.heard, c.led)).Milliseconds()})
 }
 
 func (c *Core) onVote(_ mark.Addr, v vote) {
@@ -78,6 +79,7 @@
 		return
 	}
 	c.votes[v.ID] = true
+	c.ruled = max(c.ruled, c.now.Mono.Add(-time.Duration(v.Quiet)*time.Millisecond))
 	n := 0
 	for _, m := range c.roll {
 		if m.Vote && c.votes[m.ID] {
@@ -132,6 +134,10 @@
 	})
 }
 
+// Ruled is when an earlier leader can last have had authority: a majority's last
+// answer to it came from one of those who voted for this one.
+func (c *Core) Ruled() mark.Stamp { return c.ruled }
+
 // Firm says whether answers may be given as the leader: a majority confirmed
 // it within the shortest election wait, and an entry of its term is committed.
 func (c *Core) Firm() bool {
--- a/accord/core.go
+++ b/accord/core.go
@@ -77,6 +77,8 @@
 	leader  mark.ID
 	leadAt  mark.Addr
 	votes   map[mark.ID]bool
+	led     mark.Stamp // when this member led last
+	ruled   mark.Stamp // until when an earlier leader can have had authority
 	pre     bool
 	mates   map[mark.ID]*track
 	first   mark.Index
@@ -99,7 +101,7 @@
 // take if the folder is empty.
 func New(now mark.Now, pace Pace, rnd *rand.Rand, me Member, recs [][]byte, fresh mark.ID) *Core {
 	c := &Core{pace: pace, rnd: rnd, self: me, role: empty, now: now, boot: now.Mono, tickAt: now.Mono,
-		heard: now.Mono, mates: map[mark.ID]*track{}, offers: map[mark.ID]bool{}}
+		heard: now.Mono, led: never, mates: map[mark.ID]*track{}, offers: map[mark.ID]bool{}}
 	c.self.ID = ""
 	for _, b := range recs {
 		var r Record
@@ -260,6 +262,7 @@
 // number, and whether the batch replaces the file.
 func (c *Core) Out() (sends []word.Send, batch [][]byte, seq uint64, whole bool) {
 	if c.role == lead {
+		c.led = c.now.Mono
 		c.flush()
 	}
 	for _, r := range c.writes {
--- a/accord/kinds.go
+++ b/accord/kinds.go
@@ -103,6 +103,8 @@
 	Term mark.Term `json:"term"`
 	Pre  bool      `json:"pre"`
 	Yes  bool      `json:"yes"`
+	// Quiet is how long, in ms, the voter has heard no leader, at the least.
+	Quiet int64 `json:"quiet,omitempty"`
 }
 
 type push struct {
--- a/door/net.go
+++ b/door/net.go
@@ -35,7 +35,7 @@
 
 // Dialer dials from one source IP, if any.
 func Dialer(source string) *net.Dialer {
-	d := &net.Dialer{Timeout: limit, KeepAliveConfig: probes, Control: func(_, _ string, raw syscall.RawConn) error {
+	d := &net.Dialer{Timeout: dial, KeepAliveConfig: probes, Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unheeded/time.Millisecond))
 		})
--- a/door/post.go
+++ b/door/post.go
@@ -22,7 +22,9 @@
 	heavy = 2 << 20
 	share = 128
 	bulk  = 256 << 10
-	limit = time.Second
+	dial  = 300 * time.Millisecond // for a connection; a mate without power says nothing
+	limit = 500 * time.Millisecond // for a request, and more for its size
+	slow  = 200                    // bytes a millisecond, of a thin link
 	lanes = 4000
 )
 
@@ -123,7 +125,7 @@
 	if err != nil {
 		panic(err)
 	}
-	ctx, stop := context.WithTimeout(p.ctx, limit+time.Duration(len(b)/1000)*time.Millisecond)
+	ctx, stop := context.WithTimeout(p.ctx, limit+time.Duration(len(b)/slow)*time.Millisecond)
 	defer stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(to)+"/mate", bytes.NewReader(b))
 	if err != nil {
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -289,7 +289,7 @@
 			return
 		}
 		h.Sums.Elected++
-		h.head = truth.NewHead(h.now.Mono, h.place.Truth, h.place.Addr, h.core.Term(), h.outs())
+		h.head = truth.NewHead(h.now.Mono, h.core.Ruled(), h.place.Truth, h.place.Addr, h.core.Term(), h.outs())
 		h.head.Invoked = func(x mark.Shard) bool { return h.state.Shapes[x].Invoked }
 		h.head.Apart = func(x mark.Shard) bool { return h.kin.Apart(string(x)) }
 		h.head.Taken, h.head.Doubts = h.taken, func(x mark.Shard) []mark.Leg { return h.state.Doubts(x) }
--- a/truth/head.go
+++ b/truth/head.go
@@ -63,6 +63,7 @@
 	me    mark.Addr
 	term  mark.Term
 	born  mark.Stamp
+	ruled mark.Stamp // when an earlier leader can last have had authority
 	now   mark.Stamp
 	grace time.Duration
 	Wait  bool
@@ -84,9 +85,10 @@
 	Taken func(store.End) bool
 }
 
-// NewHead starts a leadership; outs are the legs that the log has as given out.
-func NewHead(now mark.Stamp, pace Pace, me mark.Addr, term mark.Term, outs []Hold) *Head {
-	h := &Head{pace: pace, me: me, term: term, born: now, now: now, Wait: true, seats: map[mark.Shard]*Seat{},
+// NewHead starts a leadership; outs are the legs that the log has as given out,
+// and ruled is when an earlier leader can last have had authority.
+func NewHead(now, ruled mark.Stamp, pace Pace, me mark.Addr, term mark.Term, outs []Hold) *Head {
+	h := &Head{pace: pace, me: me, term: term, born: now, ruled: min(now, ruled), now: now, Wait: true, seats: map[mark.Shard]*Seat{},
 		past: map[mark.ID]bool{}, holds: map[mark.Leg]*Hold{}, hist: []map[mark.ID]bool{{}}, norm: map[string]*usual{}}
 	for _, o := range outs {
 		o.Phase, o.At = dim, now
--- a/truth/rig_test.go
+++ b/truth/rig_test.go
@@ -135,7 +135,7 @@
 		outs = append(outs, truth.Hold{Leg: l, Shard: "s", Room: mark.Room{Cores: mark.Core}})
 	}
 	sort.Slice(outs, func(i, k int) bool { return outs[i].Leg.Least(outs[k].Leg) })
-	h := truth.NewHead(r.now, r.pace, "h", r.term, outs)
+	h := truth.NewHead(r.now, r.now, r.pace, "h", r.term, outs)
 	h.Taken = func(e store.End) bool { _, ok := r.log[e.Leg]; return ok || !r.out[e.Leg] }
 	h.Apart = func(mark.Shard) bool { return false }
 	h.Invoked = func(mark.Shard) bool { return true }
--- a/truth/truth_test.go
+++ b/truth/truth_test.go
@@ -33,7 +33,7 @@
 }
 
 func (b *bench) lead(term mark.Term, outs ...Hold) {
-	b.head = NewHead(b.now, Defaults, "h", term, outs)
+	b.head = NewHead(b.now, b.now, Defaults, "h", term, outs)
 	b.head.Taken = func(store.End) bool { return false }
 	b.head.Apart = func(mark.Shard) bool { return false }
 	b.head.Invoked = func(mark.Shard) bool { return false }
@@ -333,3 +333,18 @@
 	w.Tick(b.now, "h")
 	is.True(w.legs[try("j", 1)].part != ended)
 }
+
+// The initial wait counts from when an earlier leader can last have had authority.
+func TestInitialWaitCountsFromTheLastAuthority(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	for _, ago := range []time.Duration{0, 900 * time.Millisecond, time.Hour} {
+		h := NewHead(b.now, b.now.Add(-ago), Defaults, "h", 2, []Hold{{Leg: try("j", 1), Shard: "s"}})
+		h.Taken, h.Doubts = func(store.End) bool { return false }, func(mark.Shard) []mark.Leg { return nil }
+		h.Apart, h.Invoked = func(mark.Shard) bool { return false }, func(mark.Shard) bool { return true }
+		for at := time.Duration(0); at < Defaults.Loss+time.Second; at += 10 * time.Millisecond {
+			h.Tick(b.now.Add(at), time.Second)
+			is.Equal(h.Wait, at+ago <= Defaults.Loss+Defaults.Beat)
+		}
+	}
+}
--- a/truth/watch.go
+++ b/truth/watch.go
@@ -64,12 +64,13 @@
 	h.say(s, word.Quit, Quit{h.top(s)})
 }
 
-// wake ends the initial wait: by time, when every worker that could still run
-// something has had to stop; or early, when all wards that came carry the same
+// wake ends the initial wait: by time, counted from when an earlier leader can
+// last have let anybody run anything, when every worker that still did so has had
+// to stop; or early, when all wards that came carry the same
 // worker set, it is just the set of those that came, and no leg in the log
 // waits to be heard of. The last is more than the paper asks.
 func (h *Head) wake() {
-	late := h.now.Sub(h.born) > h.pace.Loss+h.pace.Beat
+	late := h.now.Sub(h.ruled) > h.pace.Loss+h.pace.Beat
 	h.Why = h.short()
 	if !late && h.Why != "" {
 		return
