--- a/door/calls.go
+++ b/door/calls.go
@@ -35,6 +35,9 @@
 	select {
 	case o.slots <- struct{}{}:
 		defer func() { <-o.slots }()
+		if ctx.Err() != nil {
+			return word.WorkerReply{Result: word.Sick}
+		}
 		return o.Caller(ctx, c)
 	case <-ctx.Done():
 		return word.WorkerReply{Result: word.Sick}
