What waits for a mate that is cut off is bounded by bytes and age

Ruled out: pushing out the oldest for the newest (a mate that catches up would never get the part that it needs next); fewer notes (small ones need the depth). Change: a lane has 2 MB at most, a request 1 MB, and what has waited for 1.5 s is dropped: the machines repeat what matters.

--- a/door/post.go
+++ b/door/post.go
@@ -18,7 +18,6 @@
 )
 
 const (
-	depth = 1024
 	share = 128
 	limit = time.Second
 	lanes = 4000
@@ -29,7 +28,7 @@
 	ctx     context.Context
 	client  *http.Client
 	mu      sync.Mutex
-	lanes   map[mark.Addr]chan word.Note
+	lanes   map[mark.Addr]*lane
 	Sent    atomic.Uint64
 	Failed  atomic.Uint64
 	Dropped atomic.Uint64
@@ -37,40 +36,41 @@
 
 // NewPost makes a sender whose connections come from the given IP, if any.
 func NewPost(ctx context.Context, source string) *Post {
-	return &Post{ctx: ctx, client: Client(source, 2*time.Second), lanes: map[mark.Addr]chan word.Note{}}
+	return &Post{ctx: ctx, client: Client(source, 2*time.Second), lanes: map[mark.Addr]*lane{}}
 }
 
-// Send puts a note into its lane; a full lane drops it.
+// Send puts a note into its lane.
 func (p *Post) Send(s word.Send) {
 	p.mu.Lock()
-	lane := p.lanes[s.To]
-	if lane == nil {
+	l := p.lanes[s.To]
+	if l == nil {
 		if len(p.lanes) >= lanes {
 			p.mu.Unlock()
 			p.Dropped.Add(1)
 			return
 		}
-		lane = make(chan word.Note, depth)
-		p.lanes[s.To] = lane
-		go p.run(s.To, lane)
+		l = newLane()
+		p.lanes[s.To] = l
+		go p.run(s.To, l)
 	}
 	p.mu.Unlock()
-	select {
-	case lane <- s.Note:
-	default:
+	if !l.put(s.Note, time.Now()) {
 		p.Dropped.Add(1)
 	}
 }
 
-func (p *Post) run(to mark.Addr, lane chan word.Note) {
+func (p *Post) run(to mark.Addr, l *lane) {
 	for {
 		select {
 		case <-p.ctx.Done():
 			return
-		case n := <-lane:
-			group := []word.Note{n}
-			for len(lane) > 0 && len(group) < share {
-				group = append(group, <-lane)
+		case <-l.wake:
+		}
+		for p.ctx.Err() == nil {
+			group, dropped := l.take(time.Now())
+			p.Dropped.Add(uint64(dropped))
+			if group == nil {
+				break
 			}
 			p.deliver(to, group)
 		}
