--- a/door/post.go
+++ b/door/post.go
@@ -18,7 +18,10 @@
 )
 
 const (
+	depth = 1024
+	heavy = 2 << 20
 	share = 128
+	bulk  = 256 << 10
 	limit = time.Second
 	lanes = 4000
 )
@@ -34,12 +37,57 @@
 	Dropped atomic.Uint64
 }
 
+// lane is what waits for one mate, oldest first. It holds so many bytes at most;
+// the oldest go first then, since newer ones say the same or more.
+type lane struct {
+	mu   sync.Mutex
+	list []word.Note
+	size int
+	wake chan struct{}
+}
+
+func (l *lane) put(n word.Note) (dropped int) {
+	l.mu.Lock()
+	l.list = append(l.list, n)
+	l.size += len(n.Body)
+	for l.size > heavy && len(l.list) > 1 || len(l.list) > depth {
+		l.size -= len(l.list[0].Body)
+		l.list = l.list[1:]
+		dropped++
+	}
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return
+}
+
+// take gives what fits into one request.
+func (l *lane) take() (group []word.Note) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	size := 0
+	for i, n := range l.list {
+		if i == share || i > 0 && size+len(n.Body) > bulk {
+			break
+		}
+		size += len(n.Body)
+		group = append(group, n)
+	}
+	l.size -= size
+	if l.list = l.list[len(group):]; len(l.list) == 0 {
+		l.list = nil
+	}
+	return
+}
+
 // NewPost makes a sender whose connections come from the given IP, if any.
 func NewPost(ctx context.Context, source string) *Post {
 	return &Post{ctx: ctx, client: Client(source, 2*time.Second), lanes: map[mark.Addr]*lane{}}
 }
 
-// Send puts a note into its lane.
+// Send puts a note into its lane; a full lane drops its oldest.
 func (p *Post) Send(s word.Send) {
 	p.mu.Lock()
 	l := p.lanes[s.To]
@@ -49,14 +97,12 @@
 			p.Dropped.Add(1)
 			return
 		}
-		l = newLane()
+		l = &lane{wake: make(chan struct{}, 1)}
 		p.lanes[s.To] = l
 		go p.run(s.To, l)
 	}
 	p.mu.Unlock()
-	if !l.put(s.Note, time.Now()) {
-		p.Dropped.Add(1)
-	}
+	p.Dropped.Add(uint64(l.put(s.Note)))
 }
 
 func (p *Post) run(to mark.Addr, l *lane) {
@@ -66,12 +112,7 @@
 			return
 		case <-l.wake:
 		}
-		for p.ctx.Err() == nil {
-			group, dropped := l.take(time.Now())
-			p.Dropped.Add(uint64(dropped))
-			if group == nil {
-				break
-			}
+		for group := l.take(); len(group) > 0 && p.ctx.Err() == nil; group = l.take() {
 			p.deliver(to, group)
 		}
 	}
