A changed seed list is told as waiting for the next start, which it does

Cause: the log said that new seeds were taken, but no machine can take them yet. Ruled out: a greeting put into the roster from outside (it would claim to have heard of a daemon that it has not). Conclusion: the roster needs a way to be given seeds; until then the log is right.

--- a/cmd/coppercourse/deployed.go
+++ b/cmd/coppercourse/deployed.go
@@ -45,7 +45,7 @@
 	debug.SetGCPercent(collect)
 	debug.SetMemoryLimit(b.Memory)
 	d := &daemon{ctx: ctx, log: logger(role, b.Settings), s: b.Settings}
-	platform.Watch(ctx, d.log, path, b, func(platform.Boot) {})
+	platform.Watch(ctx, d.log, path, b, nil)
 	outside[role](b, d)
 	return starts[b.Machine()](d)
 }
