--- a/place/bounds.go
+++ b/place/bounds.go
@@ -34,12 +34,14 @@
 	return max(1, min(usual, bound*times/of))
 }
 
-// Derive makes a pace that holds within the bounds: the default, or less of it.
+// Quick is the pace where the surroundings give bounds: a lost worker or leader
+// costs less there than beats do.
+var Quick = Pace{Beat: 150, Ill: 600, Loss: 1750, Grant: 1400, Worker: 1050, Again: 150, Round: 60, Election: 300, Stall: 600,
+	Dead: 5000, Stale: 1500}
+
+// Derive makes a pace that holds within the bounds: the quick one, or less of it.
 func Derive(b Bounds) Pace {
-	p := Defaults().Pace
-	if b != Usual && b != (Bounds{}) {
-		p.Beat, p.Ill, p.Loss, p.Grant, p.Worker, p.Again, p.Round, p.Election, p.Stall = 150, 600, 1750, 1400, 1050, 200, 75, 300, 600
-	}
+	p := Quick
 	p.Grant = min(some(p.Grant, b.Hold, 8, 10), some(p.Grant, b.Cancel, 2, 3))
 	p.Worker = min(p.Worker, p.Grant*3/4)
 	p.Stale = some(p.Stale, b.Apply, 3, 4)
