Under pressure: what can meet its aim first, and of that the least work left

Change: jobs are told apart by whether they can still meet their aim, or three times it; within that the least work left goes first; what is late stands behind lower priorities that are in aim. Expected times are between a job's own estimates and its queue's mean.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -57,9 +57,10 @@
 	Long    time.Duration // its time limit
 	Since   time.Duration // how long it has been ready
 
-	By      time.Duration // until when it should start, for its job to meet its aim
-	Near    mark.Rack     // where its data is
-	OneRack bool          // it is slower when spread over racks
+	Class   Class     // whether its job can still meet its aim
+	Rest    float64   // of its job's work, in core-seconds
+	Near    mark.Rack // where its data is
+	OneRack bool      // it is slower when spread over racks
 	Shun    map[mark.Shard]bool
 }
 
@@ -323,18 +324,32 @@
 	return
 }
 
-// sooner puts what can still meet its aim before what can't, and then what must
-// start first.
+// Class is what a job can still be worth.
+type Class int
+
+const (
+	InAim Class = iota // it can be done within its aim
+	Late               // within three times that
+	Spent              // it can't
+)
+
+// behind is how far a class puts work behind that of other queues that is in aim.
+var behind = map[Class]int{InAim: 0, Late: 2, Spent: 6}
+
+func (w *Want) rank(d *Due) int { return d.Row.Priority + behind[w.Class] }
+
+// sooner puts what can still meet its aim before what can't, and then what has the
+// least work left: under pressure that lets the most jobs meet their aims.
 func sooner(a, b *Want) bool {
-	if x, y := a.By < 0, b.By < 0; x != y {
-		return y
+	if a.Class != b.Class {
+		return a.Class < b.Class
 	}
-	return a.By < b.By
+	return a.Rest < b.Rest
 }
 
 // next is the queue whose turn it is: by priority; then those below their share,
 // the one furthest below before the others; then by cores in use for each weight,
-// or, of queues whose jobs have aims, the one whose work must start first.
+// or, of queues whose jobs have aims, the one with the least work left.
 func next(turns []*turn, total mark.Cores) (best *turn) {
 	rank := func(t *turn) (bool, float64) {
 		part := 100 * float64(t.due.Cores) / float64(max(total, 1))
@@ -351,7 +366,7 @@
 			best = t
 			continue
 		}
-		if p, q := t.due.Row.Priority, best.due.Row.Priority; p != q {
+		if p, q := t.wants[0].rank(t.due), best.wants[0].rank(best.due); p != q {
 			if p < q {
 				best = t
 			}
--- /dev/null
+++ b/helm/aims.go
@@ -0,0 +1,53 @@
+// What a job can still be worth: whether it can be done within the aim of its
+// queue, by what its steps are expected to take. A job's own estimates are rough
+// and so is the mean of its queue's steps; between the two lies the best guess.
+package helm
+
+import (
+	"math"
+	"time"
+
+	"coppercourse/blueprint"
+	"coppercourse/choice"
+	"coppercourse/mark"
+	"coppercourse/store"
+)
+
+const lates = 3 // times its aim, until which a job is worth something
+
+// expect is how long a task of a step is expected to take.
+func (h *Helm) expect(j *store.Job, step int) time.Duration {
+	own := time.Duration(j.Spec.Steps[step].Estimate) * time.Millisecond
+	u, ok := h.head.Usual(usual(j, mark.StageOf(mark.No(0, step, 0))))
+	switch {
+	case !ok:
+		return own
+	case own == 0:
+		return u
+	}
+	return time.Duration(math.Sqrt(float64(own) * float64(u)))
+}
+
+// aim tells what a job can still be worth, and how much work it has left.
+func (h *Helm) aim(j *store.Job, row blueprint.Row, x *store.Heat, b store.Batch) (choice.Class, float64) {
+	if !row.Aims() {
+		return choice.InAim, 0
+	}
+	cost := func(step int) time.Duration { return h.expect(j, step) }
+	rest := 0.0
+	for i, n := range x.Left {
+		rest += float64(n) * cost(i).Seconds() * float64(j.Spec.Steps[i].Room.Cores) / float64(mark.Core)
+	}
+	if j.Spec.Steps[b.Stage.Step()].Lasts {
+		return choice.InAim, rest
+	}
+	aim := time.Duration(row.Stretch*float64(j.Spec.Chain(-1, cost))) + time.Duration(row.Target)*time.Millisecond
+	left := b.From.Add(aim).Sub(h.core.Clock()) - j.Spec.Chain(b.Stage.Step(), cost)
+	switch {
+	case left > -aim/8: // the guess is no better than that
+		return choice.InAim, rest
+	case left+(lates-1)*aim > 0:
+		return choice.Late, rest
+	}
+	return choice.Spent, rest
+}
--- a/store/heat.go
+++ b/store/heat.go
@@ -14,7 +14,7 @@
 type Batch struct {
 	Stage mark.Stage
 	Tasks []int
-	By    mark.Tick           // when the last of them should start for the job to meet its aim
+	From  mark.Tick           // when the job was accepted, or the stage's time came
 	Shun  map[mark.Shard]bool // workers where legs of these stalled or failed
 }
 
@@ -23,6 +23,7 @@
 	Batches []Batch
 	Running int
 	Cores   mark.Cores
+	Left    []int // tasks of each step that have not ended well, of the times that have come
 	Doomed  []mark.Leg
 	Spent   []End
 	until   mark.Tick // from then on something more may start
@@ -38,39 +39,28 @@
 	return j.hot
 }
 
-// by tells when a stage should start at the latest for its job to be done within
-// the aim of its row, as far as the job's estimates go.
-func (j *Job) by(row blueprint.Row, at mark.Stage, due mark.Tick) mark.Tick {
-	from := j.At
-	if j.Spec.Times != nil {
-		from = max(from, due)
-	}
-	aim := time.Duration(row.Stretch*float64(j.Spec.chain(-1))) + time.Duration(row.Target)
-	return from.Add(aim*ms - time.Duration(j.Spec.chain(at.Step()))*ms)
-}
-
-// chain is the longest chain of estimated work in ms, of the whole job or from
-// one step on.
-func (s Spec) chain(from int) int {
-	long := make([]int, len(s.Steps))
-	var tail func(i int) int
-	tail = func(i int) int {
+// Chain is the longest chain of work, of the whole job or from one step on, where
+// cost tells how long a step takes.
+func (s Spec) Chain(from int, cost func(step int) time.Duration) time.Duration {
+	long := make([]time.Duration, len(s.Steps))
+	var tail func(i int) time.Duration
+	tail = func(i int) time.Duration {
 		if long[i] > 0 {
 			return long[i]
 		}
-		rest := 0
+		rest := time.Duration(0)
 		for k, q := range s.Steps {
 			if slices.Contains(q.After, s.Steps[i].Name) {
 				rest = max(rest, tail(k))
 			}
 		}
-		long[i] = max(1, s.Steps[i].Estimate) + rest
+		long[i] = max(1, cost(i)) + rest
 		return long[i]
 	}
 	if from >= 0 {
 		return tail(from)
 	}
-	most := 0
+	most := time.Duration(0)
 	for i := range s.Steps {
 		most = max(most, tail(i))
 	}
@@ -79,7 +69,7 @@
 
 // heat works it out afresh.
 func (j *Job) heat(row blueprint.Row, now mark.Tick, off mark.Wall) *Heat {
-	h := &Heat{Doomed: j.Doomed(), Spent: j.Spent(row, now), until: far}
+	h := &Heat{Doomed: j.Doomed(), Spent: j.Spent(row, now), until: far, Left: make([]int, len(j.Spec.Steps))}
 	wait := func(t mark.Tick) {
 		if t > now {
 			h.until = min(h.until, t)
@@ -101,10 +91,17 @@
 		due, wall := j.due(p, at.Time())
 		due = max(due, mark.Tick(wall-off))
 		wait(due)
+		if due <= now {
+			for i := range part {
+				if !part[i].Done {
+					h.Left[at.Step()]++
+				}
+			}
+		}
 		if due > now || !j.met(p, at.Time()) {
 			return
 		}
-		b, whole := Batch{Stage: at, By: j.by(row, at, due)}, true
+		b, whole := Batch{Stage: at, From: max(j.At, due)}, true
 		for i := range part {
 			t := &part[i]
 			if t.Done {
