Ends are reported as soon as they are heard; turns by work and by time left

Cause: an end waited for the ward's next tick, 10 ms on the mean; ordering by work left alone starved the largest jobs. Change: a reply's ends are reported in the same step; the turn of what is in aim weighs the work left, beside its queue's mean, and the time left, beside its aim.

--- a/choice/aims_test.go
+++ b/choice/aims_test.go
@@ -18,10 +18,10 @@
 	return m
 }
 
-func TestPriorityGoesFirstThenWhatCanMeetItsAimWithTheLeastWork(t *testing.T) {
+func TestPriorityGoesFirstThenWhatCanMeetItsAimAndItsTurn(t *testing.T) {
 	is := is.New(t)
 	late, small, large, low, spent := want("late", "a", 1, 4), want("small", "a", 1, 4), want("large", "b", 1, 4), want("low", "c", 1, 4), want("spent", "a", 1, 4)
-	late.Class, spent.Class, small.Rest, large.Rest, low.Rest = Late, Spent, 1, 9, 0.1
+	late.Class, spent.Class, small.Turn, large.Turn, low.Turn = Late, Spent, 1, 9, 0.1
 	dues := rows(blueprint.Row{Name: "a", Stretch: 1.5}, blueprint.Row{Name: "b", Stretch: 2}, blueprint.Row{Name: "c", Stretch: 2, Priority: 1})
 	for room, jobs := range []int{0, 1, 2, 3, 4, 5} {
 		n := count(place([]Want{spent, low, late, large, small}, slots(room, 4), dues, 20))
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -58,7 +58,7 @@
 	Since   time.Duration // how long it has been ready
 
 	Class   Class     // whether its job can still meet its aim
-	Rest    float64   // of its job's work, in core-seconds
+	Turn    float64   // of what is in the same class, the lowest goes first
 	Near    mark.Rack // where its data is
 	OneRack bool      // it is slower when spread over racks
 	Shun    map[mark.Shard]bool
@@ -338,18 +338,17 @@
 
 func (w *Want) rank(d *Due) int { return d.Row.Priority + behind[w.Class] }
 
-// sooner puts what can still meet its aim before what can't, and then what has the
-// least work left: under pressure that lets the most jobs meet their aims.
+// sooner puts what can still meet its aim before what can't.
 func sooner(a, b *Want) bool {
 	if a.Class != b.Class {
 		return a.Class < b.Class
 	}
-	return a.Rest < b.Rest
+	return a.Turn < b.Turn
 }
 
 // next is the queue whose turn it is: by priority; then those below their share,
 // the one furthest below before the others; then by cores in use for each weight,
-// or, of queues whose jobs have aims, the one with the least work left.
+// or, of queues whose jobs have aims, the one whose work is soonest.
 func next(turns []*turn, total mark.Cores) (best *turn) {
 	rank := func(t *turn) (bool, float64) {
 		part := 100 * float64(t.due.Cores) / float64(max(total, 1))
--- a/helm/aims.go
+++ b/helm/aims.go
@@ -28,7 +28,23 @@
 	return time.Duration(math.Sqrt(float64(own) * float64(u)))
 }
 
-// aim tells what a job can still be worth, and how much work it has left.
+// weigh takes a new job into the mean of its queue's.
+func (h *Helm) weigh(j *store.Job) {
+	work := 0.0
+	for i, p := range j.Spec.Steps {
+		work += float64(p.Tasks) * h.expect(j, i).Seconds() * float64(p.Room.Cores) / float64(mark.Core)
+	}
+	if m, ok := h.works[j.Queue]; ok {
+		work = m + (work-m)/16
+	}
+	h.works[j.Queue] = work
+}
+
+// mean is the work of a queue's jobs, in core-seconds.
+func (h *Helm) mean(q mark.Queue) float64 { return max(h.works[q], 0.001) }
+
+// aim tells what a job can still be worth, and how soon it should have its turn:
+// the less work it has left and the less time, the sooner.
 func (h *Helm) aim(j *store.Job, row blueprint.Row, x *store.Heat, b store.Batch) (choice.Class, float64) {
 	if !row.Aims() {
 		return choice.InAim, 0
@@ -43,6 +59,7 @@
 	}
 	aim := time.Duration(row.Stretch*float64(j.Spec.Chain(-1, cost))) + time.Duration(row.Target)*time.Millisecond
 	left := b.From.Add(aim).Sub(h.core.Clock()) - j.Spec.Chain(b.Stage.Step(), cost)
+	rest = rest/(rest+h.mean(j.Queue)) + left.Seconds()/aim.Seconds()
 	switch {
 	case left > -aim/8: // the guess is no better than that
 		return choice.InAim, rest
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -62,6 +62,7 @@
 	late    mark.Stamp
 	moved   bool // something was applied, or time passed, since work was last placed
 	rates   map[mark.Queue]*rate
+	works   map[mark.Queue]float64 // mean work of a queue\'s jobs
 	early   []early
 	kept    *choice.Reserve // workers kept for work that was passed over
 	waited  map[choice.Part]mark.Stamp
@@ -90,7 +91,7 @@
 func New(now mark.Now, rnd *rand.Rand, p Place, recs [][]byte) *Helm {
 	me := accord.Member{Addr: p.Addr, Loc: p.Loc}
 	h := &Helm{place: p, now: now, core: accord.New(now, p.Core, rnd, me, recs, mark.Mint(rnd)),
-		waits: map[mark.Index]waiter{}, flight: map[store.End]bool{}, rates: map[mark.Queue]*rate{}, Trail: trail.New()}
+		waits: map[mark.Index]waiter{}, flight: map[store.End]bool{}, rates: map[mark.Queue]*rate{}, works: map[mark.Queue]float64{}, Trail: trail.New()}
 	h.kin = kin.New(rnd, h.card(), p.Seeds)
 	h.desk = news.NewDesk(p.Addr)
 	h.load()
@@ -241,6 +242,9 @@
 			h.settle(w, f, bad)
 		}
 		if h.head != nil && h.core.Leads() {
+			if f.Job != nil && bad == nil {
+				h.weigh(h.state.Jobs[f.Job.ID])
+			}
 			h.order(legs)
 			h.head.Settle(f.Ends)
 			for _, x := range f.Ends {
--- a/truth/line.go
+++ b/truth/line.go
@@ -119,6 +119,7 @@
 		backs[f.Kind](h, f, r)
 	}
 	h.line()
+	h.pulse()
 }
 
 var backs = map[word.CallKind]func(*Hand, *flight, word.WorkerReply){
