Calls get 250 ms; a hold past its time does not hold up the next

Cause: a call was given 700 ms past its wait. Ruled out: a longer lease (a lost worker's work would wait as long). Change: 250 ms for any reply; a hold 100 ms past its wait is not waited for by the next; holds wait a third of the grant, so that two lost ones do no harm. A worker is ill when it has said nothing since a call that got no reply.

--- a/truth/caller.go
+++ b/truth/caller.go
@@ -18,8 +18,8 @@
 	slowest = 0.975                  // of our clock's pace, at which a worker's clock runs at least
 	early   = 20 * time.Millisecond  // a lease ends so much before the ward's own
 	listens = time.Second            // how long a hold waits for an end at most
-	overdue = 300 * time.Millisecond // past its time, a reply tells that the worker is not well
-	answers = 700 * time.Millisecond // how long any call is waited for
+	overdue = 100 * time.Millisecond // past its time, a hold is not waited for any more: another goes
+	answers = 250 * time.Millisecond // how long any call's reply is waited for, past its own wait
 	settles = 60 * time.Millisecond  // how long an end may be on its way into the log before the next hold
 	retries = 100 * time.Millisecond // between holds that brought nothing
 	lists   = 500                    // ends that one reply holds at most
@@ -60,6 +60,7 @@
 	read  int64 // the clock of the newest list of runs heeded
 	seen  uint64
 	sick  mark.Stamp // until then it is not given work
+	mute  bool       // it has said nothing since a call that got no reply
 	ends  map[uint64]*ending
 	calls []word.WorkerCall
 	Sums  CallSums
@@ -126,7 +127,7 @@
 func (h *Hand) adopt(b word.WorkerBeat) {
 	c := h.caller
 	c.life, c.to, c.seq, c.heir = b.Life, b.To, b.Seq, nil
-	c.clock, c.got, c.until, c.read, c.seen, c.sick = b.Clock, h.now, 0, 0, 0, never
+	c.clock, c.got, c.until, c.read, c.seen, c.sick, c.mute = b.Clock, h.now, 0, 0, 0, never, false
 	c.fence, c.firm = uint64(max(b.Clock, 0))*fences, false
 	c.hold, c.query, c.next = 0, 0, never
 	clear(c.ends)
@@ -164,22 +165,15 @@
 	}
 }
 
-// listen is how long a hold waits for an end: the lease must be renewed in time.
-func (h *Hand) listen() time.Duration { return min(listens, h.pace.Grant/2) }
+// listen is how long a hold waits for an end. Each renews the lease, which must
+// outlast two that get no reply.
+func (h *Hand) listen() time.Duration { return min(listens, h.pace.Grant/3) }
 
-// quiet tells whether a worker that is called owes a reply and has said nothing
-// since it was asked, or is sick.
+// quiet tells whether a worker that is called is sick, or has said nothing since a
+// call that got no reply.
 func (h *Hand) quiet() bool {
 	c := h.caller
-	if h.now < c.sick || c.life == "" {
-		return true
-	}
-	for _, f := range c.open {
-		if h.now.Sub(f.at) > f.Wait+overdue && h.heard <= f.at {
-			return true
-		}
-	}
-	return h.now.Sub(h.heard) > h.listen()+overdue+h.pace.Ill
+	return h.now < c.sick || c.life == "" || c.mute || h.now.Sub(h.heard) > h.listen()+answers+h.pace.Ill
 }
 
 // hear takes a reading of the worker's clock, if it says more than is known.
--- a/truth/caller_test.go
+++ b/truth/caller_test.go
@@ -47,7 +47,8 @@
 	}{
 		{lost, 0, store.Unrun},
 		{unsaid, 0, store.OK},
-		{late, 300 * ms, store.OK}, // before the query
+		{late, 200 * ms, store.OK}, // before the query
+		{late, 300 * ms, store.Unrun},
 		{late, 900 * ms, store.Unrun},
 		{late, 1500 * ms, store.Unrun},
 		{late, 3 * time.Second, store.Unrun},
@@ -118,15 +119,20 @@
 // two is neither gone nor unrun.
 func TestAnswersThatCross(t *testing.T) {
 	is, r := is.New(t), ready(t, 6)
+	was := r.hand.Lease().Sums.Queries
 	r.first(word.Start, unsaid) // so that there is a query beside the hold that waits
 	r.give(leg("a", 1), long)
-	r.slow = 390 * ms
-	r.pass(500 * ms)
-	r.give(leg("b", 1), long)
+	r.slow = 200 * ms
+	r.pass(200 * ms)
+	r.give(leg("b", 1), long) // which is answered, so that the worker seems well
+	r.pass(100 * ms)
+	is.Equal(r.hand.Lease().Sums.Queries, was+1) // the query is under way
+	r.give(leg("c", 1), long)
+	r.pass(50 * ms)
 	r.slow = 0
 	r.pass(1500 * ms)
 	is.Equal(len(r.log), 0)
-	for _, l := range []mark.Leg{leg("a", 1), leg("b", 1)} {
+	for _, l := range []mark.Leg{leg("a", 1), leg("b", 1), leg("c", 1)} {
 		p, _ := r.part(l)
 		is.Equal(p, "running")
 	}
--- a/truth/line.go
+++ b/truth/line.go
@@ -41,6 +41,9 @@
 		c.Sums.Queries++
 		c.query = h.send(word.WorkerCall{Kind: word.Hold})
 	}
+	if f := c.open[c.hold]; f != nil && h.now.Sub(f.at) > f.Wait+overdue {
+		c.hold = 0
+	}
 	if c.hold == 0 && c.query == 0 && h.now >= c.next && h.told {
 		wait := h.listen()
 		if len(c.ends) > 0 {
@@ -108,14 +111,15 @@
 	switch {
 	case r.Clock == 0:
 		c.Sums.Silent++
+		c.mute = c.mute || h.heard <= f.at
 		backs[f.Kind](h, f, r)
 	case !c.firm: // a beat's reading may be old, and a fence made of it no higher than an earlier ward's
 		c.firm, c.fence = true, max(c.fence, uint64(r.Clock)*fences)
 		h.hear(r.Clock)
-		h.heard = now
+		h.heard, c.mute = now, false
 	default:
 		h.hear(r.Clock)
-		h.heard = now
+		h.heard, c.mute = now, false
 		backs[f.Kind](h, f, r)
 	}
 	h.line()
