A worker's pace is told by the other tasks of the same steps

Change: wards tell how long each attempt will take in all by how far it is; the leader sets it beside the same step's tasks elsewhere. Slow workers get nothing until they are trusted again, by two tasks at a time; what may run twice gets a copy, short work that crawls begins anew elsewhere.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,6 +28,7 @@
 	Free  mark.Room
 	Bad   float64
 	Slow  float64
+	Now   float64 // how many times the usual what runs there takes now; 0 is as usual
 	Busy  int
 	Has   map[Part]int
 	Size  mark.Room     // when nothing runs there
--- a/choice/fit.go
+++ b/choice/fit.go
@@ -53,7 +53,7 @@
 				!free[i].Minus(s.held).Holds(w.Room) && w.Long > s.Clear {
 				continue
 			}
-			if s.Bad > r.mean+shun && s.Busy+more[i] > 0 {
+			if s.Bad > r.mean+shun && s.Busy+more[i] > 0 || s.Now > slow || s.Now > 0 && s.Busy+more[i] >= proves {
 				continue
 			}
 			v := worth(s, free[i])
@@ -77,6 +77,13 @@
 	return
 }
 
+// A worker on which all takes more than slow times as long gets nothing; one that
+// is being trusted again gets a little, by which it can prove itself.
+const (
+	slow   = 2.0
+	proves = 2
+)
+
 // worth prefers workers with much room that end their legs well and in time.
 func worth(s *Slot, free mark.Room) float64 {
 	return float64(free.Cores) * (1 - s.Bad) / max(s.Slow, 0.2)
--- a/helm/copies.go
+++ b/helm/copies.go
@@ -52,6 +52,9 @@
 	if s := h.head.Seat(o.Shard); s == nil || s.State != truth.Healthy || !s.Sound {
 		return true
 	}
+	if o.Late > h.now.Mono {
+		return true
+	}
 	usual := time.Duration(p.Estimate) * time.Millisecond
 	if u, ok := h.head.Usual(o.Usual); ok {
 		usual = max(usual, u)
--- a/helm/plan.go
+++ b/helm/plan.go
@@ -132,7 +132,7 @@
 		if till, _, _ := h.till(s); !s.Leaving && s.Sound {
 			at[s.Shard] = len(list)
 			list = append(list, choice.Slot{Shard: s.Shard, Rack: s.Rack, Kinds: s.Kinds, Labels: s.Labels, Free: s.Room, Size: s.Room, Till: till,
-				Bad: s.Worth.Bad, Slow: s.Worth.Slow, Has: map[choice.Part]int{}})
+				Bad: s.Worth.Bad, Slow: s.Worth.Slow, Now: h.head.Slow(s), Has: map[choice.Part]int{}})
 		}
 	}
 	for _, o := range h.head.Holds() {
--- a/helm/windows.go
+++ b/helm/windows.go
@@ -16,6 +16,8 @@
 const (
 	ahead  = 1500 * time.Millisecond // a leg is stopped so long before it must be gone
 	briefs = 2 * time.Second         // a leg shorter than this has not stalled
+	shorts = 1500 * time.Millisecond // work shorter than this is begun anew elsewhere
+	halts  = 300 * time.Millisecond  // to stop a leg and begin it elsewhere
 )
 
 // till tells how long a seat may still run something, 0 for without end, and
@@ -58,7 +60,7 @@
 		if why == "" && left[choice.Part{Job: o.Leg.Job, Stage: o.Stage}] {
 			why = store.Alone
 		}
-		if why == "" && h.stalled(o) {
+		if why == "" && (h.stalled(o) || h.crawls(o)) {
 			why = store.Stalled
 		}
 		if why != "" && h.mayTake(o.Leg) {
@@ -96,6 +98,24 @@
 	return row.Stall > 0 && h.now.Mono.Sub(o.At) > max(briefs, time.Duration(row.Stall)*u)
 }
 
+// crawls tells a leg that will take so much longer where it is that it had better
+// begin anew elsewhere, once for a task. What takes long anyway is left to its
+// worker, which may be quick again before it would be done elsewhere; what may run
+// twice gets a copy instead.
+func (h *Helm) crawls(o *truth.Hold) bool {
+	j := h.state.Jobs[o.Leg.Job]
+	if j == nil || o.Late <= h.now.Mono || o.Stage < 0 {
+		return false
+	}
+	p := &j.Spec.Steps[o.Stage.Step()]
+	t := j.Task(o.Leg.N)
+	if t == nil || t.Shun != "" || p.Lasts || p.Copies && !p.Gang {
+		return false
+	}
+	usual := h.expect(j, o.Stage.Step())
+	return usual < shorts && o.Late.Sub(h.now.Mono) > 3*usual/2+halts
+}
+
 // overtime lists the legs that run longer than the table in force allows; each was
 // told its limit with its order, but the table may have changed since.
 func (h *Helm) overtime() (list []mark.Leg) {
--- a/truth/hand.go
+++ b/truth/hand.go
@@ -32,15 +32,18 @@
 	ghost   bool // the worker runs it although it has ended here
 
 	// of a worker that is called
-	fence  uint64     // under which it was started
-	asked  mark.Stamp // when its stop was last asked for
-	sure   mark.Stamp // when the worker last said that it runs
-	turned mark.Stamp // when the worker took its stop
-	unsure bool       // its start had no clear answer
-	n      uint64     // the number of its end
-	ref    string     // what it has saved
-	saved  mark.Stamp // when that last changed
-	done   float64    // how far it is, in percent
+	fence  uint64        // under which it was started
+	asked  mark.Stamp    // when its stop was last asked for
+	sure   mark.Stamp    // when the worker last said that it runs
+	turned mark.Stamp    // when the worker took its stop
+	unsure bool          // its start had no clear answer
+	n      uint64        // the number of its end
+	ref    string        // what it has saved
+	saved  mark.Stamp    // when that last changed
+	done   float64       // how far it is, in percent
+	read   mark.Stamp    // when that was told
+	moved  mark.Stamp    // when it last changed
+	spoke  time.Duration // how long it takes in all, as was told last
 }
 
 // Hand is one ward's half.
@@ -201,7 +204,7 @@
 		if h.rep.LeaveMS > 0 {
 			h.rep.LeaveMS = max(1, h.goes.Sub(h.now).Milliseconds())
 		}
-		h.say(h.lead, word.Beat, Beat{h.shard, h.id, h.past, h.now, h.set, h.rep, h.saves()})
+		h.say(h.lead, word.Beat, Beat{h.shard, h.id, h.past, h.now, h.set, h.rep, h.saves(), h.spans()})
 	}
 	if h.now.Sub(h.status) < h.pace.Again {
 		return
--- a/truth/head.go
+++ b/truth/head.go
@@ -31,7 +31,8 @@
 	Usual string // what its time is compared with
 	Limit time.Duration
 	At    mark.Stamp
-	Ref   string // what it has saved
+	Ref   string     // what it has saved
+	Late  mark.Stamp // by when it will have ended, where it is far behind its like
 	halt  mark.Stamp
 }
 
@@ -55,26 +56,30 @@
 	ver   int
 	ind   int
 	Worth Worth
+	pace  float64 // log of how many times the usual its attempts take
+	paced mark.Stamp
 }
 
 // Head is the whole model.
 type Head struct {
-	pace  Pace
-	me    mark.Addr
-	term  mark.Term
-	born  mark.Stamp
-	ruled mark.Stamp // when an earlier leader can last have had authority
-	now   mark.Stamp
-	grace time.Duration
-	Wait  bool
-	Why   string
-	seats map[mark.Shard]*Seat
-	past  map[mark.ID]bool
-	holds map[mark.Leg]*Hold
-	hist  []map[mark.ID]bool
-	ends  []store.End
-	norm  map[string]*usual
-	sends []word.Send
+	pace   Pace
+	me     mark.Addr
+	term   mark.Term
+	born   mark.Stamp
+	ruled  mark.Stamp // when an earlier leader can last have had authority
+	now    mark.Stamp
+	grace  time.Duration
+	Wait   bool
+	Why    string
+	seats  map[mark.Shard]*Seat
+	past   map[mark.ID]bool
+	holds  map[mark.Leg]*Hold
+	hist   []map[mark.ID]bool
+	ends   []store.End
+	norm   map[string]*usual
+	stages map[stage]*times
+	pruned mark.Stamp
+	sends  []word.Send
 	// Doubts lists the legs lost on a shard whose true ends are still awaited.
 	Doubts func(mark.Shard) []mark.Leg
 	// Apart tells whether a shard is silent together with its whole locality.
@@ -89,7 +94,7 @@
 // and ruled is when an earlier leader can last have had authority.
 func NewHead(now, ruled mark.Stamp, pace Pace, me mark.Addr, term mark.Term, outs []Hold) *Head {
 	h := &Head{pace: pace, me: me, term: term, born: now, ruled: min(now, ruled), now: now, Wait: true, seats: map[mark.Shard]*Seat{},
-		past: map[mark.ID]bool{}, holds: map[mark.Leg]*Hold{}, hist: []map[mark.ID]bool{{}}, norm: map[string]*usual{}}
+		past: map[mark.ID]bool{}, holds: map[mark.Leg]*Hold{}, hist: []map[mark.ID]bool{{}}, norm: map[string]*usual{}, stages: map[stage]*times{}}
 	for _, o := range outs {
 		o.Phase, o.At = dim, now
 		h.holds[o.Leg] = &o
@@ -142,6 +147,11 @@
 	if b.Set.Born == h.term && b.Set.Ver > s.ver && b.Set.Ver < len(h.hist) {
 		s.ver = b.Set.Ver
 	}
+	for _, x := range b.Spans {
+		if o := h.holds[x.Leg]; o != nil && o.Shard == b.Shard {
+			h.took(o, time.Duration(x.MS)*time.Millisecond, false)
+		}
+	}
 	for _, x := range b.Saves {
 		if o := h.holds[x.Leg]; o != nil {
 			o.Ref = x.Ref
--- a/truth/line.go
+++ b/truth/line.go
@@ -245,7 +245,10 @@
 	if x.Ref != l.ref {
 		l.ref, l.saved = x.Ref, h.now
 	}
-	l.sure, l.unsure, l.done = h.now, false, x.Percent
+	if x.Percent != l.done || l.read == 0 {
+		l.done, l.moved = x.Percent, h.now
+	}
+	l.sure, l.unsure, l.read = h.now, false, h.now
 }
 
 // miss judges what a reply does not list: it can't be running, if the reply was
--- /dev/null
+++ b/truth/pace.go
@@ -0,0 +1,150 @@
+// How fast workers that are called get on. A ward is told how far each attempt is,
+// and tells the leader how long it will take in all, when that is known and when it
+// changes. The leader sets it beside the other tasks of the same step elsewhere:
+// estimates are wrong by half and more, but alike for all of a step. So a slow
+// worker shows within a second, and attempts that are far behind their like. With
+// nothing to tell by, a worker is slowly trusted again.
+package truth
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"coppercourse/mark"
+)
+
+const (
+	brief  = 60 * time.Millisecond  // an attempt that runs for less tells nothing
+	still  = 300 * time.Millisecond // one that has not moved for so long stands still
+	worst  = 10                     // times what it has run, for one that stands still
+	change = 1.3                    // what is told is told again when it changes so much
+	trust  = 2 * time.Second        // half of a bad name is forgotten in so long
+	tells  = 1.4                    // a worker that is slower than this is known as slow
+	far    = 2.2                    // an attempt so far behind its like is late
+	like   = 2                      // others of its step that it is set beside, at least
+	keeps  = 30 * time.Second       // how long a step's times are remembered
+)
+
+// Span is how long an attempt takes in all, as far as can be told.
+type Span struct {
+	Leg mark.Leg `json:"leg"`
+	MS  int64    `json:"ms"`
+}
+
+// span is how long an attempt will take in all, or 0 if that can't be told.
+func (l *leg) span(now mark.Stamp) time.Duration {
+	ran := l.read.Sub(l.from)
+	switch {
+	case l.part != going || l.read == 0 || ran < brief:
+		return 0
+	case l.done <= 0 && now.Sub(l.moved) < 2*still:
+		return 0 // it may wait for its gang
+	case now.Sub(l.moved) > still && l.read.Sub(l.moved) > still:
+		return worst * ran
+	case l.done <= 0:
+		return 0
+	}
+	return time.Duration(float64(ran) * 100 / l.done)
+}
+
+// spans lists what there is to tell of the attempts' times.
+func (h *Hand) spans() (list []Span) {
+	for _, l := range h.sorted() {
+		d := l.span(h.now)
+		if d == 0 || l.spoke > 0 && float64(d) < change*float64(l.spoke) && float64(l.spoke) < change*float64(d) {
+			continue
+		}
+		l.spoke = d
+		list = append(list, Span{l.job.Leg, d.Milliseconds()})
+	}
+	return
+}
+
+// stage is one step of one job at one time.
+type stage struct {
+	job mark.JobID
+	at  mark.Stage
+}
+
+// times are what the attempts of a stage take, and where.
+type times struct {
+	list []sample
+	at   mark.Stamp
+}
+
+type sample struct {
+	leg   mark.Leg
+	shard mark.Shard
+	took  time.Duration
+}
+
+// elsewhere is the median of what the stage takes on other workers.
+func (t *times) elsewhere(shard mark.Shard) (time.Duration, bool) {
+	var list []time.Duration
+	for _, x := range t.list {
+		if x.shard != shard {
+			list = append(list, x.took)
+		}
+	}
+	if len(list) < like {
+		return 0, false
+	}
+	slices.Sort(list)
+	return list[len(list)/2], true
+}
+
+// took takes what an attempt takes, or has taken, and what that tells of its
+// worker and of itself.
+func (h *Head) took(o *Hold, d time.Duration, over bool) {
+	if o.Stage < 0 || d <= 0 {
+		return
+	}
+	k := stage{o.Leg.Job, o.Stage}
+	t := h.stages[k]
+	if t == nil {
+		t = &times{}
+		h.stages[k] = t
+	}
+	t.at = h.now
+	i := slices.IndexFunc(t.list, func(x sample) bool { return x.leg == o.Leg })
+	if i < 0 {
+		t.list, i = append(t.list, sample{leg: o.Leg, shard: o.Shard}), len(t.list)
+	}
+	t.list[i].took = d
+	usual, ok := t.elsewhere(o.Shard)
+	s := h.seats[o.Shard]
+	if !ok || s == nil {
+		return
+	}
+	s.fade(h.now)
+	s.pace += 0.2 * (math.Log(min(worst, max(1.0/worst, float64(d)/float64(usual)))) - s.pace)
+	o.Late = 0
+	if end := o.At.Add(d); !over && float64(d) > far*float64(usual) {
+		o.Late = end
+	}
+}
+
+// fade forgets a bad name with time.
+func (s *Seat) fade(now mark.Stamp) {
+	s.pace *= math.Exp2(-now.Sub(s.paced).Seconds() / trust.Seconds())
+	s.paced = now
+}
+
+// Slow is how many times the usual a worker's attempts take now; 0 is as usual.
+func (h *Head) Slow(s *Seat) float64 {
+	s.fade(h.now)
+	if x := math.Exp(s.pace); x > tells {
+		return x
+	}
+	return 0
+}
+
+// outlive forgets stages of which nothing was heard for long.
+func (h *Head) outlive() {
+	for k, t := range h.stages {
+		if h.now.Sub(t.at) > keeps {
+			delete(h.stages, k)
+		}
+	}
+}
--- a/truth/say.go
+++ b/truth/say.go
@@ -66,6 +66,7 @@
 	Set   SetID      `json:"set"`
 	Report
 	Saves []Save `json:"saves,omitempty"`
+	Spans []Span `json:"spans,omitempty"`
 }
 
 // Save is what a running attempt has saved, for the next to go on from.
--- a/truth/set.go
+++ b/truth/set.go
@@ -115,6 +115,9 @@
 	if o.Usual == "" || f != store.OK {
 		return
 	}
+	if s.Invoked {
+		h.took(o, h.now.Sub(o.At), true)
+	}
 	took := float64(h.now.Sub(o.At))
 	n := h.norm[o.Usual]
 	if n == nil {
--- a/truth/watch.go
+++ b/truth/watch.go
@@ -21,6 +21,10 @@
 		}
 	}
 	h.chase()
+	if now.Sub(h.pruned) > time.Second {
+		h.pruned = now
+		h.outlive()
+	}
 	if h.Wait {
 		h.wake()
 	}
