One look for each end

Cause: after an end was settled the next hold did not wait for another, since the settled one was still listed here: 2,873 of 6,800 looks found nothing new. Ruled out: rarer holds (each ms before an end is heard is late for its step). Change: a hold waits unless there are ends that are not settled.

--- a/truth/caller_test.go
+++ b/truth/caller_test.go
@@ -306,5 +306,19 @@
 	r.pass(time.Second)
 	is.Equal(r.log[leg("b", 1)], store.OK)
 	is.True(r.noted[leg("b", 1)])
+	r.pass(500 * ms) // the hold that told the worker so has waited, and was answered
 	is.Equal(len(r.hand.View().Legs), 0)
 }
+
+// Once an end is settled one hold tells the worker so and waits for the next: a
+// look at a worker has its price.
+func TestOneLookForEachEnd(t *testing.T) {
+	is, r := is.New(t), ready(t, 3)
+	for i := range 10 {
+		was := r.hand.Lease().Sums.Holds
+		r.give(leg("a", i+1), `{"ms":200}`)
+		r.pass(400 * ms)
+		is.Equal(r.log[leg("a", i+1)], store.OK)
+		is.True(r.hand.Lease().Sums.Holds <= was+2) // the one that waits may run out besides
+	}
+}
--- a/truth/line.go
+++ b/truth/line.go
@@ -46,8 +46,8 @@
 	}
 	if c.hold == 0 && c.query == 0 && h.now >= c.next && h.told {
 		wait := h.listen()
-		if len(c.ends) > 0 {
-			wait = 0
+		if c.seen < c.high() {
+			wait = 0 // the worker lists at once what is not settled
 		}
 		c.hold = h.send(word.WorkerCall{Kind: word.Hold, Wait: wait})
 	}
