A hollow fleet measures what each role spends at several sizes

Cause: nothing told how messages, bytes, processor time and memory grow with the number of daemons; the plan is 5,300 workers.

`trial capacity` runs the daemons' own machines by the hundred in virtual time, idle and under traffic in proportion (42,000 running and 1,300 starts a second at 5,300 workers), and counts each role's messages and bytes as they stand on the wire, the time of its steps, its state's size, its log, the time until a table is in force at every gate, until an urgent task starts, and until a new leader is known to all. It writes CSV, markdown and a plot a figure, and stops at a real time that is given.

Ruled out: a counter in each daemon's shell (would not run by the hundred here); heap figures of the process for memory (can't be told apart by role), so values are walked.

A test holds the bytes of a request and its answer against the real client and server: equal. New libraries: gonum plot, HdrHistogram.

--- /dev/null
+++ b/capacity/figure_test.go
@@ -0,0 +1,58 @@
+// Figures are carried on to the full size as they grow, and the report says
+// whether that keeps the limit.
+package capacity
+
+import (
+	"bytes"
+	"math"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"coppercourse/trial"
+)
+
+func grown(name, role string, f func(float64) float64) (list []Point) {
+	for _, n := range []int{10, 100, 1000} {
+		list = append(list, Point{"idle", role, name, "B/s", n + 14, n, f(float64(n))})
+	}
+	return
+}
+
+func TestGrowthIsCarriedOn(t *testing.T) {
+	is := is.New(t)
+	near := func(a, b float64) bool { return math.Abs(a-b) < 0.001*math.Abs(b) }
+	line := grown("x", "ward", func(n float64) float64 { return 7 + 3*n })
+	g := Grow(line)
+	is.True(near(g.Slope, 3))
+	is.True(near(g.Const, 7))
+	is.True(near(g.At(5000, line), 15_007))
+	square := grown("x", "ward", func(n float64) float64 { return n * n })
+	is.True(near(Grow(square).At(5000, square), 25e6))
+	flat := grown("x", "ward", func(n float64) float64 { return 5 - n/1000 })
+	is.True(near(Grow(flat).At(5000, flat), 4))
+}
+
+func TestReportTellsWhichLimitsAreKept(t *testing.T) {
+	is := is.New(t)
+	list := append(grown("control messages", "ward", func(float64) float64 { return 4 }),
+		append(grown("control bytes", "ward", func(n float64) float64 { return 10 * n }),
+			grown("roster bytes", "ward", func(float64) float64 { return 500 })...)...)
+	var b bytes.Buffer
+	is.NoErr(WriteCSV(&b, list))
+	again, err := ReadCSV(&b)
+	is.NoErr(err)
+	is.Equal(again, list)
+	WriteMarkdown(&b, list)
+	is.True(strings.Contains(b.String(), "### ward, idle"))
+	is.True(strings.Contains(b.String(), "| 5.3e+04 | 2e+03, missed |"))
+	is.True(strings.Contains(b.String(), "| 500 | 2e+03, kept |"))
+	dir := t.TempDir()
+	is.NoErr(Plot(dir, "idle", list))
+	files, err := os.ReadDir(dir)
+	is.NoErr(err)
+	is.Equal(len(files), 3)
+	is.Equal(trial.FullWorkers, 5300)
+}
--- a/cmd/trial/fleet.go
+++ b/cmd/trial/fleet.go
@@ -25,6 +25,7 @@
 	port := c.Flag("port", "Port of all daemons, each on its own loopback address.").Default("7400").Int()
 	long := c.Flag("for", "How long the traffic goes on.").Default("30s").Duration()
 	speed := c.Flag("speed", "Times the town's usual rates.").Default("1").Float64()
+	idle := c.Flag("idle", "Before the traffic, let the fleet be so long and tell what its daemons spend.").Duration()
 	seed := c.Flag("seed", "Seed of the callers.").Default("1").Int64()
 	faults := c.Flag("faults", "Faults as name@at+long, by comma.").String()
 	runs["fleet"] = func() error {
@@ -34,7 +35,7 @@
 		}
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
-		ctx, end := context.WithTimeout(ctx, *long+4*time.Minute)
+		ctx, end := context.WithTimeout(ctx, *long+*idle+4*time.Minute)
 		defer end()
 		self, err := os.Executable()
 		if err != nil {
@@ -59,6 +60,13 @@
 		if _, err := s.Put(f.Town.Table()); err != nil {
 			return err
 		}
+		if *idle > 0 {
+			text, err := f.Idle(*idle)
+			if err != nil {
+				return err
+			}
+			fmt.Print(text)
+		}
 		late := f.Live(s, *long, list)
 		breaks, err := f.Report(s)
 		if err != nil {
--- a/cmd/trial/main.go
+++ b/cmd/trial/main.go
@@ -1,5 +1,6 @@
 // The trial program: proof only. `sweep` runs the simulator over many seeds,
-// `fleet` runs real processes. Daemons start no process; this one does.
+// `fleet` runs real processes, `capacity` measures hollow fleets. Daemons start
+// no process; this one does.
 package main
 
 import (
@@ -16,6 +17,7 @@
 	runs := map[string]func() error{}
 	sweep(app, runs)
 	fleet(app, runs)
+	measureCapacity(app, runs)
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := runs[name](); err != nil {
 		fmt.Fprintln(os.Stderr, "trial: "+strings.ReplaceAll(err.Error(), "\n", "\ntrial: "))
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -90,6 +90,9 @@
 // Table is the table as the gate has it, and whether it may be decided by.
 func (g *Gate) Table() (blueprint.Table, bool) { return g.news.Table, g.news.Fresh(g.now.Mono) }
 
+// Leader is whom the gate holds for the leader now.
+func (g *Gate) Leader() mark.Addr { return g.kin.Lead() }
+
 // Step takes one event.
 func (g *Gate) Step(e word.Event) word.Out {
 	g.now = e.Now
--- /dev/null
+++ b/trial/hollow.go
@@ -0,0 +1,356 @@
+// A hollow fleet: the daemons' own machines by the hundred in one process and in
+// virtual time, with stand-in workers, idle or under traffic in proportion to the
+// size that the project designs for. What each role spends is counted over a
+// stretch of it, and then how long a change of the table, an urgent job, and a
+// change of leader take.
+package trial
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"coppercourse/blueprint"
+	"coppercourse/fault"
+	"coppercourse/gate"
+	"coppercourse/helm"
+	"coppercourse/mark"
+	"coppercourse/store"
+	"coppercourse/truth"
+	"coppercourse/word"
+)
+
+// The size to design for, at its peak.
+const (
+	FullWorkers = 5300
+	FullQueues  = 230
+	fullStarts  = 1300 // tasks a second
+	fullRunning = 42_000
+	fullGang    = 512
+	fullZones   = 11
+)
+
+// Scale is how many daemons of each role there are.
+type Scale struct{ Helms, Gates, Wards, Zones int }
+
+// ScaleOf lays out a number of daemons: three helms, a gate in each zone.
+func ScaleOf(daemons int) Scale {
+	s := Scale{Helms: 3, Gates: fullZones, Zones: fullZones}
+	if daemons < 50 {
+		s.Gates, s.Zones = 4, 3
+	}
+	s.Wards = daemons - s.Helms - s.Gates
+	return s
+}
+
+func (s Scale) Daemons() int { return s.Helms + s.Gates + s.Wards }
+
+// Hollow sets such a fleet up without traffic.
+func Hollow(seed int64, s Scale) *Run {
+	r := &Run{World: NewWorld(seed), zones: map[mark.Locality][]mark.Addr{}, drains: map[string]bool{}}
+	zone := func(i int) mark.Locality { return mark.Locality(fmt.Sprintf("z%d", i%s.Zones+1)) }
+	addr := func(part, i int) mark.Addr {
+		return mark.Addr(fmt.Sprintf("10.%d.%d.%d:7400", part, i/200, i%200+1))
+	}
+	r.seeds = []mark.Addr{addr(1, 0), addr(2, 0), addr(3, 0)}
+	for i := range s.Helms {
+		r.helms = append(r.helms, r.helm(addr(1, i), zone(i)))
+	}
+	for i := range s.Gates {
+		r.gates = append(r.gates, r.gate(addr(2, i), zone(i)))
+	}
+	for i := range s.Wards {
+		m := Make{Shard: mark.Shard(fmt.Sprintf("k%d", i+1)), Rack: mark.Rack(fmt.Sprintf("r%d", i/20+1)), Kinds: []mark.Kind{"quote", "menu"},
+			Room: mark.Room{Cores: 16, Memory: 16 << 10}}
+		r.wards = append(r.wards, r.ward(addr(3, i), zone(i), m))
+		r.worker(addr(4, i), addr(3, i), zone(i), m)
+	}
+	for _, a := range r.order {
+		n := r.nodes[a]
+		r.zones[n.loc] = append(r.zones[n.loc], a)
+		if n.make != nil {
+			r.at(time.Duration(r.rnd.Int63n(int64(300*time.Millisecond))), n.boot)
+		}
+	}
+	for _, h := range r.hands {
+		r.at(time.Duration(r.rnd.Int63n(int64(500*time.Millisecond))), h.boot)
+	}
+	r.Crew = &Crew{w: r.World, me: "caller", open: true, Count: map[fault.Kind]int{}}
+	for _, g := range r.gates {
+		r.Crew.gates = append(r.Crew.gates, g.addr)
+	}
+	return r
+}
+
+// HollowPlan is what a hollow fleet is put through.
+type HollowPlan struct {
+	Seed    int64
+	Daemons int
+	Busy    bool          // traffic in proportion
+	Window  time.Duration // over which it is counted
+	Probes  int           // changes of the table, and urgent jobs; each so many
+	Limit   time.Duration // of real time; it gives up then
+}
+
+// RoleUsage is what the daemons of one role spent in the window.
+type RoleUsage struct {
+	Role  string
+	Each  []Usage
+	State []int // bytes, of a few of them
+}
+
+// Measurement is what came of it.
+type Measurement struct {
+	HollowPlan
+	Scale
+	Roles    []RoleUsage
+	Steps    *hdrhistogram.Histogram // of the leader
+	Table    []time.Duration
+	Urgent   []time.Duration
+	Elected  time.Duration // from the leader's death until another leads
+	Told     time.Duration // from then until every gate and ward knows it
+	Running  int
+	RealTime time.Duration
+}
+
+// Measure runs a hollow fleet; it is an error if it does not come up.
+func Measure(p HollowPlan) (*Measurement, error) {
+	from := time.Now()
+	s := ScaleOf(p.Daemons)
+	r := Hollow(p.Seed, s)
+	if p.Limit > 0 {
+		r.until = from.Add(p.Limit)
+	}
+	m := &Measurement{HollowPlan: p, Scale: s}
+	table := r.fleetTable(s)
+	if err := r.await(30*time.Second, "a leader and ready gates", r.formed); err != nil {
+		return nil, err
+	}
+	acked := false
+	r.Crew.put(table, r.gates[0].addr, 0, func(ok bool) { acked = ok })
+	if err := r.await(20*time.Second, "the first table and all workers healthy", func() bool { return acked && r.healthy() == s.Wards }); err != nil {
+		return nil, err
+	}
+	if p.Busy {
+		if err := r.load(s); err != nil {
+			return nil, err
+		}
+	}
+	if err := r.window(m); err != nil {
+		return nil, err
+	}
+	for range p.Probes {
+		took, err := r.change(&table)
+		if err != nil {
+			return nil, err
+		}
+		m.Table = append(m.Table, took)
+		if took, err = r.urgent(len(m.Urgent)); err != nil {
+			return nil, err
+		}
+		m.Urgent = append(m.Urgent, took)
+	}
+	err := r.succession(m)
+	m.RealTime = time.Since(from)
+	return m, err
+}
+
+// await lets the world go on until something holds.
+func (r *Run) await(limit time.Duration, what string, holds func() bool) error {
+	for until := r.now + int64(limit); !holds(); r.Run(time.Duration(r.now) + 5*time.Millisecond) {
+		if r.now > until {
+			return fmt.Errorf("not within %s of simulated time: %s", limit, what)
+		}
+		if !r.until.IsZero() && time.Now().After(r.until) {
+			return fmt.Errorf("out of real time, waiting for: %s", what)
+		}
+	}
+	return nil
+}
+
+// pass lets a stretch of time go by.
+func (r *Run) pass(d time.Duration) error {
+	end := r.now + int64(d)
+	return r.await(2*d, fmt.Sprintf("%s to go by", d), func() bool { return r.now >= end })
+}
+
+func (r *Run) formed() bool {
+	ready := func(n *node) bool { return n.m != nil && n.m.(interface{ Ready() bool }).Ready() }
+	return !slices.ContainsFunc(r.gates, func(n *node) bool { return !ready(n) }) && slices.ContainsFunc(r.helms, ready) && r.leader() != nil
+}
+
+func (r *Run) healthy() (n int) {
+	l := r.leader()
+	if l == nil || r.now/1e6%100 != 0 {
+		return
+	}
+	for _, w := range l.m.(*helm.Helm).Workers() {
+		if w.State == truth.Healthy {
+			n++
+		}
+	}
+	return
+}
+
+func (r *Run) fleetTable(s Scale) (t blueprint.Table) {
+	t.Tasks = 1_000_000
+	for i := range max(3, min(200, FullQueues*s.Wards/FullWorkers)) {
+		t.Rows = append(t.Rows, blueprint.Row{Name: mark.Queue(fmt.Sprintf("team-%d", i)), Weight: 1, Running: 100_000, Waiting: 10_000, Tries: 3,
+			TaskMS: 600_000, Patience: 30_000, CutMS: 86_400_000, Stall: 10, Moves: 3})
+	}
+	return
+}
+
+func hollowJob(q, tasks int, gang bool, ms int) store.Spec {
+	return store.Spec{Queue: mark.Queue(fmt.Sprintf("team-%d", q)), Steps: []store.Step{{Name: "a", Kind: "quote", Room: mark.Room{Cores: 1, Memory: 64},
+		Tasks: tasks, Gang: gang, Work: json.RawMessage(fmt.Sprintf(`{"ms":%d}`, ms))}}}
+}
+
+func (r *Run) submit(id string, s store.Spec) {
+	r.tell(Happening{What: Sent, Job: mark.JobID(id), Spec: &s})
+	r.Crew.send(mark.JobID(id), word.Body(s), r.Crew.any(), 0)
+}
+
+// load starts as many long tasks as run at the full size for each worker, and
+// then has short ones come at its rate, with a gang now and then.
+func (r *Run) load(s Scale) error {
+	long := fullRunning * s.Wards / FullWorkers
+	for left, i := long, 0; left > 0; left, i = left-250, i+1 {
+		r.submit(fmt.Sprint("long-", i), hollowJob(i%3, min(left, 250), false, 3_600_000))
+	}
+	if err := r.await(30*time.Second, "the long tasks running", func() bool { return r.running() >= long }); err != nil {
+		return err
+	}
+	starts := float64(fullStarts*s.Wards) / FullWorkers
+	tasks := max(1, min(64, int(starts/2)))
+	n := 0
+	next := func(every time.Duration, f func()) {
+		var again func()
+		again = func() {
+			n++
+			f()
+			r.at(every, again)
+		}
+		r.at(time.Duration(r.rnd.Int63n(int64(every))), again)
+	}
+	next(time.Duration(float64(tasks)/starts*float64(time.Second)), func() {
+		r.submit(fmt.Sprint("short-", n), hollowJob(r.rnd.Intn(3), tasks, false, 500+r.rnd.Intn(2000)))
+	})
+	next(5*time.Second, func() {
+		r.submit(fmt.Sprint("gang-", n), hollowJob(r.rnd.Intn(3), max(2, fullGang*s.Wards/FullWorkers), true, 1000))
+	})
+	return nil
+}
+
+func (r *Run) running() (n int) {
+	for _, h := range r.hands {
+		if h.w != nil {
+			n += len(h.w.runs)
+		}
+	}
+	return
+}
+
+// window counts what all daemons spend while it lasts.
+func (r *Run) window(m *Measurement) error {
+	if err := r.pass(time.Second); err != nil {
+		return err
+	}
+	lead := r.leader()
+	m.Steps = hdrhistogram.New(100, int64(time.Minute), 3)
+	lead.took = m.Steps
+	for _, n := range r.nodes {
+		n.use = Usage{}
+	}
+	r.Meter = true
+	if err := r.pass(m.Window); err != nil {
+		return err
+	}
+	r.Meter = false
+	lead.took = nil
+	m.Running = r.running()
+	var others []*node
+	for _, h := range r.helms {
+		if h != lead {
+			others = append(others, h)
+		}
+	}
+	for _, x := range []struct {
+		role string
+		list []*node
+	}{{"leader", []*node{lead}}, {"follower", others}, {"gate", r.gates}, {"ward", r.wards}} {
+		u := RoleUsage{Role: x.role}
+		for i, n := range x.list {
+			u.Each = append(u.Each, n.use)
+			if i < 4 {
+				u.State = append(u.State, Footprint(n.m))
+			}
+		}
+		m.Roles = append(m.Roles, u)
+	}
+	return nil
+}
+
+// change puts another table and waits until every gate has it.
+func (r *Run) change(t *blueprint.Table) (time.Duration, error) {
+	from := r.now
+	next := *t
+	next.Edition, next.Rows = t.Edition+1, slices.Clone(t.Rows)
+	next.Rows[0].Weight = 1 + rand.New(rand.NewSource(r.now)).Intn(900)
+	acked := false
+	r.Crew.put(next, r.Crew.any(), 0, func(ok bool) { acked = ok })
+	err := r.await(20*time.Second, "a table in force at every gate", func() bool {
+		return acked && !slices.ContainsFunc(r.gates, func(n *node) bool {
+			have, fresh := n.m.(*gate.Gate).Table()
+			return !fresh || have.Edition <= next.Edition
+		})
+	})
+	*t = next
+	return time.Duration(r.now - from), err
+}
+
+// urgent sends one urgent task and waits until a worker has started it.
+func (r *Run) urgent(i int) (time.Duration, error) {
+	from, id := r.now, fmt.Sprint("urgent-", i)
+	s := hollowJob(i%3, 1, false, 50)
+	s.Urgency = 9
+	r.submit(id, s)
+	seen, at := len(r.Hist.List), int64(0)
+	err := r.await(20*time.Second, "an urgent task started", func() bool {
+		for _, h := range r.Hist.List[seen:] {
+			if h.What == Started && string(h.Leg.Job) == id {
+				at = h.At
+			}
+		}
+		seen = len(r.Hist.List)
+		return at > 0
+	})
+	return time.Duration(at - from), err
+}
+
+// succession kills the leader and waits for the next and for all to know it.
+func (r *Run) succession(m *Measurement) error {
+	from := r.now
+	r.leader().kill()
+	var lead *node
+	err := r.await(20*time.Second, "another leader", func() bool {
+		lead = r.leader()
+		return lead != nil
+	})
+	if err != nil {
+		return err
+	}
+	at := r.now
+	m.Elected = time.Duration(at - from)
+	err = r.await(30*time.Second, "the new leader known to all", func() bool {
+		return !slices.ContainsFunc(slices.Concat(r.gates, r.wards), func(n *node) bool {
+			return n.m.(interface{ Leader() mark.Addr }).Leader() != lead.addr
+		})
+	})
+	m.Told = time.Duration(r.now - at)
+	return err
+}
--- a/trial/net.go
+++ b/trial/net.go
@@ -99,6 +99,7 @@
 	liar   bool // a planted bug: says synced, and is not
 	sealed bool
 	broken int // a generation; writes of an earlier one do not finish
+	use    *Usage
 }
 
 type write struct {
@@ -142,6 +143,8 @@
 			}
 		}
 	}
+	d.use.Syncs++
+	d.use.Written += len(b)
 	whole := group[0].whole
 	if !whole {
 		d.loose = b
--- a/trial/storm.go
+++ b/trial/storm.go
@@ -39,6 +39,7 @@
 	drains map[string]bool // racks that an operator drains
 	done   int64
 	Notes  []string
+	until  time.Time // of real time, for runs that measure; they give up then
 }
 
 // Build sets a town up: 3 helms, 4 gates, 11 wards and their workers.
--- /dev/null
+++ b/trial/usage.go
@@ -0,0 +1,177 @@
+// What a daemon spends: its messages and bytes as they would stand on the wire,
+// the processor time of its machine's steps, what it has synced to disk, and how
+// much memory its state takes.
+package trial
+
+import (
+	"bytes"
+	"reflect"
+	"time"
+	"unsafe"
+
+	"coppercourse/mark"
+	"coppercourse/word"
+)
+
+// Class sorts messages by what they are for.
+type Class int
+
+const (
+	RosterMessages Class = iota
+	HeartbeatMessages
+	LogMessages
+	TableMessages
+	WorkMessages
+	Classes
+)
+
+func (c Class) String() string {
+	return [Classes]string{"roster", "heartbeat", "log", "table", "work"}[c]
+}
+
+var classes = map[string]Class{
+	word.Hello: RosterMessages,
+	word.Beat:  HeartbeatMessages, word.Beaten: HeartbeatMessages, word.AskRun: HeartbeatMessages, word.Account: HeartbeatMessages,
+	word.Quit: HeartbeatMessages,
+	word.News: TableMessages, word.Told: TableMessages,
+	word.Found: LogMessages, word.Join: LogMessages, word.Ballot: LogMessages, word.Vote: LogMessages, word.Append: LogMessages,
+	word.Append2: LogMessages, word.Snap: LogMessages, word.Heir: LogMessages, word.Gone: LogMessages,
+}
+
+var entries = []byte(`"entries":`)
+
+// classOf calls entries on their way to the other helms work.
+func classOf(n word.Note) Class {
+	c, ok := classes[n.Kind]
+	if !ok || n.Kind == word.Append && bytes.Contains(n.Body, entries) {
+		return WorkMessages
+	}
+	return c
+}
+
+// What a request to a mate and its answer take besides the notes; a test holds
+// them against the real client and server.
+const (
+	requestBytes = 154
+	answerBytes  = 64
+	noteBytes    = len(`{"from":"","kind":"","body":},`)
+)
+
+// Count is messages, the requests that carried them, and bytes.
+type Count struct{ Messages, Requests, Bytes int }
+
+// Usage is what one daemon has spent since it was last cleared. The answers to
+// its requests are counted with what it received, those it gave with what it sent.
+type Usage struct {
+	Sent, Received [Classes]Count
+	CPU            time.Duration
+	Steps          int
+	Syncs, Written int
+}
+
+// Control is the sum of all messages but work, both ways.
+func (u *Usage) Control() (c Count) {
+	for k := range WorkMessages {
+		c = c.plus(u.Sent[k]).plus(u.Received[k])
+	}
+	return
+}
+
+func (c Count) plus(o Count) Count {
+	return Count{c.Messages + o.Messages, c.Requests + o.Requests, c.Bytes + o.Bytes}
+}
+
+// transfer counts one note from a daemon to another; first means that it is the
+// first one of its request. Either may be missing.
+func transfer(from, to *Usage, n word.Note, first bool) {
+	c := Count{Messages: 1, Bytes: noteBytes + len(n.From) + len(n.Kind) + len(n.Body)}
+	k := classOf(n)
+	back := Count{}
+	if first {
+		c.Requests, c.Bytes = 1, c.Bytes+requestBytes
+		back.Bytes = answerBytes
+	}
+	if from != nil {
+		from.Sent[k] = from.Sent[k].plus(c)
+		from.Received[k] = from.Received[k].plus(back)
+	}
+	if to != nil {
+		to.Received[k] = to.Received[k].plus(c)
+		to.Sent[k] = to.Sent[k].plus(back)
+	}
+}
+
+// meter counts a step's sends; notes to the same mate share a request.
+type meter map[mark.Addr]bool
+
+func (m meter) first(to mark.Addr) bool {
+	if m[to] {
+		return false
+	}
+	m[to] = true
+	return true
+}
+
+// Footprint is about how many bytes a value takes with all that it points to.
+func Footprint(v any) int {
+	w := walker{}
+	return w.size(reflect.ValueOf(v), false)
+}
+
+type walker map[unsafe.Pointer]bool
+
+func (w walker) fresh(p unsafe.Pointer) bool {
+	if p == nil || w[p] {
+		return false
+	}
+	w[p] = true
+	return true
+}
+
+// size counts what v points to, and v itself unless it lies within a counted value.
+func (w walker) size(v reflect.Value, inside bool) (n int) {
+	if !v.IsValid() {
+		return 0
+	}
+	if !inside {
+		n = int(v.Type().Size())
+	}
+	switch v.Kind() {
+	case reflect.String:
+		if s := v.String(); w.fresh(unsafe.Pointer(unsafe.StringData(s))) {
+			n += len(s)
+		}
+	case reflect.Pointer:
+		if w.fresh(v.UnsafePointer()) {
+			n += w.size(v.Elem(), false)
+		}
+	case reflect.Interface:
+		n += w.size(v.Elem(), false)
+	case reflect.Slice:
+		if v.Len() == 0 || !w.fresh(v.UnsafePointer()) {
+			return
+		}
+		n += v.Cap() * int(v.Type().Elem().Size())
+		for i := range v.Len() {
+			n += w.size(v.Index(i), true)
+		}
+	case reflect.Array:
+		for i := range v.Len() {
+			n += w.size(v.Index(i), true)
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			n += w.size(v.Field(i), true)
+		}
+	case reflect.Map:
+		if !w.fresh(v.UnsafePointer()) {
+			return
+		}
+		each := int(v.Type().Key().Size()+v.Type().Elem().Size()) + 1
+		n += 48 + v.Len()*each*8/7
+		for i := v.MapRange(); i.Next(); {
+			n += w.size(i.Key(), true) + w.size(i.Value(), true)
+		}
+	}
+	return
+}
--- /dev/null
+++ b/trial/usage_test.go
@@ -0,0 +1,117 @@
+// What is counted as on the wire is held against a real client and server, and
+// the footprint against values whose size is known.
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"coppercourse/door"
+	"coppercourse/mark"
+	"coppercourse/word"
+)
+
+// counted is a connection that counts what goes over it.
+type counted struct {
+	net.Conn
+	in, out *atomic.Int64
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.in.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.out.Add(int64(n))
+	return n, err
+}
+
+type countedListener struct {
+	net.Listener
+	in, out atomic.Int64
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return counted{c, &l.in, &l.out}, nil
+}
+
+// echo hands on the notes that it is given.
+type echo struct{ got chan word.Note }
+
+func (e echo) Step(v word.Event) word.Out {
+	if v.Note != nil {
+		e.got <- *v.Note
+	}
+	return word.Out{}
+}
+
+func TestWireBytesAreThoseOfARealRequest(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ln := &countedListener{Listener: plain}
+	post := door.NewPost(ctx, "")
+	e := echo{make(chan word.Note, 1)}
+	owner := door.NewOwner(post, nil)
+	owner.Carry(e)
+	go owner.Run(ctx)
+	p := &door.Pages{Owner: owner, Post: post, Ready: func() bool { return true }}
+	srv := &http.Server{Handler: p.Wrap(p.Router())}
+	go srv.Serve(ln)
+	defer srv.Close()
+	to := mark.Addr(plain.Addr().String())
+	for _, kind := range []string{word.Beat, word.Beaten} {
+		s := word.Make("127.0.0.1:7400", to, kind, json.RawMessage(`{"stamp":123456789,"sound":true}`))
+		in, out := ln.in.Load(), ln.out.Load()
+		var u, v Usage
+		transfer(&u, &v, s.Note, true)
+		post.Send(s)
+		<-e.got
+		for post.Sent.Load() == 0 {
+			runtime.Gosched()
+			if ctx.Err() != nil {
+				return
+			}
+		}
+		post.Sent.Store(0)
+		sent, back := int(ln.in.Load()-in), int(ln.out.Load()-out)
+		is.Equal(sent, u.Sent[HeartbeatMessages].Bytes)
+		is.Equal(back, u.Received[HeartbeatMessages].Bytes)
+		is.Equal(u.Control().Bytes, v.Control().Bytes)
+	}
+}
+
+func TestFootprintCountsWhatIsPointedTo(t *testing.T) {
+	is := is.New(t)
+	type pair struct {
+		a, b *[1000]byte
+		s    string
+	}
+	x := &[1000]byte{}
+	one := Footprint(&pair{a: x, b: x, s: "0123456789"})
+	is.Equal(one, 8+32+1000+10) // the same array once
+	two := Footprint(&pair{a: x, b: &[1000]byte{}})
+	is.Equal(two, 8+32+2000)
+	m := map[int]*[1000]byte{}
+	for i := range 100 {
+		m[i] = &[1000]byte{}
+	}
+	n := Footprint(m)
+	is.True(n > 100*1016 && n < 100*1040)
+}
--- a/trial/world.go
+++ b/trial/world.go
@@ -10,6 +10,8 @@
 	"math/rand"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"coppercourse/accord"
 	"coppercourse/gate"
 	"coppercourse/helm"
@@ -45,6 +47,8 @@
 	asks   map[uint64]func(word.Answer)
 	token  uint64
 	closes bool
+	use    Usage
+	took   *hdrhistogram.Histogram // its steps' times in nanoseconds, if wanted
 }
 
 // World is one run.
@@ -61,6 +65,7 @@
 	hands []*hand
 	Hist  History
 	seeds []mark.Addr
+	Meter bool // count what every daemon spends
 	// Planted bugs: what is sent, asked and answered may be changed on its way,
 	// and a note for which Tamper is false is never sent.
 	Tamper func(s *word.Send) bool
@@ -91,7 +96,7 @@
 	n := &node{w: w, addr: addr, role: role, loc: loc, make: make, asks: map[uint64]func(word.Answer){},
 		base: mark.Stamp(w.rnd.Int63n(1 << 50)), drift: 1 + (w.rnd.Float64()-0.5)*4e-4}
 	if role == "helm" {
-		n.disk = &disk{w: w}
+		n.disk = &disk{w: w, use: &n.use}
 	}
 	w.nodes[addr], w.order = n, append(w.order, addr)
 	return n
@@ -183,16 +188,24 @@
 
 func (n *node) step(e word.Event) {
 	e.Now = n.clock()
-	out := n.m.Step(e)
+	out := n.run(e)
 	w, gen := n.w, n.gen
+	m := meter{}
 	for _, s := range out.Sends {
 		if w.Tamper != nil && !w.Tamper(&s) {
 			continue
 		}
+		first := w.Meter && m.first(s.To)
+		if w.Meter {
+			transfer(&n.use, nil, s.Note, first)
+		}
 		w.carry(n.addr, s.To, func() {
 			if t := w.nodes[s.To]; t != nil {
 				note := s.Note
 				t.deliver(func() {
+					if w.Meter {
+						transfer(nil, &t.use, note, first)
+					}
 					t.hears(note)
 					t.step(word.Event{Note: &note})
 				})
@@ -217,6 +230,22 @@
 	}
 }
 
+// run gives the machine an event and counts the time that it takes.
+func (n *node) run(e word.Event) word.Out {
+	if !n.w.Meter {
+		return n.m.Step(e)
+	}
+	from := time.Now()
+	out := n.m.Step(e)
+	took := time.Since(from)
+	n.use.CPU += took
+	n.use.Steps++
+	if n.took != nil {
+		n.took.RecordValue(int64(took))
+	}
+	return out
+}
+
 // ask carries a request from an address to a node and the answer back.
 func (w *World) ask(from, to mark.Addr, verb, arg string, body json.RawMessage, back func(word.Answer)) {
 	w.pose(from, to, verb, arg, body, func(*node) {}, back)
--- a/ward/ward.go
+++ b/ward/ward.go
@@ -66,6 +66,9 @@
 // Ready tells whether the ward takes its worker's calls.
 func (w *Ward) Ready() bool { return !w.drain }
 
+// Leader is whom the ward holds for the leader now.
+func (w *Ward) Leader() mark.Addr { return w.kin.Lead() }
+
 // Step takes one event.
 func (w *Ward) Step(e word.Event) word.Out {
 	w.now = e.Now
