The roster says little while all is well, however many there are

Cause: every daemon told all it knew to three others twice a second, so each sent and received bytes in proportion to the fleet, the fleet its square; it was bounded at 2,000.

Cards carry a version that their owner raises; any message is a sign of life; gates and helms ask the leader for what changed since they last asked, with digests and a bounded full exchange where a difference stays; wards keep the helms and at most twelve others. Who hears no leader asks more widely, a new leader tells all, and helms pass on when each zone was last heard of. Apart, the leader and the helms are found through indexes.

Ruled out: probes with changes on them (every ward would hear of every other); gossip of ages at a lower rate (the leader must be known to be sound within 3 s).

--- a/helm/early.go
+++ b/helm/early.go
@@ -76,7 +76,7 @@
 	if to != "" {
 		h.sends = append(h.sends, s)
 	}
-	for _, c := range h.kin.Of("gate") {
+	for _, c := range h.kin.Known("gate") {
 		h.sends = append(h.sends, word.Send{To: c.Addr, Note: s.Note})
 	}
 }
--- a/kin/kin.go
+++ b/kin/kin.go
@@ -1,7 +1,12 @@
 // Package kin is the roster: who is there, where, as what, and how sound each
-// seems. Every daemon tells a few others what it knows, with ages, so that any
-// one live address leads to all the rest, the present helms among them. Nothing
-// that must be right rests on it.
+// seems, so that any one live address leads to all the rest, the present helms
+// among them. Nothing that must be right rests on it.
+//
+// A daemon says little while all is well, however many there are. Any message
+// from a mate shows that it lives. Gates and helms ask the leader for the cards
+// that changed since they last asked; wards keep the helms and a few others and
+// ask one of those now and then. Who hears of no leader asks more widely, and a
+// new leader tells all it knows of. This file is when something is said.
 package kin
 
 import (
@@ -13,10 +18,11 @@
 	"coppercourse/word"
 )
 
-// Card is what a daemon says of itself.
+// Card is what a daemon says of itself. V counts its changes: its owner raises
+// it, also past what it hears others have of an earlier process.
 type Card struct {
 	Addr  mark.Addr     `json:"addr"`
-	ID    mark.ID       `json:"id"`
+	ID    mark.ID       `json:"id,omitempty"`
 	Role  string        `json:"role"`
 	Loc   mark.Locality `json:"locality"`
 	Name  string        `json:"cluster,omitempty"`
@@ -25,6 +31,7 @@
 	Part  string        `json:"part,omitempty"`
 	Ready bool          `json:"ready"`
 	Issue string        `json:"program,omitempty"`
+	V     uint64        `json:"v,omitempty"`
 }
 
 // Mate is a card and how long ago its daemon was last heard of.
@@ -33,25 +40,23 @@
 	AgeMS int64 `json:"age_ms"`
 }
 
-type hello struct {
-	Me    Card   `json:"me"`
-	Mates []Mate `json:"mates"`
-	Ask   bool   `json:"ask,omitempty"`
-}
-
-// Timings are ours.
+// Timings and bounds are ours.
 const (
 	Beat   = 500 * time.Millisecond
 	Sound  = 3 * time.Second
 	Forget = 24 * time.Hour
-	fan    = 3
-	bound  = 2000
+	quiet  = 1500 * time.Millisecond // a leader not heard for so long is looked for
+	silent = 10 * time.Second        // a mate not heard by the leader for so long is told to the others
+	repair = 10 * time.Minute        // between two exchanges of all cards with the leader
+	loud   = 3 * time.Second         // how long a new leader tells those that it has not heard yet
+	few    = 4                       // mates of each kind that a ward keeps
+	part   = 64                      // changed cards in a hello
+	bound  = 20_000
 )
 
-type entry struct {
-	card  Card
-	heard mark.Stamp
-}
+// pause is how many beats go by between two questions of a daemon that hears
+// the leader.
+var pause = map[string]uint64{"helm": 1, "gate": 4, "ward": 16}
 
 // Roster is one daemon's view.
 type Roster struct {
@@ -60,167 +65,179 @@
 	seeds []mark.Addr
 	all   map[mark.Addr]*entry
 	list  []mark.Addr // the keys of all, in order
+	helms []mark.Addr // those of the helms
+	wards map[string]*entry
+	zones map[mark.Locality]*zone
+	sums  Sums
+	seq   uint64
+	log   []change
 	now   mark.Stamp
 	told  mark.Stamp
+	beats uint64
+	turn  int
+	led   mark.Stamp // since when this daemon leads
+	peer  mark.Addr  // whose changes are followed: the leader
+	taken uint64     // how far
+	odd   int        // answers in a row that showed other cards there than here
+	whole mark.Stamp // when all were last asked for
+	vouch mark.Stamp // when the leader last told all that had changed
+	asked uint64     // the version of this daemon's card in its last question to the leader
+	known uint64     // the one that the leader has answered to
+	guest Mate       // the ward that asked last, and when
+	came  mark.Stamp
 	sends []word.Send
 }
 
+const never = mark.Stamp(-1 << 61)
+
 func New(rnd *rand.Rand, me Card, seeds []mark.Addr) *Roster {
-	return &Roster{rnd: rnd, me: me, seeds: seeds, all: map[mark.Addr]*entry{}, told: -1 << 62}
+	me.V = 1 + uint64(rnd.Intn(1<<20))
+	r := &Roster{rnd: rnd, me: me, seeds: seeds, all: map[mark.Addr]*entry{}, wards: map[string]*entry{}, zones: map[mark.Locality]*zone{},
+		told: never, led: never, whole: never, vouch: never}
+	r.sums.add(me)
+	return r
 }
 
+// keeps tells whether this daemon keeps the cards of all.
+func (r *Roster) keeps() bool { return r.me.Role != "ward" }
+
 // Me sets this daemon's card; a new leader is told to all at once.
 func (r *Roster) Me(c Card) {
-	loud := c.Leads && !r.me.Leads
+	c.V = r.me.V
+	same := c
+	if c.Role != "helm" {
+		same.Name = r.me.Name // what it holds for the cluster's name is no news
+	}
+	if !c.Leads {
+		same.Term = r.me.Term
+	}
+	if same == r.me {
+		r.me = c
+		return
+	}
+	leads := c.Leads && !r.me.Leads
+	r.sums.drop(r.me)
+	c.V++
 	r.me = c
-	if loud {
-		for _, a := range r.list {
-			r.greet(a, false)
-		}
+	r.sums.add(c)
+	if leads {
+		r.led = r.now
+		r.proclaim()
 	}
 }
 
-func (r *Roster) greet(to mark.Addr, ask bool) {
-	r.sends = append(r.sends, word.Make(r.me.Addr, to, word.Hello, hello{r.me, r.Mates(), ask}))
+// proclaim tells that this daemon leads to all not heard since it does.
+func (r *Roster) proclaim() {
+	n := word.Make(r.me.Addr, "", word.Hello, hello{Me: r.me}).Note
+	for _, a := range r.list {
+		if r.all[a].direct <= r.led {
+			r.sends = append(r.sends, word.Send{To: a, Note: n})
+		}
+	}
 }
 
-// Tick greets the seeds not yet heard of, and a few mates by chance.
+// Tick says what is due.
 func (r *Roster) Tick(now mark.Stamp) {
 	r.now = now
 	if now.Sub(r.told) < Beat {
 		return
 	}
 	r.told = now
-	for _, s := range r.seeds {
-		if e := r.all[s]; s != r.me.Addr && (e == nil || now.Sub(e.heard) > Sound) {
-			r.greet(s, true)
+	r.beats++
+	lead := r.Lead()
+	switch due := r.beats%pause[r.me.Role] == 0; {
+	case lead == r.me.Addr:
+		r.watch()
+	case lead == "" || now.Sub(r.all[lead].direct) > quiet:
+		r.seek()
+	case due && r.keeps() || r.known != r.me.V:
+		r.ask(lead)
+	case due:
+		r.chat()
+	}
+	if r.me.Role == "helm" && r.beats%2 == 0 {
+		if a, ok := r.some("ward"); ok { // so that wards come to know of new helms
+			r.say(a, r.base())
 		}
 	}
-	for range min(fan, len(r.list)) {
-		r.greet(r.list[r.rnd.Intn(len(r.list))], false)
-	}
-	r.list = slices.DeleteFunc(r.list, func(a mark.Addr) bool {
-		old := now.Sub(r.all[a].heard) > Forget
-		if old {
-			delete(r.all, a)
+	if r.beats%64 == 0 {
+		for _, a := range slices.Clone(r.list) {
+			if now.Sub(r.last(r.all[a])) > Forget {
+				r.drop(a)
+			}
 		}
-		return old
-	})
-}
-
-// Take handles a hello.
-func (r *Roster) Take(now mark.Stamp, n word.Note) bool {
-	if n.Kind != word.Hello {
-		return false
-	}
-	r.now = now
-	h, ok := word.Read[hello](n)
-	if !ok {
-		return true
-	}
-	r.hear(Mate{Card: h.Me})
-	for _, m := range h.Mates {
-		r.hear(m)
 	}
-	if h.Ask {
-		r.greet(h.Me.Addr, false)
-	}
-	return true
-}
-
-// stranger is true for a daemon of another cluster than this one's.
-func (r *Roster) stranger(c Card) bool {
-	return c.Name != "" && r.me.Name != "" && c.Name != r.me.Name
 }
 
-func (r *Roster) hear(m Mate) {
-	at := r.now.Add(-time.Duration(m.AgeMS) * time.Millisecond)
-	e := r.all[m.Addr]
-	if m.Addr == r.me.Addr || r.stranger(m.Card) || len(r.all) >= bound && e == nil || r.now.Sub(at) > Forget {
-		return
+// watch is the leader's: a mate that falls silent, or comes back, is a change.
+func (r *Roster) watch() {
+	if r.now.Sub(r.led) < loud {
+		r.proclaim()
 	}
-	if e == nil {
-		r.all[m.Addr] = &entry{m.Card, at}
-		i, _ := slices.BinarySearch(r.list, m.Addr)
-		r.list = slices.Insert(r.list, i, m.Addr)
-	} else if at > e.heard || m.AgeMS == 0 {
-		e.card, e.heard = m.Card, max(e.heard, at)
-	}
-}
-
-// Out drains what there is to send.
-func (r *Roster) Out() []word.Send {
-	s := r.sends
-	r.sends = nil
-	return s
-}
-
-// Mates lists all known daemons but this one.
-func (r *Roster) Mates() []Mate {
-	list := make([]Mate, 0, len(r.all))
 	for _, a := range r.list {
 		e := r.all[a]
-		list = append(list, Mate{e.card, max(0, r.now.Sub(e.heard).Milliseconds())})
-	}
-	return list
-}
-
-func (r *Roster) sound(e *entry) bool { return r.now.Sub(e.heard) <= Sound }
-
-// Helms lists the sound helms.
-func (r *Roster) Helms() []Card { return r.Of("helm") }
-
-// Of lists the sound daemons of a role.
-func (r *Roster) Of(role string) (list []Card) {
-	for _, a := range r.list {
-		if e := r.all[a]; e.card.Role == role && r.sound(e) {
-			list = append(list, e.card)
+		gone := r.now.Sub(e.heard) >= silent
+		if e.silent != gone && (!gone || r.now.Sub(r.led) >= silent) {
+			e.silent = gone
+			r.changed(e)
 		}
 	}
-	return
 }
 
-// Apart tells whether a shard's ward fell silent with all that is known in its
-// locality, as when the locality is cut off; one machine's end leaves others.
-func (r *Roster) Apart(shard string) bool {
-	loc, last := mark.Locality(""), mark.Stamp(-1<<62)
-	for _, e := range r.all {
-		if e.card.Role == "ward" && e.card.Part == shard && e.heard > last {
-			loc, last = e.card.Loc, e.heard
+// seek asks for the leader: seeds, helms (a ward one of them in turn, since
+// there are many wards), and a mate by chance.
+func (r *Roster) seek() {
+	asked := map[mark.Addr]bool{r.me.Addr: true}
+	ask := func(a mark.Addr) {
+		if !asked[a] {
+			asked[a] = true
+			r.ask(a)
 		}
 	}
-	n := 0
-	for _, e := range r.all {
-		if e.card.Loc != loc {
-			continue
+	for _, s := range r.seeds {
+		if e := r.all[s]; e == nil || r.now.Sub(e.direct) > Sound {
+			ask(s)
 		}
-		if n++; r.now.Sub(e.heard) < Sound/2 {
-			return false
+	}
+	for i, a := range r.helms {
+		if r.keeps() || i == r.turn%len(r.helms) {
+			ask(a)
 		}
 	}
-	return n >= 3 && loc != r.me.Loc
+	r.turn++
+	if a, ok := r.some(""); ok {
+		ask(a)
+	}
 }
 
-// Cluster is the name that formed helms go by, once one was heard of.
-func (r *Roster) Cluster() string {
-	for _, c := range r.Helms() {
-		if c.Name != "" {
-			return c.Name
-		}
+// chat is a ward's question to one of the few that it keeps.
+func (r *Roster) chat() {
+	a, ok := r.some("ward")
+	if !ok {
+		a, ok = r.some("")
+	}
+	if ok {
+		r.ask(a)
 	}
-	return ""
 }
 
-// Lead is the leader of the highest term that is known of.
-func (r *Roster) Lead() mark.Addr {
-	best, term := mark.Addr(""), mark.Term(0)
-	if r.me.Leads {
-		best, term = r.me.Addr, r.me.Term
+// some picks a mate of a role, or of any, by chance.
+func (r *Roster) some(role string) (mark.Addr, bool) {
+	if len(r.list) == 0 {
+		return "", false
 	}
-	for _, a := range r.list {
-		if c := r.all[a].card; c.Leads && c.Term > term && r.sound(r.all[a]) {
-			best, term = c.Addr, c.Term
+	from := r.rnd.Intn(len(r.list))
+	for i := range r.list {
+		if a := r.list[(from+i)%len(r.list)]; role == "" || r.all[a].card.Role == role {
+			return a, true
 		}
 	}
-	return best
+	return "", false
+}
+
+// Out drains what there is to send.
+func (r *Roster) Out() []word.Send {
+	s := r.sends
+	r.sends = nil
+	return s
 }
--- /dev/null
+++ b/kin/view.go
@@ -0,0 +1,87 @@
+// What others ask of the roster.
+package kin
+
+import (
+	"coppercourse/mark"
+)
+
+// last is when a mate was last heard of, as far as is known: the leader tells
+// who fell silent, and so vouches for all others.
+func (r *Roster) last(e *entry) mark.Stamp {
+	if e.silent || !r.keeps() {
+		return e.heard
+	}
+	return max(e.heard, r.vouch)
+}
+
+func (r *Roster) mate(e *entry) Mate { return Mate{e.card, r.age(r.last(e))} }
+
+// Mates lists all that are kept but this daemon itself.
+func (r *Roster) Mates() []Mate {
+	list := make([]Mate, 0, len(r.all))
+	for _, a := range r.list {
+		list = append(list, r.mate(r.all[a]))
+	}
+	return list
+}
+
+func (r *Roster) sound(e *entry) bool { return r.now.Sub(e.heard) <= Sound }
+
+// Helms lists the sound helms.
+func (r *Roster) Helms() (list []Card) {
+	for _, a := range r.helms {
+		if e := r.all[a]; r.sound(e) {
+			list = append(list, e.card)
+		}
+	}
+	return
+}
+
+// Known lists all of a role that are not forgotten, sound or not.
+func (r *Roster) Known(role string) (list []Card) {
+	from := r.list
+	if role == "helm" {
+		from = r.helms
+	}
+	for _, a := range from {
+		if c := r.all[a].card; c.Role == role {
+			list = append(list, c)
+		}
+	}
+	return
+}
+
+// Apart tells whether a shard's ward fell silent with all that is known in its
+// locality, as when the locality is cut off; one machine's end leaves others.
+func (r *Roster) Apart(shard string) bool {
+	e := r.wards[shard]
+	if e == nil {
+		return false
+	}
+	z := r.zones[e.card.Loc]
+	return z.count >= 3 && r.now.Sub(z.heard) >= Sound/2 && e.card.Loc != r.me.Loc
+}
+
+// Cluster is the name that formed helms go by, once one was heard of.
+func (r *Roster) Cluster() string {
+	for _, c := range r.Helms() {
+		if c.Name != "" {
+			return c.Name
+		}
+	}
+	return ""
+}
+
+// Lead is the leader of the highest term that is known of.
+func (r *Roster) Lead() mark.Addr {
+	best, term := mark.Addr(""), mark.Term(0)
+	if r.me.Leads {
+		best, term = r.me.Addr, r.me.Term
+	}
+	for _, a := range r.helms {
+		if c := r.all[a].card; c.Leads && c.Term > term && r.sound(r.all[a]) {
+			best, term = c.Addr, c.Term
+		}
+	}
+	return best
+}
--- a/ward/ward.go
+++ b/ward/ward.go
@@ -100,7 +100,7 @@
 		if s.Note.Kind != word.Status {
 			continue
 		}
-		for _, c := range w.kin.Helms() {
+		for _, c := range w.kin.Known("helm") {
 			if c.Addr != s.To {
 				list = append(list, word.Send{To: c.Addr, Note: s.Note})
 			}
