Worker sets as a history of differences

As in the paper's "Efficiently maintaining indirectWorkerSetID_": a ward is in the sets from the one it joined with up to the one it was lost with; seats with one indirect set are a group, and a beat with a newer set lifts groups; the digest is a sum, kept as wards come and go. Ruled out: working whole sets out only when one changed (each restart is a change). The digest differs from an older program's, so a wait under mixed programs is not cut short.

--- a/truth/head.go
+++ b/truth/head.go
@@ -53,6 +53,8 @@
 	old   SetID
 	ver   int
 	ind   int
+	join  int // the set that has it first
+	left  int // the first that has it no more, or 0
 	Worth Worth
 }
 
@@ -69,7 +71,7 @@
 	seats map[mark.Shard]*Seat
 	past  map[mark.ID]bool
 	holds map[mark.Leg]*Hold
-	hist  []map[mark.ID]bool
+	sets  sets
 	ends  []store.End
 	norm  map[string]*usual
 	sends []word.Send
@@ -84,7 +86,7 @@
 // NewHead starts a leadership; outs are the legs that the log has as given out.
 func NewHead(now mark.Stamp, pace Pace, me mark.Addr, term mark.Term, outs []Hold) *Head {
 	h := &Head{pace: pace, me: me, term: term, born: now, now: now, Wait: true, seats: map[mark.Shard]*Seat{},
-		past: map[mark.ID]bool{}, holds: map[mark.Leg]*Hold{}, hist: []map[mark.ID]bool{{}}, norm: map[string]*usual{}}
+		past: map[mark.ID]bool{}, holds: map[mark.Leg]*Hold{}, sets: sets{groups: map[int][]*Seat{}}, norm: map[string]*usual{}}
 	for _, o := range outs {
 		o.Phase, o.At = dim, now
 		h.holds[o.Leg] = &o
@@ -134,10 +136,10 @@
 	if b.Sound {
 		s.Good = h.now
 	}
-	if b.Set.Born == h.term && b.Set.Ver > s.ver && b.Set.Ver < len(h.hist) {
+	if b.Set.Born == h.term && b.Set.Ver > s.ver && b.Set.Ver <= h.sets.ver {
 		s.ver = b.Set.Ver
+		h.sets.lift(s)
 	}
-	h.spread()
 	if s.State == New {
 		h.ask(s)
 	}
@@ -158,8 +160,8 @@
 func (h *Head) sit(from mark.Addr, b Beat) *Seat {
 	s := &Seat{Shard: b.Shard, ID: b.ID, Addr: from, State: New, Since: h.now, Good: h.now, old: b.Set, Worth: Worth{Slow: 1},
 		asked: -1 << 62, stamp: -1 << 62, quest: map[mark.Seq][]mark.Leg{}}
+	h.sets.enter(s, h.seats[b.Shard])
 	h.seats[b.Shard] = s
-	h.reset()
 	return s
 }
 
--- a/truth/set.go
+++ b/truth/set.go
@@ -1,98 +1,134 @@
 // The worker set and its consensus, after the paper: each leader numbers the
 // sets it has known, each ward carries the one it heard of last, and a new ward
 // gets no work before every set that could end a later leader's wait has it in,
-// directly or through the wards in that set (indirectWorkerSetID_). The sets
-// are kept whole instead of as a history of changes; there are a dozen wards.
+// directly or through the wards in that set (indirectWorkerSetID_). The sets are
+// kept as a history of differences: a ward is in those from the one that it came
+// with up to the one that it was lost with; the digest is kept as they change.
 package truth
 
 import (
 	"hash/fnv"
-	"sort"
+	"slices"
 	"time"
 
 	"coppercourse/mark"
 	"coppercourse/store"
 )
 
-// digest hashes a set of ward instances.
-func digest(ids map[mark.ID]bool) uint64 {
-	list := make([]string, 0, len(ids))
-	for id := range ids {
-		list = append(list, string(id))
-	}
-	sort.Strings(list)
+// digest stands for a ward instance; that of a set is the sum of its members'.
+func digest(id mark.ID) uint64 {
 	f := fnv.New64a()
-	for _, s := range list {
-		f.Write([]byte(s + "\n"))
-	}
+	f.Write([]byte(id))
 	return f.Sum64()
 }
 
-// reset numbers a new set after a ward came or was lost.
-func (h *Head) reset() {
-	ids := map[mark.ID]bool{}
-	for _, s := range h.seats {
-		if s.State != MustDie {
-			ids[s.ID] = true
-		}
+// sets is the history. Groups are the seats by their indirect sets.
+type sets struct {
+	ver    int
+	hash   uint64
+	size   int
+	groups map[int][]*Seat
+	came   []*Seat // in order of joining; some have left
+}
+
+// in tells whether a seat's ward is in a set.
+func (s *Seat) in(set int) bool { return s.join <= set && (s.left == 0 || set < s.left) }
+
+// enter makes the next set, with a ward in it and the one that it replaces out.
+func (h *sets) enter(s, old *Seat) {
+	h.ver++
+	if old != nil {
+		h.out(old)
+		h.ungroup(old)
 	}
-	h.hist = append(h.hist, ids)
-	least := len(h.hist) - 1
-	for _, s := range h.seats {
-		if s.State != MustDie && s.ind > 0 {
-			least = min(least, s.ind, s.ver)
-		}
+	s.join = h.ver
+	h.hash += digest(s.ID)
+	h.size++
+	h.groups[0] = append(h.groups[0], s)
+	h.came = append(h.came, s)
+}
+
+// exit makes the next set, with a lost ward out of it.
+func (h *sets) exit(s *Seat) {
+	h.ver++
+	h.out(s)
+}
+
+func (h *sets) out(s *Seat) {
+	if s.left != 0 {
+		return
 	}
-	for i := 1; i < least; i++ {
-		h.hist[i] = nil
+	s.left = h.ver
+	h.hash -= digest(s.ID)
+	h.size--
+	if len(h.came) > 2*h.size+64 {
+		h.came = slices.DeleteFunc(h.came, func(s *Seat) bool { return s.left != 0 })
 	}
 }
 
-func (h *Head) set() SetID {
-	v := len(h.hist) - 1
-	return SetID{Born: h.term, Ver: v, Hash: digest(h.hist[v]), Size: len(h.hist[v])}
+func (h *sets) ungroup(s *Seat) {
+	list := slices.DeleteFunc(h.groups[s.ind], func(o *Seat) bool { return o == s })
+	if h.groups[s.ind] = list; len(list) == 0 {
+		delete(h.groups, s.ind)
+	}
 }
 
-// spread brings every ward's indirect set up: to its own set if that is newer,
-// then to the highest among the wards of that set, until nothing changes.
-func (h *Head) spread() {
-	by := map[mark.ID]*Seat{}
-	for _, s := range h.seats {
-		by[s.ID] = s
-		s.ind = max(s.ind, s.ver)
+// lift brings indirect sets up after a ward told of a newer set: its own to that
+// one or the highest of the wards in it, then that of any ward whose set has it
+// in, or one brought up so, to the same.
+func (h *sets) lift(s *Seat) {
+	if s.ver <= s.ind {
+		return
 	}
+	h.ungroup(s)
+	s.ind = s.ver
 	for more := true; more; {
 		more = false
-		for _, s := range h.seats {
-			if s.ind == 0 {
+		for set, list := range h.groups {
+			if set > s.ind && slices.ContainsFunc(list, func(o *Seat) bool { return o.in(s.ind) }) {
+				s.ind, more = set, true
+			}
+		}
+	}
+	h.groups[s.ind] = append(h.groups[s.ind], s)
+	for up := []*Seat{s}; len(up) > 0; up = up[1:] {
+		for set, list := range h.groups {
+			if set == 0 || set >= s.ind || !up[0].in(set) {
 				continue
 			}
-			for id := range h.hist[s.ind] {
-				if u := by[id]; u != nil && u.ind > s.ind {
-					s.ind, more = u.ind, true
-				}
+			delete(h.groups, set)
+			for _, o := range list {
+				o.ind = s.ind
 			}
+			h.groups[s.ind] = append(h.groups[s.ind], list...)
+			up = append(up, list...)
 		}
 	}
 }
 
 // permits is consensusPermitsWorkerToBecomeHealthy: the ward requires every
 // other that is not lost, and each of those requires it, if indirectly.
-func (h *Head) permits(w *Seat) bool {
+func (h *sets) permits(w *Seat) bool {
 	if w.ver == 0 {
 		return false
 	}
-	for _, u := range h.seats {
-		if u == w || u.State == MustDie {
-			continue
+	for i := len(h.came) - 1; i >= 0 && h.came[i].join > w.ver; i-- {
+		if u := h.came[i]; u != w && u.left == 0 {
+			return false
 		}
-		if !h.hist[w.ver][u.ID] || u.ind == 0 || !h.hist[u.ind][w.ID] {
+	}
+	for set, list := range h.groups {
+		if set < w.join && slices.ContainsFunc(list, func(u *Seat) bool { return u != w && u.left == 0 }) {
 			return false
 		}
 	}
 	return true
 }
 
+func (h *Head) set() SetID {
+	return SetID{Born: h.term, Ver: h.sets.ver, Hash: h.sets.hash, Size: h.sets.size}
+}
+
 // Worth is how a worker's legs have ended of late and how long they took
 // beside what is usual for the same step of a queue.
 type Worth struct {
--- a/truth/watch.go
+++ b/truth/watch.go
@@ -39,7 +39,7 @@
 		return
 	case quiet > h.pace.Ill:
 		to = Unhealthy
-	case s.Been || h.permits(s):
+	case s.Been || h.sets.permits(s):
 		to, s.Been = Healthy, true
 	default:
 		to = Unhealthy
@@ -60,7 +60,7 @@
 			h.drop(o.Leg, fate)
 		}
 	}
-	h.reset()
+	h.sets.exit(s)
 	h.say(s, word.Quit, Quit{h.top(s)})
 }
 
@@ -84,17 +84,10 @@
 
 // short says why the wait can't be cut short, or nothing.
 func (h *Head) short() string {
-	ids, n := map[mark.ID]bool{}, 0
-	for _, s := range h.seats {
-		if s.State != MustDie {
-			ids[s.ID] = true
-			n++
-		}
-	}
-	if n == 0 {
+	want := h.set()
+	if want.Size == 0 {
 		return "no ward has come yet"
 	}
-	want := digest(ids)
 	for _, s := range h.Seats() {
 		if s.State == MustDie {
 			continue
@@ -102,7 +95,7 @@
 		if s.State == New {
 			return "ward of " + string(s.Shard) + " has not told what runs"
 		}
-		if s.old.Hash != want || s.old.Size != n {
+		if s.old.Hash != want.Hash || s.old.Size != want.Size {
 			return "the wards do not agree on the worker set"
 		}
 	}
