--- /dev/null
+++ b/trial/hollow_test.go
@@ -0,0 +1,63 @@
+// What an idle daemon says may not grow with the fleet: a short run of hollow
+// fleets. Times and processor shares are told by `trial capacity`, not judged.
+package trial
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// rate is what a role's daemons say and are told a second: all control messages
+// and bytes, and the roster's bytes of these.
+func (m *Measurement) rate(role string) (messages, bytes, roster float64) {
+	for _, u := range m.Roles {
+		if u.Role != role {
+			continue
+		}
+		n := float64(len(u.Each)) * m.Window.Seconds()
+		for _, x := range u.Each {
+			c, k := x.Control(), x.Sent[RosterMessages].plus(x.Received[RosterMessages])
+			messages, bytes, roster = messages+float64(c.Messages)/n, bytes+float64(c.Bytes)/n, roster+float64(k.Bytes)/n
+		}
+	}
+	return
+}
+
+func TestIdleCostStaysFlat(t *testing.T) {
+	if testing.Short() {
+		t.Skip("run without the race detector")
+	}
+	t.Parallel()
+	is := is.New(t)
+	var small, large *Measurement
+	for _, x := range []struct {
+		to      **Measurement
+		daemons int
+	}{{&small, 78}, {&large, 400}} {
+		m, err := Measure(HollowPlan{Seed: 1, Daemons: x.daemons, Settle: 16 * time.Second, Window: 8 * time.Second, Probes: 1})
+		is.NoErr(err)
+		is.True(m.Table[0] < time.Second)
+		is.True(m.Urgent[0] < 500*time.Millisecond)
+		is.True(m.Told < 300*time.Millisecond) // a new leader is known to all
+		*x.to = m
+	}
+	for _, role := range []string{"ward", "gate", "follower"} {
+		a, b, c := small.rate(role)
+		x, y, z := large.rate(role)
+		t.Logf("%s: %.1f and %.1f messages, %.0f and %.0f bytes, of the roster %.0f and %.0f", role, a, x, b, y, c, z)
+		is.True(x < 1.1*a)
+		is.True(y < 1.1*b)
+		is.True(z < 1.2*c)
+	}
+	_, _, ward := large.rate("ward")
+	is.True(ward < 500)
+	a, b, c := small.rate("leader")
+	x, y, z := large.rate("leader")
+	t.Logf("leader: %.1f and %.1f messages, %.0f and %.0f bytes, of the roster %.0f and %.0f", a, x, b, y, c, z)
+	grown := float64(large.Wards) / float64(small.Wards)
+	is.True(x < 1.1*grown*a) // it hears every ward, and no more than that
+	is.True(y < 1.1*grown*b)
+	is.True(z < 1.2*c)
+}
