A ward's account is kept in order instead of sorted at each look

Cause: a ward sorted its legs five times a tick and call. Now they stand in order as they come; one comparison of legs serves both halves.

--- a/mark/mark.go
+++ b/mark/mark.go
@@ -6,6 +6,7 @@
 package mark
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand"
 	"time"
@@ -56,17 +57,14 @@
 func (t Task) String() string { return fmt.Sprintf("%s/%d", t.Job, t.N) }
 func (l Leg) String() string  { return fmt.Sprintf("%s/%d#%d", l.Job, l.N, l.Leg) }
 
-// Least orders legs so that every list of them comes out the same way.
-func (l Leg) Least(o Leg) bool {
-	if l.Job != o.Job {
-		return l.Job < o.Job
-	}
-	if l.N != o.N {
-		return l.N < o.N
-	}
-	return l.Leg < o.Leg
+// Compare orders legs so that every list of them comes out the same way.
+func (l Leg) Compare(o Leg) int {
+	return cmp.Or(cmp.Compare(l.Job, o.Job), cmp.Compare(l.N, o.N), cmp.Compare(l.Leg, o.Leg))
 }
 
+// Least tells whether a leg comes before another.
+func (l Leg) Least(o Leg) bool { return l.Compare(o) < 0 }
+
 // Mint makes an identity that nobody had before.
 func Mint(rnd *rand.Rand) ID {
 	const hex = "0123456789abcdef"
--- a/truth/hand.go
+++ b/truth/hand.go
@@ -3,7 +3,7 @@
 package truth
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"coppercourse/mark"
@@ -54,6 +54,7 @@
 	beat   mark.Stamp
 	status mark.Stamp
 	legs   map[mark.Leg]*leg
+	order  []*leg // the same, in order
 	seen   map[mark.Leg]mark.Stamp
 	worker mark.ID
 	told   bool
@@ -76,15 +77,28 @@
 		legs: map[mark.Leg]*leg{}, seen: map[mark.Leg]mark.Stamp{}}
 }
 
-func (h *Hand) sorted() []*leg {
-	list := make([]*leg, 0, len(h.legs))
-	for _, l := range h.legs {
-		list = append(list, l)
+// put takes a leg into the account, forget out of it.
+func (h *Hand) put(l *leg) {
+	if h.legs[l.job.Leg] == nil {
+		i, _ := slices.BinarySearchFunc(h.order, l, byLeg)
+		h.order = slices.Insert(h.order, i, l)
+	}
+	h.legs[l.job.Leg] = l
+}
+
+func (h *Hand) forget(k mark.Leg) {
+	if l := h.legs[k]; l != nil {
+		i, _ := slices.BinarySearchFunc(h.order, l, byLeg)
+		h.order = slices.Delete(h.order, i, i+1)
+		delete(h.legs, k)
 	}
-	sort.Slice(list, func(i, k int) bool { return list[i].job.Leg.Least(list[k].job.Leg) })
-	return list
 }
 
+func byLeg(a, b *leg) int { return a.job.Leg.Compare(b.job.Leg) }
+
+// sorted lists the legs in order; the list is a copy.
+func (h *Hand) sorted() []*leg { return slices.Clone(h.order) }
+
 func (h *Hand) say(to mark.Addr, kind string, body any) {
 	h.sends = append(h.sends, word.Make(h.me, to, kind, body))
 }
--- a/truth/heed.go
+++ b/truth/heed.go
@@ -75,7 +75,7 @@
 	h.seen[o.Job.Leg] = max(o.Until, h.now).Add(h.pace.Loss)
 	why := h.refuse(o)
 	if why == "" {
-		h.legs[o.Job.Leg] = &leg{job: o.Job, part: waiting, until: min(o.Until, h.until)}
+		h.put(&leg{job: o.Job, part: waiting, until: min(o.Until, h.until)})
 		h.news = true
 	}
 	h.say(from, word.Ordered, Ordered{h.term, h.shard, h.id, o.Job.Leg, why})
@@ -122,7 +122,7 @@
 	var idle []store.End
 	for _, l := range q.Legs {
 		if h.legs[l] == nil {
-			h.legs[l] = &leg{job: Job{Leg: l}, part: ended, fate: store.Unrun}
+			h.put(&leg{job: Job{Leg: l}, part: ended, fate: store.Unrun})
 			idle = append(idle, store.End{Leg: l, Fate: store.Unrun})
 		}
 	}
@@ -143,7 +143,7 @@
 		}
 		l.settled, h.news = true, true
 		if h.worker == "" {
-			delete(h.legs, e.Leg)
+			h.forget(e.Leg)
 		}
 	}
 }
@@ -157,7 +157,7 @@
 			l.over = l.over || l.part != ended && slices.Contains(s.Late, k)
 			h.halt(l)
 		} else {
-			h.legs[k] = &leg{job: Job{Leg: k}, part: ended, fate: store.Unrun}
+			h.put(&leg{job: Job{Leg: k}, part: ended, fate: store.Unrun})
 			h.seen[k], h.status = h.now.Add(2*h.pace.Loss), never
 		}
 	}
--- a/truth/hold.go
+++ b/truth/hold.go
@@ -46,15 +46,7 @@
 	return holds{by: map[mark.Leg]*Hold{}, on: map[mark.Shard]*load{}, open: map[mark.Shard]bool{}, alien: map[mark.Leg]*Hold{}}
 }
 
-func least(a, b *Hold) int {
-	switch {
-	case a.Leg == b.Leg:
-		return 0
-	case a.Leg.Least(b.Leg):
-		return -1
-	}
-	return 1
-}
+func least(a, b *Hold) int { return a.Leg.Compare(b.Leg) }
 
 func (h *holds) add(o *Hold) {
 	h.drop(o.Leg)
--- a/truth/poll.go
+++ b/truth/poll.go
@@ -98,7 +98,7 @@
 		l := h.legs[r.Leg]
 		if l == nil {
 			l = &leg{job: Job{Leg: r.Leg, Room: r.Room}, part: going, from: now}
-			h.legs[r.Leg] = l
+			h.put(l)
 		}
 		if l.part == waiting {
 			l.part, l.from = going, now
@@ -109,7 +109,7 @@
 		l := h.legs[e.Leg]
 		if l == nil {
 			l = &leg{job: Job{Leg: e.Leg, Room: e.Room}, part: going}
-			h.legs[e.Leg] = l
+			h.put(l)
 		}
 		if l.part != ended || l.fate == store.Lost || e.Fate == store.OK && l.fate != store.OK {
 			h.finish(l, e.Fate)
@@ -130,7 +130,7 @@
 		case l.part == ended && l.fate == store.Lost:
 			h.finish(l, store.Gone)
 		case l.part == ended && l.settled:
-			delete(h.legs, l.job.Leg)
+			h.forget(l.job.Leg)
 		}
 	}
 	return true
@@ -144,7 +144,7 @@
 			h.finish(l, store.Gone)
 		}
 		if l.settled {
-			delete(h.legs, l.job.Leg)
+			h.forget(l.job.Leg)
 		}
 	}
 	if h.worker == "" {
--- a/truth/watch.go
+++ b/truth/watch.go
@@ -163,7 +163,7 @@
 			list = append(list, l)
 		}
 	}
-	slices.SortFunc(list, func(a, b mark.Leg) int { return least(&Hold{Leg: a}, &Hold{Leg: b}) })
+	slices.SortFunc(list, mark.Leg.Compare)
 	return
 }
 
