Hollow traffic names its steps, and the report says what was measured

Cause: all tasks of the hollow traffic had one step name, so the long ones were ten times the usual of the short ones after some seconds and were taken back as stalled. Steps now have names.

A size that was run is told as measured; only the rest is extrapolated.

--- a/capacity/figure.go
+++ b/capacity/figure.go
@@ -162,6 +162,8 @@
 func (g Growth) At(workers int, list []Point) float64 {
 	last := list[len(list)-1]
 	switch {
+	case last.Workers == workers: // measured
+		return last.Value
 	case g.Power > bent:
 		return last.Value * math.Pow(float64(workers)/float64(last.Workers), g.Power)
 	case g.Slope <= 0 || math.Abs(g.Power) < even:
--- a/capacity/figure_test.go
+++ b/capacity/figure_test.go
@@ -33,6 +33,7 @@
 	is.True(near(Grow(square).At(5000, square), 25e6))
 	flat := grown("x", "ward", func(n float64) float64 { return 5 - n/1000 })
 	is.True(near(Grow(flat).At(5000, flat), 4))
+	is.Equal(Grow(square).At(1000, square), 1e6) // measured there
 }
 
 func TestReportTellsWhichLimitsAreKept(t *testing.T) {
@@ -47,8 +48,8 @@
 	is.Equal(again, list)
 	WriteMarkdown(&b, list)
 	is.True(strings.Contains(b.String(), "### ward, idle"))
-	is.True(strings.Contains(b.String(), "| 5.3e+04 | 2e+03, missed |"))
-	is.True(strings.Contains(b.String(), "| 500 | 2e+03, kept |"))
+	is.True(strings.Contains(b.String(), "| 5.3e+04 extrapolated | 2e+03, missed |"))
+	is.True(strings.Contains(b.String(), "| 500 extrapolated | 2e+03, kept |"))
 	dir := t.TempDir()
 	is.NoErr(Plot(dir, "idle", list))
 	files, err := os.ReadDir(dir)
--- a/capacity/report.go
+++ b/capacity/report.go
@@ -79,7 +79,7 @@
 			for _, n := range sizes {
 				fmt.Fprintf(w, " %d workers |", n)
 			}
-			fmt.Fprintf(w, " constant | a worker | power | at %d, extrapolated | limit |\n|%s\n", trial.FullWorkers, bars(6+len(sizes)))
+			fmt.Fprintf(w, " constant | a worker | power | at %d | limit |\n|%s\n", trial.FullWorkers, bars(6+len(sizes)))
 			for _, f := range Figures {
 				row(w, f, f.limit(role), pick(list, mode, role, f.Name))
 			}
@@ -103,14 +103,17 @@
 		fmt.Fprintf(w, " %s |", short(p.Value))
 	}
 	g := Grow(some)
-	at, limit := g.At(trial.FullWorkers, some), "none"
+	at, limit, how := g.At(trial.FullWorkers, some), "none", "extrapolated"
+	if some[len(some)-1].Workers == trial.FullWorkers {
+		how = "measured"
+	}
 	switch {
 	case most > 0 && at > most:
 		limit = short(most) + ", missed"
 	case most > 0:
 		limit = short(most) + ", kept"
 	}
-	fmt.Fprintf(w, " %s | %s | %.1f | %s | %s |\n", short(g.Const), short(g.Slope), g.Power, short(at), limit)
+	fmt.Fprintf(w, " %s | %s | %.1f | %s %s | %s |\n", short(g.Const), short(g.Slope), g.Power, short(at), how, limit)
 }
 
 func short(v float64) string { return strconv.FormatFloat(v, 'g', 3, 64) }
--- a/trial/hollow.go
+++ b/trial/hollow.go
@@ -226,8 +226,9 @@
 	return
 }
 
-func hollowJob(q, tasks int, gang bool, ms int) store.Spec {
-	return store.Spec{Queue: mark.Queue(fmt.Sprintf("team-%d", q)), Steps: []store.Step{{Name: "a", Kind: "quote", Room: mark.Room{Cores: 1, Memory: 64},
+// hollowJob has a step whose name says what it is: times are compared by name.
+func hollowJob(name string, q, tasks int, gang bool, ms int) store.Spec {
+	return store.Spec{Queue: mark.Queue(fmt.Sprintf("team-%d", q)), Steps: []store.Step{{Name: name, Kind: "quote", Room: mark.Room{Cores: 1, Memory: 64},
 		Tasks: tasks, Gang: gang, Work: json.RawMessage(fmt.Sprintf(`{"ms":%d}`, ms))}}}
 }
 
@@ -241,7 +242,7 @@
 func (r *Run) load(s Scale) error {
 	long := fullRunning * s.Wards / FullWorkers
 	for left, i := long, 0; left > 0; left, i = left-250, i+1 {
-		r.submit(fmt.Sprint("long-", i), hollowJob(i%3, min(left, 250), false, 3_600_000))
+		r.submit(fmt.Sprint("long-", i), hollowJob("long", i%3, min(left, 250), false, 3_600_000))
 	}
 	if err := r.await(30*time.Second, "the long tasks running", func() bool { return r.running() >= long }); err != nil {
 		return err
@@ -259,10 +260,10 @@
 		r.at(time.Duration(r.rnd.Int63n(int64(every))), again)
 	}
 	next(time.Duration(float64(tasks)/starts*float64(time.Second)), func() {
-		r.submit(fmt.Sprint("short-", n), hollowJob(r.rnd.Intn(3), tasks, false, 500+r.rnd.Intn(2000)))
+		r.submit(fmt.Sprint("short-", n), hollowJob("short", r.rnd.Intn(3), tasks, false, 500+r.rnd.Intn(2000)))
 	})
 	next(5*time.Second, func() {
-		r.submit(fmt.Sprint("gang-", n), hollowJob(r.rnd.Intn(3), max(2, fullGang*s.Wards/FullWorkers), true, 1000))
+		r.submit(fmt.Sprint("gang-", n), hollowJob("gang", r.rnd.Intn(3), max(2, fullGang*s.Wards/FullWorkers), true, 1000))
 	})
 	return nil
 }
@@ -337,7 +338,7 @@
 // urgent sends one urgent task and waits until a worker has started it.
 func (r *Run) urgent(i int) (time.Duration, error) {
 	from, id := r.now, fmt.Sprint("urgent-", i)
-	s := hollowJob(i%3, 1, false, 50)
+	s := hollowJob("urgent", i%3, 1, false, 50)
 	s.Urgency = 9
 	r.submit(id, s)
 	seen, at := len(r.Hist.List), int64(0)
