--- a/capacity/plot.go
+++ b/capacity/plot.go
@@ -29,7 +29,7 @@
 		if slices.Contains(f.Roles, "ward") {
 			most = f.Limit
 		}
-		low, high, drawn := most, most, false
+		low, high, drawn := most, max(most, f.Core), false
 		for i, role := range f.Roles {
 			some := pick(list, mode, role, f.Name)
 			line := points(some)
@@ -55,8 +55,14 @@
 		if !drawn {
 			continue
 		}
-		if most > 0 {
-			if err := rule(p, plotter.XYs{{X: 8, Y: most}, {X: trial.FullWorkers, Y: most}}, "limit"); err != nil {
+		for _, l := range []struct {
+			name string
+			most float64
+		}{{"limit", most}, {"limit of a helm", f.Core}} {
+			if l.most == 0 || l.name != "limit" && l.most == most {
+				continue
+			}
+			if err := rule(p, plotter.XYs{{X: 8, Y: l.most}, {X: trial.FullWorkers, Y: l.most}}, l.name); err != nil {
 				return err
 			}
 		}
@@ -103,9 +109,11 @@
 	if err != nil {
 		return err
 	}
-	l.Color = color.RGBA{R: 200, A: 255}
-	if name == "" {
+	switch l.Color = (color.RGBA{R: 200, A: 255}); name {
+	case "":
 		l.Color = color.Gray{Y: 160}
+	case "limit of a helm":
+		l.Dashes = []vg.Length{vg.Points(1), vg.Points(2)}
 	}
 	p.Add(l)
 	if name != "" {
