--- a/helm/copies.go
+++ b/helm/copies.go
@@ -17,10 +17,9 @@
 	behind = 1.8                    // times of it
 )
 
-// copies places second attempts in what the round has left.
-func (h *Helm) copies(in choice.Input) (legs []store.Give) {
-	var wants []choice.Want
-	for _, o := range h.head.Holds() {
+// behind lists the second attempts that are wanted.
+func (h *Helm) behind(holds []*truth.Hold) (wants []choice.Want) {
+	for _, o := range holds {
 		j := h.state.Jobs[o.Leg.Job]
 		if j == nil || j.State != store.Open || o.Stage < 0 {
 			continue
@@ -34,6 +33,11 @@
 			Kind: p.Kind, Rack: p.Rack, Labels: p.Labels, Room: p.Room, Spread: p.Spread, Near: p.Near,
 			Tasks: []int{o.Leg.N}, Long: h.limit(j, o.Stage), Shun: map[mark.Shard]bool{o.Shard: true}})
 	}
+	return
+}
+
+// copies places second attempts in what the round has left.
+func (h *Helm) copies(in choice.Input, wants []choice.Want) (legs []store.Give) {
 	if wants == nil {
 		return nil
 	}
--- a/helm/plan.go
+++ b/helm/plan.go
@@ -28,7 +28,8 @@
 		doom, spent = append(doom, x.Doomed...), append(spent, x.Spent...)
 	}
 	h.propose(spent)
-	h.head.Halt(append(doom, h.head.Strays()...), h.overtime())
+	holds := h.head.Holds()
+	h.head.Halt(append(doom, h.head.Strays()...), h.overtime(holds))
 	if !h.core.Firm() || h.drain {
 		return
 	}
@@ -37,23 +38,30 @@
 	if h.giving > h.done {
 		return
 	}
-	backs := h.recall()
+	backs := h.recall(holds)
 	if h.head.Wait {
 		h.give(nil, backs)
 		return
 	}
 	in := choice.Input{Kept: h.kept}
 	in.Wants, in.Dues = h.wants()
-	in.Slots, in.Total = h.slots()
+	more := h.behind(holds)
 	if len(in.Wants) == 0 {
 		h.kept, h.waited = nil, nil
-		h.give(h.copies(in), backs)
+	}
+	if len(in.Wants)+len(more) == 0 {
+		h.give(nil, backs)
 		return
 	}
-	h.ages(in.Wants)
-	out := choice.Place(in)
-	h.kept = out.Kept
-	legs := append(h.number(out.Picks), h.copies(in)...)
+	in.Slots, in.Total = h.slots(holds)
+	var legs []store.Give
+	if len(in.Wants) > 0 {
+		h.ages(in.Wants)
+		out := choice.Place(in)
+		h.kept = out.Kept
+		legs = h.number(out.Picks)
+	}
+	legs = append(legs, h.copies(in, more)...)
 	if legs == nil && backs == nil && h.kept == nil {
 		backs, h.kept = h.displace(in)
 	}
@@ -122,7 +130,7 @@
 }
 
 // slots lists the workers that may be given work, and all cores there are.
-func (h *Helm) slots() (list []choice.Slot, total mark.Cores) {
+func (h *Helm) slots(holds []*truth.Hold) (list []choice.Slot, total mark.Cores) {
 	at := map[mark.Shard]int{}
 	for _, s := range h.head.Seats() {
 		if s.State != truth.Healthy {
@@ -135,7 +143,7 @@
 				Bad: s.Worth.Bad, Slow: s.Worth.Slow, Now: h.head.Slow(s), Has: map[choice.Part]int{}})
 		}
 	}
-	for _, o := range h.head.Holds() {
+	for _, o := range holds {
 		i, ok := at[o.Shard]
 		if !ok {
 			continue
--- a/trial/net.go
+++ b/trial/net.go
@@ -56,6 +56,9 @@
 		}
 		d := 200*time.Microsecond + time.Duration(w.rnd.Int63n(int64(2*time.Millisecond)))
 		d += w.lag[pair{from, to}]
+		if w.far != nil {
+			d += w.far(from, to)
+		}
 		if w.rnd.Float64() < w.sky.Late {
 			d += time.Duration(w.rnd.Int63n(int64(900 * time.Millisecond)))
 		}
@@ -99,6 +102,7 @@
 	liar   bool // a planted bug: says synced, and is not
 	sealed bool
 	broken int // a generation; writes of an earlier one do not finish
+	use    *Usage
 }
 
 type write struct {
@@ -142,6 +146,8 @@
 			}
 		}
 	}
+	d.use.Syncs++
+	d.use.Written += len(b)
 	whole := group[0].whole
 	if !whole {
 		d.loose = b
--- a/truth/caller.go
+++ b/truth/caller.go
@@ -156,7 +156,7 @@
 			h.finish(l, store.Gone)
 		}
 		if l.settled {
-			delete(h.legs, l.job.Leg)
+			h.forget(l.job.Leg)
 		}
 	}
 	h.rep.Sound, h.beat = false, never
--- a/truth/head.go
+++ b/truth/head.go
@@ -4,7 +4,8 @@
 package truth
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"coppercourse/mark"
@@ -21,21 +22,6 @@
 	unsure phase = "unsure"
 )
 
-// Hold is a leg that possibly runs.
-type Hold struct {
-	Leg   mark.Leg
-	Shard mark.Shard
-	Stage mark.Stage // or -1, where the log does not have it
-	Room  mark.Room
-	Phase phase
-	Usual string // what its time is compared with
-	Limit time.Duration
-	At    mark.Stamp
-	Ref   string     // what it has saved
-	Late  mark.Stamp // by when it will have ended, where it is far behind its like
-	halt  mark.Stamp
-}
-
 // Seat is one shard and the ward instance that has it.
 type Seat struct {
 	Shard mark.Shard
@@ -55,6 +41,8 @@
 	old   SetID
 	ver   int
 	ind   int
+	join  int // the set that has it first
+	left  int // the first that has it no more, or 0
 	Worth Worth
 	pace  float64 // log of how many times the usual its attempts take
 	paced mark.Stamp
@@ -71,10 +59,12 @@
 	grace  time.Duration
 	Wait   bool
 	Why    string
+	swept  mark.Stamp
 	seats  map[mark.Shard]*Seat
+	order  []*Seat // the same, by shard
 	past   map[mark.ID]bool
-	holds  map[mark.Leg]*Hold
-	hist   []map[mark.ID]bool
+	holds  holds
+	sets   sets
 	ends   []store.End
 	norm   map[string]*usual
 	stages map[stage]*times
@@ -94,10 +84,11 @@
 // and ruled is when an earlier leader can last have had authority.
 func NewHead(now, ruled mark.Stamp, pace Pace, me mark.Addr, term mark.Term, outs []Hold) *Head {
 	h := &Head{pace: pace, me: me, term: term, born: now, ruled: min(now, ruled), now: now, Wait: true, seats: map[mark.Shard]*Seat{},
-		past: map[mark.ID]bool{}, holds: map[mark.Leg]*Hold{}, hist: []map[mark.ID]bool{{}}, norm: map[string]*usual{}, stages: map[stage]*times{}}
+		past: map[mark.ID]bool{}, holds: newHolds(), sets: sets{groups: map[int][]*Seat{}}, norm: map[string]*usual{},
+		stages: map[stage]*times{}, swept: now.Add(-sweep)}
 	for _, o := range outs {
 		o.Phase, o.At = dim, now
-		h.holds[o.Leg] = &o
+		h.holds.add(&o)
 	}
 	return h
 }
@@ -144,20 +135,20 @@
 	if b.Sound {
 		s.Good = h.now
 	}
-	if b.Set.Born == h.term && b.Set.Ver > s.ver && b.Set.Ver < len(h.hist) {
+	if b.Set.Born == h.term && b.Set.Ver > s.ver && b.Set.Ver <= h.sets.ver {
 		s.ver = b.Set.Ver
+		h.sets.lift(s)
 	}
 	for _, x := range b.Spans {
-		if o := h.holds[x.Leg]; o != nil && o.Shard == b.Shard {
+		if o := h.holds.by[x.Leg]; o != nil && o.Shard == b.Shard {
 			h.took(o, time.Duration(x.MS)*time.Millisecond, false)
 		}
 	}
 	for _, x := range b.Saves {
-		if o := h.holds[x.Leg]; o != nil {
+		if o := h.holds.by[x.Leg]; o != nil {
 			o.Ref = x.Ref
 		}
 	}
-	h.spread()
 	if s.State == New {
 		h.ask(s)
 	}
@@ -178,17 +169,22 @@
 func (h *Head) sit(from mark.Addr, b Beat) *Seat {
 	s := &Seat{Shard: b.Shard, ID: b.ID, Addr: from, State: New, Since: h.now, Good: h.now, old: b.Set, Worth: Worth{Slow: 1},
 		asked: -1 << 62, stamp: -1 << 62, quest: map[mark.Seq][]mark.Leg{}}
+	old := h.seats[b.Shard]
+	i, _ := slices.BinarySearchFunc(h.order, b.Shard, func(x *Seat, k mark.Shard) int { return cmp.Compare(x.Shard, k) })
+	if old != nil {
+		h.order[i] = s
+	} else {
+		h.order = slices.Insert(h.order, i, s)
+	}
 	h.seats[b.Shard] = s
-	h.reset()
+	h.sets.enter(s, old)
 	return s
 }
 
 // dim makes a replaced ward's legs unknown until its successor's account.
 func (h *Head) dim(s *Seat) {
-	for _, o := range h.holds {
-		if o.Shard == s.Shard {
-			o.Phase = dim
-		}
+	for _, o := range h.holds.of(s.Shard) {
+		h.holds.turn(o, dim)
 	}
 }
 
@@ -215,10 +211,10 @@
 	told := map[mark.Leg]bool{}
 	for _, r := range a.Runs {
 		told[r.Leg] = true
-		if o := h.holds[r.Leg]; o != nil && o.Shard == s.Shard {
-			o.Phase = sure
+		if o := h.holds.by[r.Leg]; o != nil && o.Shard == s.Shard {
+			h.holds.turn(o, sure)
 		} else if o == nil {
-			h.holds[r.Leg] = &Hold{Leg: r.Leg, Shard: s.Shard, Stage: -1, Room: r.Room, Phase: sure, At: h.now}
+			h.holds.add(&Hold{Leg: r.Leg, Shard: s.Shard, Stage: -1, Room: r.Room, Phase: sure, At: h.now})
 		}
 	}
 	fate := store.Lost
@@ -229,8 +225,8 @@
 		fate = store.Unrun
 		h.clear(s.Shard, told)
 	}
-	for _, o := range h.sorted() {
-		if o.Shard == s.Shard && !told[o.Leg] {
+	for _, o := range h.holds.of(s.Shard) {
+		if !told[o.Leg] {
 			h.drop(o.Leg, fate)
 		}
 	}
@@ -249,15 +245,6 @@
 	}
 }
 
-func (h *Head) sorted() []*Hold {
-	list := make([]*Hold, 0, len(h.holds))
-	for _, o := range h.holds {
-		list = append(list, o)
-	}
-	sort.Slice(list, func(i, k int) bool { return list[i].Leg.Least(list[k].Leg) })
-	return list
-}
-
 // gone is the fate of a leg whose worker is out of reach. One that is called
 // has no lease any more by then, and what it did is not settled there.
 func (h *Head) gone(shard mark.Shard) store.Fate {
@@ -273,7 +260,7 @@
 // drop says that a leg has ended; it is held until that is committed.
 func (h *Head) drop(l mark.Leg, f store.Fate) {
 	e := store.End{Leg: l, Fate: f}
-	if o := h.holds[l]; o != nil {
+	if o := h.holds.by[l]; o != nil {
 		e.Ref = o.Ref
 	}
 	h.ends = append(h.ends, e)
@@ -283,15 +270,15 @@
 func (h *Head) Settle(list []store.End) {
 	by := map[mark.Shard][]store.End{}
 	for _, e := range list {
-		if o := h.holds[e.Leg]; o != nil {
+		if o := h.holds.by[e.Leg]; o != nil {
 			h.mark(o, e.Fate)
 			by[o.Shard] = append(by[o.Shard], e)
-			delete(h.holds, e.Leg)
+			h.holds.drop(e.Leg)
 		}
 	}
-	for _, s := range h.Seats() {
-		if ends := by[s.Shard]; ends != nil && s.State != MustDie {
-			h.say(s, word.Settled, Settled{h.top(s), ends})
+	for _, k := range sorted(by) {
+		if s := h.seats[k]; s != nil && s.State != MustDie {
+			h.say(s, word.Settled, Settled{h.top(s), by[k]})
 		}
 	}
 }
@@ -299,7 +286,7 @@
 // Order marks a leg running and sends it, once.
 func (h *Head) Order(shard mark.Shard, at mark.Stage, usual string, j Job) {
 	o := &Hold{Leg: j.Leg, Shard: shard, Stage: at, Room: j.Room, Phase: sent, Usual: usual, Limit: time.Duration(j.Limit) * time.Millisecond, At: h.now}
-	h.holds[j.Leg] = o
+	h.holds.add(o)
 	s := h.seats[shard]
 	if s == nil || s.State != Healthy || s.Leaving || h.grace <= 0 {
 		h.drop(j.Leg, store.Unrun)
@@ -309,7 +296,7 @@
 }
 
 func (h *Head) onOrdered(_ mark.Addr, r Ordered) {
-	s, o := h.mine(r.Term, r.Shard, r.ID), h.holds[r.Leg]
+	s, o := h.mine(r.Term, r.Shard, r.ID), h.holds.by[r.Leg]
 	if s == nil || o == nil || o.Shard != s.Shard || o.Phase == sure {
 		return
 	}
@@ -318,7 +305,7 @@
 		h.drop(r.Leg, store.Unrun)
 		return
 	}
-	o.Phase = sure
+	h.holds.turn(o, sure)
 }
 
 func (h *Head) onQueried(_ mark.Addr, q Queried) {
@@ -327,8 +314,8 @@
 		return
 	}
 	for _, l := range s.quest[q.Seq] {
-		if o := h.holds[l]; o != nil && o.Phase == unsure {
-			o.Phase = sure
+		if o := h.holds.by[l]; o != nil && o.Phase == unsure {
+			h.holds.turn(o, sure)
 		}
 	}
 	delete(s.quest, q.Seq)
@@ -347,7 +334,7 @@
 			continue
 		}
 		if h.Taken(e) {
-			delete(h.holds, e.Leg)
+			h.holds.drop(e.Leg)
 			done = append(done, e)
 		} else {
 			h.ends = append(h.ends, e)
@@ -361,12 +348,5 @@
 // Seat finds a shard's, or gives nil.
 func (h *Head) Seat(shard mark.Shard) *Seat { return h.seats[shard] }
 
-// Seats lists the seats in order.
-func (h *Head) Seats() []*Seat {
-	list := make([]*Seat, 0, len(h.seats))
-	for _, s := range h.seats {
-		list = append(list, s)
-	}
-	sort.Slice(list, func(i, k int) bool { return list[i].Shard < list[k].Shard })
-	return list
-}
+// Seats lists the seats in order; the list is the head's own.
+func (h *Head) Seats() []*Seat { return h.order }
--- a/truth/line.go
+++ b/truth/line.go
@@ -191,7 +191,7 @@
 			h.miss(f, runs)
 		}
 	}
-	h.forget(f.Seen)
+	h.clear(f.Seen)
 	h.told = true
 	if len(c.ends) > 0 {
 		c.next = h.now.Add(settles)
@@ -210,7 +210,7 @@
 	l := h.legs[e.Leg]
 	if l == nil {
 		l = &leg{job: Job{Leg: e.Leg}, part: going}
-		h.legs[e.Leg] = l
+		h.put(l)
 	}
 	l.ghost, l.unsure, l.n = false, false, e.N
 	if l.part == ended {
@@ -236,7 +236,7 @@
 		if h.told {
 			l.part = halting
 		}
-		h.legs[x.Leg] = l
+		h.put(l)
 	}
 	if l.part == waiting {
 		l.part, l.from = going, h.now
@@ -268,14 +268,14 @@
 	}
 }
 
-// forget drops the ends that the worker has dropped.
-func (h *Hand) forget(seen uint64) {
+// clear drops the ends that the worker has dropped.
+func (h *Hand) clear(seen uint64) {
 	c := h.caller
 	for n, e := range c.ends {
 		if n <= seen {
 			delete(c.ends, n)
 			if l := h.legs[e.leg]; l != nil && l.settled {
-				delete(h.legs, e.leg)
+				h.forget(e.leg)
 			}
 		}
 	}
@@ -295,7 +295,7 @@
 		}
 		return
 	}
-	delete(h.legs, l.job.Leg)
+	h.forget(l.job.Leg)
 }
 
 // high is the highest end that the worker has told.
--- /dev/null
+++ b/truth/set_test.go
@@ -0,0 +1,177 @@
+// The history of differences and the indexes of legs, against the slow ways:
+// sets kept whole and worked out afresh, and lists walked and sorted.
+package truth
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"coppercourse/mark"
+)
+
+// whole is the worker sets kept whole.
+type whole struct {
+	hist []map[mark.ID]bool
+	ind  map[mark.ID]int
+}
+
+func (w *whole) reset(seats map[mark.Shard]*Seat) {
+	ids := map[mark.ID]bool{}
+	for _, s := range seats {
+		if s.State != MustDie {
+			ids[s.ID] = true
+		}
+	}
+	w.hist = append(w.hist, ids)
+}
+
+func (w *whole) spread(seats map[mark.Shard]*Seat) {
+	by := map[mark.ID]*Seat{}
+	for _, s := range seats {
+		by[s.ID] = s
+		w.ind[s.ID] = max(w.ind[s.ID], s.ver)
+	}
+	for more := true; more; {
+		more = false
+		for _, s := range seats {
+			if w.ind[s.ID] == 0 {
+				continue
+			}
+			for id := range w.hist[w.ind[s.ID]] {
+				if by[id] != nil && w.ind[id] > w.ind[s.ID] {
+					w.ind[s.ID], more = w.ind[id], true
+				}
+			}
+		}
+	}
+}
+
+func (w *whole) permits(x *Seat, seats map[mark.Shard]*Seat) bool {
+	if x.ver == 0 {
+		return false
+	}
+	for _, u := range seats {
+		if u == x || u.State == MustDie {
+			continue
+		}
+		if !w.hist[x.ver][u.ID] || w.ind[u.ID] == 0 || !w.hist[w.ind[u.ID]][x.ID] {
+			return false
+		}
+	}
+	return true
+}
+
+func TestSetsAgainstTheSlowWay(t *testing.T) {
+	is := is.New(t)
+	for seed := range int64(60) {
+		rnd := rand.New(rand.NewSource(seed))
+		fast := sets{groups: map[int][]*Seat{}}
+		slow := whole{hist: []map[mark.ID]bool{{}}, ind: map[mark.ID]int{}}
+		seats := map[mark.Shard]*Seat{}
+		shards := 2 + rnd.Intn(9)
+		pick := func() *Seat { return seats[mark.Shard(fmt.Sprint("s", rnd.Intn(shards)))] }
+		permitted := 0
+		for step := range 400 {
+			k := mark.Shard(fmt.Sprint("s", rnd.Intn(shards)))
+			switch s := pick(); {
+			case rnd.Intn(8) == 0 && (seats[k] == nil || rnd.Intn(2) == 0): // one comes, maybe in another's place
+				x := &Seat{Shard: k, ID: mark.ID(fmt.Sprint(k, "-", step)), State: Unhealthy}
+				old := seats[k]
+				seats[k] = x
+				fast.enter(x, old)
+				slow.reset(seats)
+			case s == nil:
+			case rnd.Intn(12) == 0 && s.State != MustDie:
+				s.State = MustDie
+				fast.exit(s)
+				slow.reset(seats)
+			case s.State != MustDie:
+				if v := fast.ver - rnd.Intn(min(4, fast.ver+1)); v > s.ver {
+					s.ver = v
+					fast.lift(s)
+				}
+			}
+			slow.spread(seats)
+			last := slow.hist[len(slow.hist)-1]
+			is.Equal(fast.ver, len(slow.hist)-1)
+			is.Equal(fast.size, len(last))
+			sum := uint64(0)
+			for id := range last {
+				sum += digest(id)
+			}
+			is.Equal(fast.hash, sum)
+			for _, s := range seats {
+				is.Equal(s.ind, slow.ind[s.ID])
+				is.True(slices.Contains(fast.groups[s.ind], s))
+				if s.State != MustDie {
+					is.Equal(fast.permits(s), slow.permits(s, seats))
+					if fast.permits(s) {
+						permitted++
+					}
+				}
+			}
+		}
+		is.True(permitted > 0)
+	}
+}
+
+func TestHoldsAgainstTheSlowWay(t *testing.T) {
+	is := is.New(t)
+	rnd := rand.New(rand.NewSource(5))
+	h := newHolds()
+	now := mark.Stamp(time.Hour)
+	plain := map[mark.Leg]*Hold{}
+	for range 4000 {
+		now = now.Add(time.Millisecond)
+		l := mark.Leg{Task: mark.Task{Job: mark.JobID(fmt.Sprint("j", rnd.Intn(6))), N: rnd.Intn(4)}, Leg: 1 + rnd.Intn(2)}
+		switch o := plain[l]; {
+		case o == nil || rnd.Intn(9) == 0:
+			o = &Hold{Leg: l, Shard: mark.Shard(fmt.Sprint("s", rnd.Intn(4))), Stage: mark.Stage(rnd.Intn(3) - 1), Room: mark.Room{Cores: mark.Cores(1 + rnd.Intn(3))},
+				Phase: []phase{dim, sent, sure}[rnd.Intn(3)], At: now}
+			h.add(o)
+			plain[l] = o
+		case rnd.Intn(3) == 0:
+			h.drop(l)
+			delete(plain, l)
+		default:
+			h.turn(o, []phase{dim, sure}[rnd.Intn(2)])
+		}
+		for _, o := range h.overdue(now.Add(-20 * time.Millisecond)) {
+			is.Equal(o.Phase, sent)
+			is.True(now.Sub(o.At) > 20*time.Millisecond)
+			h.turn(o, unsure)
+		}
+		n, dims, alien, open := 0, 0, 0, map[mark.Shard]bool{}
+		rooms := map[mark.Shard]mark.Room{}
+		for _, o := range plain {
+			n++
+			rooms[o.Shard] = rooms[o.Shard].Plus(o.Room)
+			if o.Phase == dim {
+				dims++
+			}
+			if o.Stage < 0 {
+				alien++
+			}
+			if o.Phase == unsure {
+				open[o.Shard] = true
+			}
+			is.True(o.Phase != sent || now.Sub(o.At) <= 20*time.Millisecond) // none is missed
+			is.Equal(h.by[o.Leg], o)
+		}
+		is.Equal(len(h.all()), n)
+		is.Equal(h.dim, dims)
+		is.Equal(len(h.alien), alien)
+		is.Equal(h.open, open)
+		is.Equal(len(h.dims(nil)), dims)
+		for k := range 4 {
+			s := mark.Shard(fmt.Sprint("s", k))
+			is.Equal(h.used(s), rooms[s])
+			is.True(slices.IsSortedFunc(h.of(s), least))
+		}
+	}
+}
--- a/ward/ward.go
+++ b/ward/ward.go
@@ -66,6 +66,9 @@
 // Ready tells whether the ward takes its worker's calls.
 func (w *Ward) Ready() bool { return !w.drain }
 
+// Leader is whom the ward holds for the leader now.
+func (w *Ward) Leader() mark.Addr { return w.kin.Lead() }
+
 // Step takes one event.
 func (w *Ward) Step(e word.Event) word.Out {
 	w.now = e.Now
@@ -103,7 +106,7 @@
 		if s.Note.Kind != word.Status {
 			continue
 		}
-		for _, c := range w.kin.Helms() {
+		for _, c := range w.kin.Known("helm") {
 			if c.Addr != s.To {
 				list = append(list, word.Send{To: c.Addr, Note: s.Note})
 			}
