The quick pace is quicker: grants of 0.8 s, loss after 1 s, elections of 0.2 s

Cause: while a leader is replaced or power comes back, nothing starts until the loss timeout has passed; a lost worker's tasks wait as long. With a grant of 1.4 s each such event cost two seconds of starts. Change: the quick pace; wards beat at once to a new leader, gates send on to it what they had sent to the last one.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -56,6 +56,7 @@
 	calls map[uint64]*call
 	next  uint64
 	turn  int
+	was   mark.Addr  // who led at the last tick that anybody did
 	lost  mark.Stamp // since when no leader is known; 0 when one is
 	drain bool
 	told  []report
@@ -139,7 +140,8 @@
 	g.kin.Me(g.card())
 	g.kin.Tick(g.now.Mono)
 	g.repeat()
-	if g.kin.Lead() != "" {
+	lead := g.kin.Lead()
+	if lead != "" {
 		g.lost = 0
 	} else if g.lost == 0 {
 		g.lost = g.now.Mono
@@ -152,8 +154,13 @@
 			g.fail(id, g.giveUp(c))
 		case c.to == "" || g.now.Mono.Sub(c.sent) >= Leg:
 			g.send(id, c, "")
+		case lead != "" && lead != g.was && c.to == g.was: // another leads now
+			g.send(id, c, lead)
 		}
 	}
+	if lead != "" {
+		g.was = lead
+	}
 }
 
 // giveUp says which it is: nobody has seen the request, or somebody may have.
--- a/place/bounds.go
+++ b/place/bounds.go
@@ -36,7 +36,7 @@
 
 // Quick is the pace where the surroundings give bounds: a lost worker or leader
 // costs less there than beats do.
-var Quick = Pace{Beat: 150, Ill: 600, Loss: 1750, Grant: 1400, Worker: 1050, Again: 150, Round: 60, Election: 300, Stall: 600,
+var Quick = Pace{Beat: 100, Ill: 400, Loss: 1000, Grant: 800, Worker: 600, Again: 100, Round: 40, Election: 200, Stall: 400,
 	Dead: 5000, Stale: 1500}
 
 // Derive makes a pace that holds within the bounds: the quick one, or less of it.
--- a/place/bounds_test.go
+++ b/place/bounds_test.go
@@ -36,13 +36,13 @@
 		worker int
 		stale  int
 	}{
-		{"kingston", Bounds{Hold: 6000, Stop: 400, Gang: 3000, Cancel: 3000, Drain: 2000, Apply: 2000, Ack: 4000, Contact: 3000, Grace: 6000, Notice: 2300}, 1400, 1050, 1500},
-		{"cluj", Bounds{Hold: 10000, Stop: 900, Gang: 3000, Cancel: 3000, Drain: 2000, Apply: 2000, Ack: 4000, Contact: 3000, Grace: 6000, Notice: 2300}, 1400, 1050, 1500},
-		{"short hold", Bounds{Hold: 2000, Cancel: 30000}, 1400, 1050, 1500},
+		{"kingston", Bounds{Hold: 6000, Stop: 400, Gang: 3000, Cancel: 3000, Drain: 2000, Apply: 2000, Ack: 4000, Contact: 3000, Grace: 6000, Notice: 2300}, 800, 600, 1500},
+		{"cluj", Bounds{Hold: 10000, Stop: 900, Gang: 3000, Cancel: 3000, Drain: 2000, Apply: 2000, Ack: 4000, Contact: 3000, Grace: 6000, Notice: 2300}, 800, 600, 1500},
+		{"short hold", Bounds{Hold: 2000, Cancel: 30000}, 800, 600, 1500},
 		{"shorter hold", Bounds{Hold: 1000, Cancel: 30000}, 800, 600, 1500},
 		{"short cancel", Bounds{Hold: 60000, Cancel: 1000}, 666, 499, 1500},
-		{"quick tables", Bounds{Hold: 6000, Cancel: 3000, Apply: 500}, 1400, 1050, 375},
-		{"quick gangs", Bounds{Hold: 6000, Cancel: 3000, Gang: 400}, 1400, 1050, 1500},
+		{"quick tables", Bounds{Hold: 6000, Cancel: 3000, Apply: 500}, 800, 600, 375},
+		{"quick gangs", Bounds{Hold: 6000, Cancel: 3000, Gang: 400}, 800, 600, 1500},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/truth/hand.go
+++ b/truth/hand.go
@@ -145,6 +145,9 @@
 
 // Tick lets time pass; lead is whom the roster holds for the leader.
 func (h *Hand) Tick(now mark.Stamp, lead mark.Addr) {
+	if lead != h.lead {
+		h.beat = never // it is told at once who is here
+	}
 	h.now, h.lead = now, lead
 	was := h.rep.Sound
 	if h.caller != nil {
