--- a/blueprint/read.go
+++ b/blueprint/read.go
@@ -18,9 +18,10 @@
 
 // Reader goes down a document and heaps up what is wrong with it.
 type Reader struct {
-	d    *jx.Decoder
-	Heap *fault.Heap
-	dead bool
+	d     *jx.Decoder
+	Heap  *fault.Heap
+	Loose bool // fields that nobody asks for are let pass
+	dead  bool
 }
 
 // Field reads the value of one field.
@@ -76,6 +77,7 @@
 		}
 		f, ok := fields[key]
 		switch {
+		case !ok && r.Loose:
 		case !ok:
 			r.Heap.Add(fault.BadField, at, "no such field")
 		case seen[key]:
@@ -121,6 +123,9 @@
 	}
 }
 
+// Next tells what kind of value comes.
+func (r *Reader) Next() jx.Type { return r.d.Next() }
+
 // Num reads a whole number within bounds.
 func Num[T ~int | ~int64 | ~uint64](r *Reader, to *T, least, most int64) Field {
 	return func(path string) {
--- a/door/owner.go
+++ b/door/owner.go
@@ -39,6 +39,8 @@
 	shown  time.Time
 	Show   func() any // run by the owner, to publish
 	After  func()     // run by the owner after each step
+	Caller Caller     // carries calls to a worker
+	slots  chan struct{}
 	view   atomic.Pointer[json.RawMessage]
 	idle   atomic.Bool
 	full   atomic.Uint64
@@ -53,7 +55,8 @@
 }
 
 func NewOwner(post *Post, file *lore.File) *Owner {
-	o := &Owner{post: post, in: make(chan event, inbox), closed: make(chan struct{}), asks: map[uint64]chan word.Answer{}}
+	o := &Owner{post: post, in: make(chan event, inbox), closed: make(chan struct{}), asks: map[uint64]chan word.Answer{},
+		slots: make(chan struct{}, callsAtOnce)}
 	if file != nil {
 		o.disk = &Disk{file: file, in: make(chan batch, 1024), done: o.synced}
 	}
@@ -84,8 +87,12 @@
 // Ask gives the machine a request and waits for its answer.
 func (o *Owner) Ask(ctx context.Context, verb, arg string, body json.RawMessage) word.Answer {
 	back := make(chan word.Answer, 1)
+	ask := &word.Ask{Verb: verb, Arg: arg, Body: body}
+	if by, ok := ctx.Deadline(); ok {
+		ask.Limit = max(1, time.Until(by))
+	}
 	select {
-	case o.in <- event{word.Event{Ask: &word.Ask{Verb: verb, Arg: arg, Body: body}}, back}:
+	case o.in <- event{word.Event{Ask: ask}, back}:
 	default:
 		o.full.Add(1)
 		return word.Answer{Fault: fault.New(fault.Crowd, "", "more requests than this daemon can take in").After(2 * time.Second)}
@@ -96,7 +103,7 @@
 	case <-o.closed:
 		return word.Answer{Fault: fault.New(fault.Closing, "", "this daemon is stopping").After(time.Second)}
 	case <-ctx.Done():
-		return word.Answer{Fault: fault.New(fault.Unsure, "", "the caller went away")}
+		return word.Answer{Fault: fault.New(fault.Unsure, "", "no answer within the time there was")}
 	}
 }
 
@@ -143,6 +150,9 @@
 	for _, s := range out.Sends {
 		o.post.Send(s)
 	}
+	for _, c := range out.Calls {
+		o.call(c)
+	}
 	if out.Batch != nil {
 		o.disk.in <- batch{out.Batch, out.Seq, out.Whole}
 	}
--- a/truth/line.go
+++ b/truth/line.go
@@ -41,8 +41,11 @@
 		c.Sums.Queries++
 		c.query = h.send(word.WorkerCall{Kind: word.Hold})
 	}
+	if f := c.open[c.hold]; f != nil && h.now.Sub(f.at) > f.Wait+overdue {
+		c.hold = 0
+	}
 	if c.hold == 0 && c.query == 0 && h.now >= c.next && h.told {
-		wait := listens
+		wait := h.listen()
 		if len(c.ends) > 0 {
 			wait = 0
 		}
@@ -108,17 +111,19 @@
 	switch {
 	case r.Clock == 0:
 		c.Sums.Silent++
+		c.mute = c.mute || h.heard <= f.at
 		backs[f.Kind](h, f, r)
 	case !c.firm: // a beat's reading may be old, and a fence made of it no higher than an earlier ward's
 		c.firm, c.fence = true, max(c.fence, uint64(r.Clock)*fences)
 		h.hear(r.Clock)
-		h.heard = now
+		h.heard, c.mute = now, false
 	default:
 		h.hear(r.Clock)
-		h.heard = now
+		h.heard, c.mute = now, false
 		backs[f.Kind](h, f, r)
 	}
 	h.line()
+	h.pulse()
 }
 
 var backs = map[word.CallKind]func(*Hand, *flight, word.WorkerReply){
@@ -240,7 +245,10 @@
 	if x.Ref != l.ref {
 		l.ref, l.saved = x.Ref, h.now
 	}
-	l.sure, l.unsure, l.done = h.now, false, x.Percent
+	if x.Percent != l.done || l.read == 0 {
+		l.done, l.moved = x.Percent, h.now
+	}
+	l.sure, l.unsure, l.read = h.now, false, h.now
 }
 
 // miss judges what a reply does not list: it can't be running, if the reply was
