Work of a called worker outlives a restart of its ward

Cause: a ward that started anew could not sit in the place of the one before it until that was lost, for a called worker does not name its ward; and it stopped all it found running, since it had no grant yet. Each restart of a side machine cost 2.5 s of a worker's room and all that ran there. Ruled out: a ward that keeps its instance id (it has no disk); the worker's life as a name for the ward (two wards could have it). Change: another instance at a seat's own address replaces it once the present one has not beaten for two beats: one process stands at an address. Until its first grant a new ward leaves what it finds to the lease that runs; a hold that gave no lease does not hold up the first that can; and a lease counts as ended only when an earlier ward's has, too, which was longer than the new one's in the tests.

--- a/trial/attempt.go
+++ b/trial/attempt.go
@@ -116,7 +116,7 @@
 			w.end(a, word.Failed)
 		case a.did >= a.work && a.gang == nil:
 			w.end(a, word.Done)
-		case a.did >= a.work:
+		case a.did >= a.work && a.gang.works:
 			a.gang.finish()
 		case a.stops > 0 && until >= a.stops:
 			if a.step != nil && a.step.Keeps && a.did > a.kept {
--- a/truth/caller.go
+++ b/truth/caller.go
@@ -203,13 +203,10 @@
 }
 
 // expired is true when the worker's lease has surely ended, and with it all
-// that ran there. A ward that gave none yet waits for those of an earlier one.
+// that ran there. An earlier ward may have given a longer one.
 func (h *Hand) expired() bool {
 	c := h.caller
-	if c.until == 0 {
-		return h.now.Sub(h.boot) > h.pace.Loss
-	}
-	return c.reads(h.now) > c.until
+	return c.reads(h.now) > c.until && h.now.Sub(h.boot) > h.pace.Loss
 }
 
 // Lease is how the worker's lease stands, for the status page.
--- a/truth/caller_test.go
+++ b/truth/caller_test.go
@@ -194,13 +194,64 @@
 	r.give(leg("a", 1), long)
 	r.pass(300 * ms)
 	r.ward()
-	r.pass(100 * ms)
-	r.how = func(c word.WorkerCall) way { return lost } // the worker can't be reached any more
-	for range 30 {
+	r.grace = 600 * ms
+	r.hand.Beat(r.now, r.beat())
+	r.flow()
+	r.pass(900 * ms)
+	is.True(r.hand.Lease().Until > 0)
+	r.how = func(word.WorkerCall) way { return lost } // the worker can't be reached any more
+	r.pass(5 * time.Second)                           // the rig tells if the leg is given up while it runs
+	is.Equal(r.log[leg("a", 1)], store.Lapsed)
+}
+
+// What a worker runs runs on when its ward starts anew, and the new ward is given
+// work at once: one process stands at an address.
+func TestWorkOutlivesARestartOfTheWard(t *testing.T) {
+	is, r := is.New(t), ready(t, 14)
+	r.give(leg("a", 1), `{"ms":3500}`)
+	r.pass(300 * ms)
+	for range 2 {
+		r.ward()
 		r.pass(100 * ms)
-		_, f := r.part(leg("a", 1))
-		is.True(f != store.Lapsed || !r.runs[leg("a", 1)])
+		r.hand.Beat(r.now, r.beat())
+		r.flow()
+		r.pass(900 * ms)
+		is.Equal(r.hand.View().State, truth.Healthy)
 	}
+	r.give(leg("b", 1), short)
+	r.pass(3 * time.Second)
+	is.Equal(r.log[leg("a", 1)], store.OK)
+	is.Equal(r.log[leg("b", 1)], store.OK)
+	is.True(r.noted[leg("a", 1)])
+}
+
+// A beat of a ward that is over, and that the leader never knew, comes late: the
+// ward that beats keeps its seat.
+func TestABeatOfAFormerWardComesLate(t *testing.T) {
+	is, r := is.New(t), ready(t, 15)
+	r.ward()
+	r.pass(100 * ms)
+	r.cut = true // what it says is under way for long
+	r.hand.Beat(r.now, r.beat())
+	var late []word.Send
+	r.tap = func(s word.Send) {
+		if s.Note.Kind == word.Beat {
+			late = append(late, s)
+		}
+	}
+	r.pass(50 * ms)
+	r.tap, r.cut = nil, false
+	r.ward()
+	r.hand.Beat(r.now, r.beat())
+	r.pass(1500 * ms)
+	r.give(leg("a", 1), `{"ms":2000}`)
+	r.pass(500 * ms)
+	is.True(len(late) > 0)
+	for _, s := range late {
+		r.head.Take(r.now, r.grace, s.Note)
+	}
+	r.pass(3 * time.Second)
+	is.Equal(r.log[leg("a", 1)], store.OK)
 }
 
 // Another life at the worker's address: what ran has gone with the one before.
--- a/truth/hand.go
+++ b/truth/hand.go
@@ -153,7 +153,7 @@
 	default:
 		h.turn(Healthy)
 	}
-	if now >= h.until || h.state == MustDie {
+	if now >= h.until && !h.anew() || h.state == MustDie {
 		for _, l := range h.sorted() {
 			h.halt(l)
 		}
@@ -183,6 +183,13 @@
 	h.pulse()
 }
 
+// anew is true for a ward that starts anew beside a worker that is called, until
+// its first grant: what it finds there runs under a lease of the one before it,
+// and may run on under its own.
+func (h *Hand) anew() bool {
+	return h.caller != nil && h.until == never && h.now.Sub(h.boot) <= h.pace.Loss
+}
+
 // rise comes back as a new instance once nothing can be running any more.
 func (h *Hand) rise() {
 	for _, l := range h.legs {
--- a/truth/head.go
+++ b/truth/head.go
@@ -47,6 +47,7 @@
 	Goes  mark.Stamp // when its worker goes, if it said so
 	Been  bool
 	Good  mark.Stamp
+	heard mark.Stamp
 	stamp mark.Stamp
 	seq   mark.Seq
 	asked mark.Stamp
@@ -123,7 +124,7 @@
 	case s.ID != b.ID && h.past[b.ID]:
 		h.sends = append(h.sends, word.Make(h.me, from, word.Quit, Quit{Top{h.term, b.ID}}))
 		return
-	case s.ID != b.ID && (s.State == MustDie || b.Past == s.ID):
+	case s.ID != b.ID && (s.State == MustDie || b.Past == s.ID || h.follows(s, from)):
 		h.past[s.ID] = true
 		if s.State != MustDie {
 			h.dim(s)
@@ -132,6 +133,7 @@
 	case s.ID != b.ID:
 		return
 	}
+	s.heard = h.now
 	if s.State == MustDie {
 		h.say(s, word.Quit, Quit{h.top(s)})
 		return
@@ -165,6 +167,13 @@
 	h.answer(s, b.Sound)
 }
 
+// follows tells that another ward instance at a seat's own address has come after
+// it: one process stands at an address. While the present one beats, the other's
+// beat was only late.
+func (h *Head) follows(s *Seat, from mark.Addr) bool {
+	return s.Addr == from && h.now.Sub(s.heard) > 2*h.pace.Beat
+}
+
 // answer renews the ward's grant, but only for a beat that told of a sound
 // worker: the time to loss counts from the same beat.
 func (h *Head) answer(s *Seat, sound bool) {
--- a/truth/heed.go
+++ b/truth/heed.go
@@ -36,11 +36,8 @@
 		return
 	}
 	h.past = ""
-	if b.Until > h.until {
-		h.until = b.Until
-	}
 	if b.Until > b.Stamp {
-		h.good = max(h.good, b.Stamp)
+		h.until, h.good = max(h.until, b.Until), max(h.good, b.Stamp)
 	}
 	if h.state == New {
 		h.turn(Unhealthy)
--- a/truth/line.go
+++ b/truth/line.go
@@ -41,8 +41,8 @@
 		c.Sums.Queries++
 		c.query = h.send(word.WorkerCall{Kind: word.Hold})
 	}
-	if f := c.open[c.hold]; f != nil && h.now.Sub(f.at) > f.Wait+overdue {
-		c.hold = 0
+	if f := c.open[c.hold]; f != nil && (h.now.Sub(f.at) > f.Wait+overdue || f.Until == 0 && h.lease() > 0) {
+		c.hold = 0 // it is late, or gave no lease where there may be one now
 	}
 	if c.hold == 0 && c.query == 0 && h.now >= c.next && h.told {
 		wait := h.listen()
--- a/truth/rig_test.go
+++ b/truth/rig_test.go
@@ -56,12 +56,14 @@
 	lives  int
 	wards  int
 	seq    uint64
-	cut    bool // leader and ward hear nothing of each other
-	idle   bool // the worker's own beats stop
+	cut    bool          // leader and ward hear nothing of each other
+	grace  time.Duration // how long the leader may let others act on its word
+	idle   bool          // the worker's own beats stop
 	how    func(word.WorkerCall) way
 	lag    func() time.Duration // of a call that is late
 	spy    func(word.WorkerCall)
-	slow   time.Duration // of replies to holds
+	tap    func(word.Send) // hears what the ward says
+	slow   time.Duration   // of replies to holds
 	plan   []due
 	no     int
 
@@ -76,7 +78,7 @@
 }
 
 func newRig(t *testing.T, seed int64, pace truth.Pace) *rig {
-	r := &rig{t: t, rnd: rand.New(rand.NewSource(seed)), pace: pace, now: mark.Stamp(time.Hour),
+	r := &rig{t: t, rnd: rand.New(rand.NewSource(seed)), pace: pace, grace: pace.Grant, now: mark.Stamp(time.Hour),
 		floor: trial.NewFloor(trial.Manner{Lease: 6 * time.Second, Stop: 400 * ms, Gang: 3 * time.Second, Save: 2 * time.Second, Restore: 600 * ms, Far: 1.5}),
 		made:  trial.Make{Shard: "s", Rack: "r", Kinds: []mark.Kind{"x"}, Room: mark.Room{Cores: 8 * mark.Core}, Guards: true},
 		how:   func(word.WorkerCall) way { return fine }, lag: func() time.Duration { return 3 * time.Second },
@@ -91,7 +93,7 @@
 		}
 	})
 	r.every(20*ms, func() { r.hand.Tick(r.now, "h"); r.flow() })
-	r.every(20*ms, func() { r.head.Tick(r.now, r.pace.Grant); r.flow() })
+	r.every(20*ms, func() { r.head.Tick(r.now, r.grace); r.flow() })
 	r.every(1500*ms, func() {
 		if r.worker != nil && !r.idle {
 			r.hand.Beat(r.now, r.beat())
@@ -202,8 +204,11 @@
 			if u, ok := word.Read[truth.Status](s.Note); ok && s.Note.Kind == word.Status {
 				r.shows = append(r.shows, u.Ends...)
 			}
+			if r.tap != nil {
+				r.tap(s)
+			}
 			if !r.cut {
-				r.head.Take(r.now, r.pace.Grant, s.Note)
+				r.head.Take(r.now, r.grace, s.Note)
 			}
 		}
 		for _, s := range sends {
