A task that loses its workers again and again rests longer each time, again

Two causes: since rows say how long a task rests, the rest after a loss was cut to the ten seconds of a failure; and a loss that was in doubt first let its task go at once when it turned out to be a loss. Change: losses rest up to five minutes where the row says nothing, in doubt or not.

--- a/store/job.go
+++ b/store/job.go
@@ -230,6 +230,9 @@
 		t.Limbo = slices.Delete(t.Limbo, late, late+1)
 		if t.Leg == leg {
 			t.Doubt, t.Ready = "", now
+			if f == Gone {
+				t.Ready = now.Add(rest(p, t, row))
+			}
 		}
 		if f == Bad {
 			j.fail(at, t, leg, row, now)
@@ -297,11 +300,7 @@
 // each time, and fails its job only where the queue's row sets a bound.
 func (j *Job) lose(at mark.Stage, t *Task, row blueprint.Row, now mark.Tick, wait time.Duration) {
 	t.Lost++
-	n := t.Lost
-	if j.Spec.Steps[at.Step()].Lasts {
-		n = 1
-	}
-	t.Ready = now.Add(max(wait, row.Pause(n)))
+	t.Ready = now.Add(max(wait, rest(&j.Spec.Steps[at.Step()], t, row)))
 	j.judge(t, row)
 }
 
--- a/store/kinds_test.go
+++ b/store/kinds_test.go
@@ -216,3 +216,25 @@
 	s.must(4*sec, Fact{Gone: "k"})
 	is.Equal(len(s.Doubts("k")), 0)
 }
+
+// A task that loses its worker each time rests longer each time, also where the
+// loss is first in doubt.
+func TestLossesRestLongerEachTime(t *testing.T) {
+	is := is.New(t)
+	s := town(t)
+	j := put(t, s, `{"queue":"q","steps":[{"name":"a","kind":"x"}]}`)
+	at, rests := 2*sec, []time.Duration{}
+	for n := 1; n <= 12; n++ {
+		is.Equal(len(s.must(at, Fact{Legs: give(0)})), 1)
+		if n%2 == 0 {
+			s.must(at, end(0, n, Lost))
+		}
+		s.must(at, end(0, n, Gone))
+		rests = append(rests, j.Tasks[0].Ready.Sub(at))
+		at = j.Tasks[0].Ready
+	}
+	is.Equal(rests[0], 200*ms)
+	is.Equal(rests[1], 400*ms)
+	is.Equal(rests[7], 25600*ms)
+	is.Equal(rests[11], 5*time.Minute)
+}
--- a/store/task.go
+++ b/store/task.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"coppercourse/blueprint"
 	"coppercourse/mark"
@@ -88,6 +89,19 @@
 	t.Copy = nil
 }
 
+// rest is how long a task waits after a loss, longer each time and up to five
+// minutes, for it may be what takes its workers down; unless its queue's row says
+// how it rests.
+func rest(p *Step, t *Task, row blueprint.Row) time.Duration {
+	switch {
+	case p.Lasts:
+		return row.Pause(1)
+	case row.Rest > 0:
+		return row.Pause(t.Lost)
+	}
+	return min(5*time.Minute, 100*ms<<min(t.Lost, 12))
+}
+
 // spent tells whether a task may be given out no more.
 func (t *Task) spent(row blueprint.Row) bool {
 	return t.Fails >= row.Tries || row.Losses > 0 && t.Lost >= row.Losses
