A new ward has told all only once it has heard all ends; gangs turned away

Cause: a worker lists 500 ends at once. A ward that started anew beside one that had more told the leader that what was not listed never ran; such tasks ran again although they had ended well. Ruled out: asking for the rest before settling (they come only as those before them are settled). Change: the account is whole once a list has been shorter. A test of gangs of which a member is turned away as sick or for want of room, or gets no answer. Conclusion: mended; the number needs a fleet larger than today's.

--- a/trial/called_test.go
+++ b/trial/called_test.go
@@ -3,12 +3,14 @@
 package trial
 
 import (
+	"math/rand"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"coppercourse/mark"
 	"coppercourse/store"
 	"coppercourse/ward"
 	"coppercourse/word"
@@ -138,3 +140,58 @@
 		})
 	}
 }
+
+// A gang of which one member is turned away, or gets no answer, does not wait in
+// vain: the others are stopped long before, and it goes again as one.
+func TestAGangWithAMemberTurnedAwayNeverWaitsInVain(t *testing.T) {
+	if testing.Short() {
+		t.Skip("run without the race detector")
+	}
+	for name, how := range map[string]func(*Run){
+		"sick": func(r *Run) { r.yard[2].w.Sick = true },
+		"too small": func(r *Run) {
+			onBeat(func(b *word.WorkerBeat) {
+				if b.To == r.yard[4].node.addr {
+					b.Room = b.Room.Times(3)
+				}
+			})(r)
+		},
+		"no answers": func(r *Run) {
+			for _, k := range r.yard {
+				k.lates = 0.1
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r := Build(calm(40, "kingston-called", false))
+			r.Crew.town.Streams = slices.Clone(r.Crew.town.Streams[:1])
+			x := shape{queue: "quotes", steps: 1, width: 6, ms: 900, cores: 3, memory: 900, gangs: 1}
+			r.Crew.town.Streams[0].Every = 120 * time.Millisecond
+			r.Crew.town.Streams[0].Spec = func(rnd *rand.Rand, now int64) store.Spec { return x.spec(rnd, now, 16) }
+			r.at(5*time.Second, func() { how(r) })
+			r.Go()
+			waits, again, longest := map[mark.Leg]int64{}, 0, int64(0)
+			for _, h := range r.Hist.List {
+				switch h.What {
+				case Started:
+					waits[h.Leg] = h.At
+				case Working:
+					delete(waits, h.Leg)
+				case Ended:
+					is.True(h.How != word.Lonely)
+					if at, ok := waits[h.Leg]; ok {
+						again++
+						longest = max(longest, h.At-at)
+					}
+				}
+			}
+			t.Logf("%d members were stopped before their gang was whole, after %.3f s at most; %s", again, float64(longest)/1e9, Summary(&r.Hist))
+			is.True(again > 0)
+			for _, b := range r.Verdict().Breaks {
+				t.Error(b)
+			}
+		})
+	}
+}
--- a/truth/caller_test.go
+++ b/truth/caller_test.go
@@ -359,3 +359,23 @@
 	is.True(r.noted[leg("b", 1)])
 	is.Equal(len(r.hand.View().Legs), 0)
 }
+
+// A worker lists so many ends at once; until a new ward has heard them all it does
+// not say that what it has not heard of never ran.
+func TestMoreEndsThanOneAnswerLists(t *testing.T) {
+	is, r := is.New(t), ready(t, 16)
+	const n = 620
+	for i := range n {
+		l := mark.Leg{Task: mark.Task{Job: "a", N: i}, Leg: 1}
+		r.out[l] = true
+		r.worker.Do(word.WorkerCall{Kind: word.Start, Life: r.worker.ID, Leg: l, Work: []byte(`{"ms":5}`), Until: r.worker.Clock() + 3000,
+			Fence: r.hand.Lease().Fence}, func(word.WorkerReply) {})
+	}
+	r.ward()
+	r.lead()
+	r.pass(6 * time.Second)
+	is.Equal(len(r.log), n)
+	for _, f := range r.log {
+		is.Equal(f, store.OK)
+	}
+}
--- a/truth/line.go
+++ b/truth/line.go
@@ -192,7 +192,7 @@
 		}
 	}
 	h.forget(f.Seen)
-	h.told = true
+	h.told = h.told || len(r.Ends) < lists
 	if len(c.ends) > 0 {
 		c.next = h.now.Add(settles)
 	}
