--- a/cmd/trial/sweep.go
+++ b/cmd/trial/sweep.go
@@ -43,6 +43,7 @@
 		EnumVar(&s.plan.Town, "kingston", "romania", "kingston-called", "romania-called")
 	c.Flag("faults", "Faults to draw from, by comma; all that the town knows by default. A wrong name prints the list.").StringVar(&s.faults)
 	c.Flag("bare", "Called workers guard nothing.").BoolVar(&s.plan.Bare)
+	c.Flag("quick", "The quick pace, as where the surroundings give bounds.").BoolVar(&s.plan.Quick)
 	c.Flag("lease", "How long a ward's grant lasts, in place of the usual; loss comes a quarter later.").DurationVar(&s.lease)
 	c.Flag("count", "Faults in a run.").Default("8").IntVar(&s.plan.Count)
 	c.Flag("calm", "Traffic before the faults.").Default("10s").DurationVar(&s.plan.Calm)
--- a/trial/storm.go
+++ b/trial/storm.go
@@ -10,6 +10,7 @@
 
 	"coppercourse/fault"
 	"coppercourse/mark"
+	"coppercourse/place"
 	"coppercourse/truth"
 )
 
@@ -27,6 +28,7 @@
 	Last     bool          // one more fault at the very end of the traffic
 	Bare     bool          // called workers guard nothing
 	Pace     truth.Pace    // of wards and helms; the defaults if not set
+	Quick    bool          // the pace is the quick one, of elections too
 }
 
 // Run is a world with a town in it.
@@ -52,6 +54,9 @@
 	if town.Manner != nil {
 		r.floor = NewFloor(*town.Manner)
 	}
+	if p.Quick {
+		r.pace, r.core = place.Quick.Truth(), place.Quick.Core()
+	}
 	if p.Pace != (truth.Pace{}) {
 		r.pace = p.Pace
 	}
--- a/trial/world.go
+++ b/trial/world.go
@@ -63,6 +63,7 @@
 	lines map[mark.Addr]*callee // by where they are called
 	floor *Floor
 	pace  truth.Pace
+	core  accord.Pace
 	Hist  History
 	seeds []mark.Addr
 	// Planted bugs: what is sent, asked and answered may be changed on its way,
@@ -77,7 +78,7 @@
 
 func NewWorld(seed int64) *World {
 	return &World{rnd: rand.New(rand.NewSource(seed)), cut: map[pair]bool{}, lag: map[pair]time.Duration{}, nodes: map[mark.Addr]*node{},
-		lines: map[mark.Addr]*callee{}, pace: truth.Defaults}
+		lines: map[mark.Addr]*callee{}, pace: truth.Defaults, core: accord.Defaults}
 }
 
 // Run lets the world go on until a time.
@@ -270,7 +271,7 @@
 			recs, keep = nil, 0
 		}
 		n.disk.safe = n.disk.safe[:keep]
-		core := accord.Defaults
+		core := w.core
 		core.Hold = w.pace.Grant
 		return helm.New(n.clock(), w.chance(), helm.Place{Addr: addr, Loc: loc, Seeds: w.seeds, Core: core, Truth: w.pace, Every: 600}, recs)
 	})
