--- a/trial/storm.go
+++ b/trial/storm.go
@@ -10,6 +10,7 @@
 
 	"coppercourse/fault"
 	"coppercourse/mark"
+	"coppercourse/place"
 	"coppercourse/truth"
 )
 
@@ -27,6 +28,7 @@
 	Last     bool          // one more fault at the very end of the traffic
 	Bare     bool          // called workers guard nothing
 	Pace     truth.Pace    // of wards and helms; the defaults if not set
+	Quick    bool          // the pace is the quick one, of elections too
 }
 
 // Run is a world with a town in it.
@@ -41,6 +43,7 @@
 	spare  int
 	drains map[string]bool // racks that an operator drains
 	done   int64
+	hits   []mark.Addr // whom the trouble at hand touches; nil: everybody
 	Notes  []string
 	until  time.Time // of real time, for runs that measure; they give up then
 }
@@ -52,6 +55,9 @@
 	if town.Manner != nil {
 		r.floor = NewFloor(*town.Manner)
 	}
+	if p.Quick {
+		r.pace, r.core = place.Quick.Truth(), place.Quick.Core()
+	}
 	if p.Pace != (truth.Pace{}) {
 		r.pace = p.Pace
 	}
@@ -195,14 +201,18 @@
 // cause begins a fault and ends it after a while.
 func (r *Run) cause(name string, long time.Duration) {
 	f := Faults[name]
+	if c := CalledFaults[name]; c != nil && r.floor != nil {
+		f = c
+	}
 	if f == nil {
 		panic("no such fault: " + name)
 	}
+	r.hits = nil
 	end := f(r, long)
 	if end == nil {
 		return
 	}
-	r.tell(Happening{What: Trouble, Text: fmt.Sprintf("%s for %s", name, long)})
+	r.tell(Happening{What: Trouble, Text: fmt.Sprintf("%s for %s", name, long), Hits: r.hits})
 	r.at(long, end)
 }
 
