Patient work leaves room for what goes first

Ruled out: displacing (core-seconds thrown away are priced; most keep nothing). Change: queues whose jobs have most of their aim left take no more than what is left beside the peaks, of the last ten seconds or so, of the queues before them, but some always. Room is reserved only for what is in aim.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -59,6 +59,7 @@
 	Since   time.Duration // how long it has been ready
 
 	Class   Class     // whether its job can still meet its aim
+	Patient bool      // it has much time left
 	Turn    float64   // of what is in the same class, the lowest goes first
 	Near    mark.Rack // where its data is
 	OneRack bool      // it is slower when spread over racks
@@ -108,6 +109,7 @@
 	Row     blueprint.Row
 	Running int
 	Cores   mark.Cores
+	Cap     mark.Cores // what its patient work may take at most, or 0 for no bound
 }
 
 // Pick is one placement.
@@ -155,7 +157,7 @@
 		}
 		w := &t.wants[0]
 		n := w.Need()
-		room := t.due.Running+n <= t.due.Row.Running
+		room := t.due.Running+n <= t.due.Row.Running && !t.due.capped(w, n)
 		var got []int
 		if k := w.shape(); room && (!r.dead[k] || w.Gang) {
 			got = r.fit(*w, n)
@@ -164,7 +166,7 @@
 			}
 		}
 		if got == nil {
-			if room && r.missed == nil && r.out.Kept == nil && w.Since >= Endure {
+			if room && r.missed == nil && r.out.Kept == nil && w.Since >= Endure && w.Class == InAim {
 				r.missed = w
 			}
 			t.wants = t.wants[1:]
@@ -184,6 +186,12 @@
 	return r.out
 }
 
+// capped tells whether patient work would take more than is left for it beside the
+// peaks of what goes before it. A little of it always may run.
+func (d *Due) capped(w *Want, n int) bool {
+	return w.Patient && d.Cap > 0 && d.Cores > 0 && d.Cores+mark.Cores(n)*w.Room.Cores > d.Cap
+}
+
 func (r *round) take(w *Want, d *Due, got []int) {
 	for i, at := range got {
 		s := &r.Slots[at]
