An idle connection is kept somewhat longer than its bound

Jobs are asked for 14 s after the traffic; connections not used since are closed at 15 s. A caller whose request was on its way just then (3 ms) got no answer. Change: the bound and 5 s more, twice the bound at most.

--- a/door/serve.go
+++ b/door/serve.go
@@ -128,15 +128,21 @@
 	return other
 }
 
+// reuse is how much longer than its bound an idle connection is kept: a caller
+// that uses it again just within the bound must not meet its end.
+const reuse = 5 * time.Second
+
 // turn makes a server within the bounds of now.
 func (s *server) turn(l blueprint.Limits) {
 	if s.web != nil {
 		s.olds = append(s.olds, s.web)
 	}
+	idle := or(time.Duration(l.IdleMS)*time.Millisecond, time.Minute)
+	idle += min(idle, reuse)
 	head := or(time.Duration(l.HeaderMS)*time.Millisecond, 5*time.Second)
 	s.now, s.in = l, &feed{in: make(chan net.Conn), done: make(chan struct{}), addr: s.ln.Addr()}
 	s.web = &http.Server{Handler: s.h, ReadHeaderTimeout: head, ReadTimeout: head + 10*time.Second,
-		IdleTimeout: or(time.Duration(l.IdleMS)*time.Millisecond, time.Minute), MaxHeaderBytes: or(l.Header, 16<<10)}
+		IdleTimeout: idle, MaxHeaderBytes: or(l.Header, 16<<10)}
 	go s.web.Serve(s.in)
 }
 
