A gate that lost the leader is confirmed again at once, not never

Cause: a reader whose table is not confirmed asks every 100 ms, and each question put off the answer to the one before: the desk holds back no news for 400 ms from the last question. A gate that had been out of touch for longer than its confirmation lasts, and had the very table in force, was never ready again until the table changed. Ruled out: the log (every helm had the edition), the roster (the gates knew the leader), the elections (done in half a second). Change: who is not confirmed asks for no hold; at the desk a question that is repeated keeps the time of the first.

--- a/news/news.go
+++ b/news/news.go
@@ -19,6 +19,7 @@
 	hold  = 400 * time.Millisecond
 	again = 700 * time.Millisecond
 	eager = 100 * time.Millisecond // while what it has is not confirmed
+	soon  = time.Millisecond       // then no news is news too, and told at once
 	most  = 500
 )
 
@@ -59,9 +60,15 @@
 func NewDesk(me mark.Addr) *Desk { return &Desk{me, map[mark.Addr]wait{}} }
 
 func (d *Desk) Take(now mark.Stamp, n word.Note) {
-	if a, ok := word.Read[ask](n); ok && len(d.waits) < most {
-		d.waits[n.From] = wait{a, now.Add(a.hold())}
+	a, ok := word.Read[ask](n)
+	if !ok || len(d.waits) >= most {
+		return
 	}
+	by := now.Add(a.hold())
+	if w, ok := d.waits[n.From]; ok { // who asks again does not wait longer for it
+		by = min(by, w.by)
+	}
+	d.waits[n.From] = wait{a, by}
 }
 
 // Tell answers those for whom there is news, or whose hold is over.
@@ -106,15 +113,15 @@
 
 // Tick asks the leader again, at once after an answer.
 func (r *Reader) Tick(now mark.Stamp, lead mark.Addr) (sends []word.Send) {
-	wait := again
+	wait, held := again, r.part(hold)
 	if !r.Fresh(now) {
-		wait = eager
+		wait, held = eager, soon
 	}
 	if lead == "" || r.open && now.Sub(r.asked) < r.part(wait) {
 		return nil
 	}
 	r.open, r.asked = true, now
-	return []word.Send{word.Make(r.me, lead, word.News, ask{r.Table.Edition, r.any, r.part(hold).Milliseconds(), now})}
+	return []word.Send{word.Make(r.me, lead, word.News, ask{r.Table.Edition, r.any, held.Milliseconds(), now})}
 }
 
 // Take handles an answer; true when the table changed. What it confirms counts
