A worker that turns starts away for want of room is believed

Cause: the ward took "no room" for an order that never ran and told nobody why. Change: a ward whose worker turns a start away for want of room reports how much it lacks, at once, so that nothing is free beyond what runs there, for 1 s, twice as long each time it happens again soon, up to 16 s. A start taken meanwhile raises what is believed; it does not end the wait, since a small task that just fits says nothing of the next. The leader's free room, and the ward's own refusal of orders, count that; shapes in the log, and what jobs could ever fit, do not.

--- a/helm/plan.go
+++ b/helm/plan.go
@@ -140,7 +140,7 @@
 		total += s.Room.Cores
 		if till, _, _ := h.till(s); !s.Leaving && s.Sound {
 			at[s.Shard] = len(list)
-			list = append(list, choice.Slot{Shard: s.Shard, Rack: s.Rack, Kinds: s.Kinds, Labels: s.Labels, Free: s.Room, Size: s.Room, Till: till,
+			list = append(list, choice.Slot{Shard: s.Shard, Rack: s.Rack, Kinds: s.Kinds, Labels: s.Labels, Free: s.Room.Minus(s.Lacks), Size: s.Room, Till: till,
 				Bad: s.Worth.Bad, Slow: s.Worth.Slow, Now: h.head.Slow(s), Has: map[choice.Part]int{}})
 		}
 	}
--- a/truth/caller.go
+++ b/truth/caller.go
@@ -25,6 +25,9 @@
 	lists   = 500                    // ends that one reply holds at most
 	fences  = 1024                   // fences for each millisecond of the worker's clock
 	lives   = 64
+
+	leastBackoff = time.Second // how long a worker that turned a start away for want of room is believed
+	mostBackoff  = 16 * time.Second
 )
 
 // flight is a call that has no reply yet.
@@ -64,6 +67,10 @@
 	ends  map[uint64]*ending
 	calls []word.WorkerCall
 	Sums  CallSums
+
+	proven  mark.Room     // what ran there when it last turned a start away for want of room, or since
+	tight   mark.Stamp    // until then it is believed to hold no more than that,
+	backoff time.Duration // for so long after each such refusal
 }
 
 // CallSums are counters since start.
@@ -119,7 +126,7 @@
 		h.beat = never
 	}
 	h.rep = Report{Rack: b.Rack, Kinds: b.Kinds, Room: b.Room, Labels: b.Labels, Leaving: b.Leaving, LeaveMS: b.LeaveMS,
-		Sound: h.rep.Sound, Invoked: true}
+		Lacks: h.rep.Lacks, Sound: h.rep.Sound, Invoked: true}
 	h.goes = h.now.Add(time.Duration(b.LeaveMS) * time.Millisecond)
 }
 
@@ -128,6 +135,7 @@
 	c := h.caller
 	c.life, c.to, c.seq, c.heir = b.Life, b.To, b.Seq, nil
 	c.clock, c.got, c.until, c.read, c.seen, c.sick, c.mute = b.Clock, h.now, 0, 0, 0, never, false
+	c.tight, c.backoff = never, 0
 	c.fence, c.firm = uint64(max(b.Clock, 0))*fences, false
 	c.hold, c.query, c.next = 0, 0, never
 	clear(c.ends)
@@ -176,6 +184,38 @@
 	return h.now < c.sick || c.life == "" || c.mute || h.now.Sub(h.heard) > h.listen()+answers+h.pace.Ill
 }
 
+// full takes it that the worker turned a start away for want of room: for a while it
+// holds no more than what runs there now, for twice as long if it does so again soon.
+func (h *Hand) full() {
+	c := h.caller
+	switch since := h.now.Sub(c.tight); {
+	case since >= c.backoff:
+		c.backoff = leastBackoff
+	case since >= 0:
+		c.backoff = min(2*c.backoff, mostBackoff)
+	}
+	c.proven, c.tight = h.used(), h.now.Add(c.backoff)
+}
+
+// used is the room that what runs there takes.
+func (h *Hand) used() (r mark.Room) {
+	for _, l := range h.legs {
+		if l.part == going || l.part == halting {
+			r = r.Plus(l.job.Room)
+		}
+	}
+	return
+}
+
+// lacks is how much less room the worker is believed to have than it tells.
+func (h *Hand) lacks() (r mark.Room) {
+	if c := h.caller; c != nil && h.now < c.tight {
+		r = h.rep.Room.Minus(c.proven)
+		r = mark.Room{Cores: max(0, r.Cores), Memory: max(0, r.Memory), Accel: max(0, r.Accel)}
+	}
+	return
+}
+
 // hear takes a reading of the worker's clock, if it says more than is known.
 func (h *Hand) hear(clock int64) {
 	if c := h.caller; clock > c.reads(h.now) {
--- a/truth/hand.go
+++ b/truth/hand.go
@@ -223,6 +223,9 @@
 	if h.lead == "" {
 		return
 	}
+	if l := h.lacks(); l != h.rep.Lacks {
+		h.rep.Lacks, h.beat = l, never
+	}
 	if h.now.Sub(h.beat) >= h.pace.Beat && h.ready() {
 		h.beat = h.now
 		if h.rep.LeaveMS > 0 {
--- a/truth/heed.go
+++ b/truth/heed.go
@@ -80,7 +80,7 @@
 
 // refuse gives the reason why an order may not be taken, or nothing.
 func (h *Hand) refuse(o Order) string {
-	free := h.rep.Room
+	free := h.rep.Room.Minus(h.lacks())
 	twin := false
 	for _, l := range h.legs {
 		if l.part != ended {
--- a/truth/line.go
+++ b/truth/line.go
@@ -144,9 +144,15 @@
 			l.part, l.from = going, h.now
 		}
 		l.sure = h.now
+		if c := h.caller; h.now < c.tight && !c.proven.Holds(h.used()) {
+			c.proven = h.used()
+		}
 	case word.Silent:
 		l.unsure = true
 	default:
+		if r.Result == word.Full {
+			h.full()
+		}
 		if r.Result == word.Sick || r.Result == word.Closed {
 			h.caller.sick, h.beat = h.now.Add(h.pace.Ill), never
 		}
--- a/truth/say.go
+++ b/truth/say.go
@@ -41,7 +41,8 @@
 type Report struct {
 	Rack    mark.Rack   `json:"rack"`
 	Kinds   []mark.Kind `json:"kinds"`
-	Room    mark.Room   `json:"room"`
+	Room    mark.Room   `json:"room"`           // as the worker tells it
+	Lacks   mark.Room   `json:"lacks,omitzero"` // how much less its ward believes it to have
 	Leaving bool        `json:"leaving"`
 	LeaveMS int64       `json:"leave_in_ms,omitempty"` // how long until it goes; 0 is not told
 	Sound   bool        `json:"sound"`
--- a/truth/watch.go
+++ b/truth/watch.go
@@ -187,8 +187,9 @@
 // On lists those of one shard.
 func (h *Head) On(shard mark.Shard) []*Hold { return h.holds.of(shard) }
 
-// Free is a seat's room less all that possibly runs on it.
-func (h *Head) Free(s *Seat) mark.Room { return s.Room.Minus(h.holds.used(s.Shard)) }
+// Free is a seat's room less what its ward believes it to lack and all that possibly
+// runs on it.
+func (h *Head) Free(s *Seat) mark.Room { return s.Room.Minus(s.Lacks).Minus(h.holds.used(s.Shard)) }
 
 var heads = map[string]func(*Head, word.Note){
 	word.Beat:    word.On((*Head).onBeat),
