The planted bug of others' saved progress has work that is resumed

Cause: the bug shows only where an attempt goes on from what was saved. Ruled out: that saved progress is lost.

--- a/trial/called_planted_test.go
+++ b/trial/called_planted_test.go
@@ -109,11 +109,14 @@
 		onStart(10, func(c *word.WorkerCall) { c.To = "nowhere" })(r)
 	}},
 	{"other work is started", nil, []string{"unasked"}, false, onStart(20, func(c *word.WorkerCall) { c.Work = []byte(`{"ms":7}`) })},
-	{"work goes on from what another saved", nil, []string{"unasked"}, false, onStart(1, func(c *word.WorkerCall) {
-		if c.Ref != "" {
-			c.Ref = "0123456789abcdef"
-		}
-	})},
+	{"work goes on from what another saved", []string{"drain-worker", "notice-worker", "drain-rack"}, []string{"unasked"}, false, func(r *Run) {
+		r.Crew.town.Streams[1].Every /= 4 // more of the long jobs, of which some save their progress
+		onStart(1, func(c *word.WorkerCall) {
+			if c.Ref != "" {
+				c.Ref = "0123456789abcdef"
+			}
+		})(r)
+	}},
 	{"what nobody sent is started", nil, []string{"unasked"}, false, onStart(50, func(c *word.WorkerCall) { c.Leg.Job = "ghost" })},
 	{"cancels are answered and not taken", nil, []string{"cancel-start", "cancel-run"}, false, func(r *Run) {
 		for i := range r.Crew.town.Streams {
