A test that the leader, too, believes a worker without the room it tells

Cause: the gang test stays green if only the ward believes its worker and the leader goes by the room told: the ward then refuses the orders. The gang test runs what it ran.

--- a/trial/called_test.go
+++ b/trial/called_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"coppercourse/helm"
 	"coppercourse/mark"
 	"coppercourse/store"
 	"coppercourse/ward"
@@ -141,6 +142,56 @@
 	}
 }
 
+// ofGangs is a town of nothing but gangs, in which something goes wrong from 5 s on.
+func ofGangs(seed int64, how func(*Run)) *Run {
+	r := Build(calm(seed, "kingston-called", false))
+	r.Crew.town.Streams = slices.Clone(r.Crew.town.Streams[:1])
+	x := shape{queue: "quotes", steps: 1, width: 6, ms: 900, cores: 3, memory: 900, gangs: 1}
+	r.Crew.town.Streams[0].Every = 120 * time.Millisecond
+	r.Crew.town.Streams[0].Spec = func(rnd *rand.Rand, now int64) store.Spec { return x.spec(rnd, now, 16) }
+	r.at(5*time.Second, func() { how(r) })
+	return r
+}
+
+// boasts has one worker tell three times the room that it has.
+func boasts(r *Run) {
+	onBeat(func(b *word.WorkerBeat) {
+		if b.To == r.yard[4].node.addr {
+			b.Room = b.Room.Times(3)
+		}
+	})(r)
+}
+
+// A worker that turns starts away for want of room is believed by its ward and by
+// the leader: few orders are lost to it.
+func TestAWorkerThatBoastsCostsFewOrders(t *testing.T) {
+	if testing.Short() {
+		t.Skip("run without the race detector")
+	}
+	for seed := int64(40); seed < 44; seed++ {
+		is := is.New(t)
+		r := ofGangs(seed, boasts).Go()
+		full, started, orders := 0, 0, uint64(0)
+		for _, h := range r.Hist.List {
+			switch h.What {
+			case Spared:
+				full++
+			case Started:
+				started++
+			}
+		}
+		for _, n := range r.helms {
+			orders += n.m.(*helm.Helm).Sums.Orders
+		}
+		t.Logf("%d: %d orders, %d starts, %d turned away; %s", seed, orders, started, full, Summary(&r.Hist))
+		is.True(full > 0)
+		is.True(int(orders)-started < 50)
+		for _, b := range r.Verdict().Breaks {
+			t.Error(seed, b)
+		}
+	}
+}
+
 // A gang of which one member is turned away, or gets no answer, does not wait in
 // vain: the others are stopped long before, and it goes again as one.
 func TestAGangWithAMemberTurnedAwayNeverWaitsInVain(t *testing.T) {
@@ -148,14 +199,8 @@
 		t.Skip("run without the race detector")
 	}
 	for name, how := range map[string]func(*Run){
-		"sick": func(r *Run) { r.yard[2].w.Sick = true },
-		"too small": func(r *Run) {
-			onBeat(func(b *word.WorkerBeat) {
-				if b.To == r.yard[4].node.addr {
-					b.Room = b.Room.Times(3)
-				}
-			})(r)
-		},
+		"sick":      func(r *Run) { r.yard[2].w.Sick = true },
+		"too small": boasts,
 		"no answers": func(r *Run) {
 			for _, k := range r.yard {
 				k.lates = 0.1
@@ -165,13 +210,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			r := Build(calm(40, "kingston-called", false))
-			r.Crew.town.Streams = slices.Clone(r.Crew.town.Streams[:1])
-			x := shape{queue: "quotes", steps: 1, width: 6, ms: 900, cores: 3, memory: 900, gangs: 1}
-			r.Crew.town.Streams[0].Every = 120 * time.Millisecond
-			r.Crew.town.Streams[0].Spec = func(rnd *rand.Rand, now int64) store.Spec { return x.spec(rnd, now, 16) }
-			r.at(5*time.Second, func() { how(r) })
-			r.Go()
+			r := ofGangs(40, how).Go()
 			waits, again, longest := map[mark.Leg]int64{}, 0, int64(0)
 			for _, h := range r.Hist.List {
 				switch h.What {
