Work of queues with aims goes by what it gains a core-second

The cap on patient work also counted the cores of later queues against earlier ones, so that 0.7 s tasks were held back by 6 s tasks that ran. Ruled out: elections and waits after them (0.15 to 0.8 s), health (few legs taken back), placing (95 of 100 cores in use). Change: among queues with aims the turn is what a job gains, for the work left of it, the less the more time it has (apparent tardiness cost); only tasks that outlast the aims of the queues before them leave room, at most 85 percent of all while patient, 60 otherwise. Queues without aims go by priority, share and weight as before; those with aims stand at the place of the first of them.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -58,11 +58,12 @@
 	Long    time.Duration // its time limit
 	Since   time.Duration // how long it has been ready
 
-	Class   Class     // whether its job can still meet its aim
-	Patient bool      // it has much time left
-	Turn    float64   // of what is in the same class, the lowest goes first
-	Near    mark.Rack // where its data is
-	OneRack bool      // it is slower when spread over racks
+	Class   Class      // whether its job can still meet its aim
+	Spare   int        // percent of all cores that it leaves at most to what goes before it
+	Cap     mark.Cores // what its queue may have in use with it, or 0 for no bound
+	Turn    float64    // of what is in the same class, the lowest goes first
+	Near    mark.Rack  // where its data is
+	OneRack bool       // it is slower when spread over racks
 	Shun    map[mark.Shard]bool
 }
 
@@ -109,7 +110,6 @@
 	Row     blueprint.Row
 	Running int
 	Cores   mark.Cores
-	Cap     mark.Cores // what its patient work may take at most, or 0 for no bound
 }
 
 // Pick is one placement.
@@ -189,7 +189,7 @@
 // capped tells whether patient work would take more than is left for it beside the
 // peaks of what goes before it. A little of it always may run.
 func (d *Due) capped(w *Want, n int) bool {
-	return w.Patient && d.Cap > 0 && d.Cores > 0 && d.Cores+mark.Cores(n)*w.Room.Cores > d.Cap
+	return w.Cap > 0 && d.Cores > 0 && d.Cores+mark.Cores(n)*w.Room.Cores > w.Cap
 }
 
 func (r *round) take(w *Want, d *Due, got []int) {
@@ -306,89 +306,3 @@
 	room mark.Room
 	long time.Duration
 }
-
-func line(wants []Want, dues map[mark.Queue]*Due) (turns []*turn) {
-	by := map[mark.Queue]*turn{}
-	for _, w := range wants {
-		if len(w.Tasks) == 0 {
-			continue
-		}
-		t := by[w.Queue]
-		if t == nil {
-			d := dues[w.Queue]
-			if d == nil {
-				continue
-			}
-			t = &turn{due: d}
-			by[w.Queue], turns = t, append(turns, t)
-		}
-		t.wants = append(t.wants, w)
-	}
-	for _, t := range turns {
-		sort.SliceStable(t.wants, func(i, k int) bool {
-			a, b := &t.wants[i], &t.wants[k]
-			return a.Urgency > b.Urgency || a.Urgency == b.Urgency && t.due.Row.Aims() && sooner(a, b)
-		})
-	}
-	return
-}
-
-// Class is what a job can still be worth.
-type Class int
-
-const (
-	InAim Class = iota // it can be done within its aim
-	Late               // within three times that
-	Spent              // it can't
-)
-
-// behind is how far a class puts work behind that of other queues that is in aim.
-var behind = map[Class]int{InAim: 0, Late: 2, Spent: 6}
-
-func (w *Want) rank(d *Due) int { return d.Row.Priority + behind[w.Class] }
-
-// sooner puts what can still meet its aim before what can't.
-func sooner(a, b *Want) bool {
-	if a.Class != b.Class {
-		return a.Class < b.Class
-	}
-	return a.Turn < b.Turn
-}
-
-// next is the queue whose turn it is: by priority; then those below their share,
-// the one furthest below before the others; then by cores in use for each weight,
-// or, of queues whose jobs have aims, the one whose work is soonest.
-func next(turns []*turn, total mark.Cores) (best *turn) {
-	rank := func(t *turn) (bool, float64) {
-		part := 100 * float64(t.due.Cores) / float64(max(total, 1))
-		if s := float64(t.due.Row.Share); part < s {
-			return true, part / s
-		}
-		return false, float64(t.due.Cores) / float64(t.due.Row.Weight)
-	}
-	for _, t := range turns {
-		if len(t.wants) == 0 {
-			continue
-		}
-		if best == nil {
-			best = t
-			continue
-		}
-		if p, q := t.wants[0].rank(t.due), best.wants[0].rank(best.due); p != q {
-			if p < q {
-				best = t
-			}
-			continue
-		}
-		a, x := rank(t)
-		b, y := rank(best)
-		less := x < y
-		if t.due.Row.Aims() && best.due.Row.Aims() {
-			less = sooner(&t.wants[0], &best.wants[0])
-		}
-		if a && !b || a == b && less {
-			best = t
-		}
-	}
-	return
-}
--- a/helm/aims.go
+++ b/helm/aims.go
@@ -15,9 +15,14 @@
 
 const (
 	lates   = 3  // times its aim, until which a job is worth something
+	most    = 4  // times its queue's worth, at most
 	patient = 40 // percent of its aim: work that has so much time left can wait
-	spare   = 60 // percent of all cores that are kept at most for what goes first
 	halving = 10 * time.Second
+
+	spareMost  = 85 // percent of all cores that patient work leaves at most to what goes first
+	spareLater = 60 // and other work that takes long
+	hurry      = 1.0
+	prior      = 1.0
 )
 
 // expect is how long a task of a step is expected to take.
@@ -39,6 +44,13 @@
 	for i, p := range j.Spec.Steps {
 		work += float64(p.Tasks) * h.expect(j, i).Seconds() * float64(p.Room.Cores) / float64(mark.Core)
 	}
+	if len(j.Spec.Steps) > 0 && !j.Spec.Steps[0].Lasts {
+		t := h.expect(j, 0).Seconds()
+		if m, ok := h.tasks[j.Queue]; ok {
+			t = m + (t-m)/16
+		}
+		h.tasks[j.Queue] = t
+	}
 	if m, ok := h.works[j.Queue]; ok {
 		work = m + (work-m)/16
 	}
@@ -48,42 +60,73 @@
 // mean is the work of a queue's jobs, in core-seconds.
 func (h *Helm) mean(q mark.Queue) float64 { return max(h.works[q], 0.001) }
 
-// aim tells what a job can still be worth, and how soon it should have its turn:
-// the less work it has left and the less time, the sooner.
-func (h *Helm) aim(j *store.Job, row blueprint.Row, x *store.Heat, b store.Batch) (choice.Class, float64, bool) {
+// aim tells what a job can still be worth, how soon it should have its turn, and
+// what part of all cores, in percent, its queue leaves to those before it. What goes
+// first is what gains most for the work that is left, the less the more time it has:
+// the rule of apparent tardiness cost.
+func (h *Helm) aim(j *store.Job, row blueprint.Row, x *store.Heat, b store.Batch) (choice.Class, float64, int) {
 	if !row.Aims() {
-		return choice.InAim, 0, false
+		return choice.InAim, 0, 0
 	}
 	cost := func(step int) time.Duration { return h.expect(j, step) }
-	rest := 0.0
-	for i, n := range x.Left {
-		rest += float64(n) * cost(i).Seconds() * float64(j.Spec.Steps[i].Room.Cores) / float64(mark.Core)
+	rest, whole := 0.0, 0.0
+	for i, p := range j.Spec.Steps {
+		one := cost(i).Seconds() * float64(p.Room.Cores) / float64(mark.Core)
+		rest += float64(x.Left[i]) * one
+		whole += float64(p.Tasks) * one
 	}
-	if j.Spec.Steps[b.Stage.Step()].Lasts {
-		return choice.InAim, rest, false
+	worth := min(most, 0.3+0.7*whole/h.mean(j.Queue))
+	step := b.Stage.Step()
+	if j.Spec.Steps[step].Lasts {
+		return choice.InAim, -worth / (1 + rest), 0
 	}
 	aim := time.Duration(row.Stretch*float64(j.Spec.Chain(-1, cost))) + time.Duration(row.Target)*time.Millisecond
-	left := b.From.Add(aim).Sub(h.core.Clock()) - j.Spec.Chain(b.Stage.Step(), cost)
-	rest = rest/(rest+h.mean(j.Queue)) + left.Seconds()/aim.Seconds()
+	left := b.From.Add(aim).Sub(h.core.Clock()) - j.Spec.Chain(step, cost)
+	class, stake, spare := choice.InAim, 0.7*worth, 0
+	if h.long(j.Queue, row, cost(step)) {
+		spare = spareLater
+		if left > aim*patient/100 {
+			spare = spareMost
+		}
+	}
 	switch {
 	case left > -aim/8: // the guess is no better than that
-		return choice.InAim, rest, left > aim*patient/100
 	case left+(lates-1)*aim > 0:
-		return choice.Late, rest, false
+		class, stake, left = choice.Late, 0.3*worth, left+(lates-1)*aim
+	default:
+		class, stake, left = choice.Spent, 0.001*worth, 0
 	}
-	return choice.Spent, rest, false
+	gain := stake / (rest + 0.01) * math.Exp(-max(0, left.Seconds())/hurry) * math.Pow(prior, -float64(row.Priority))
+	return class, -gain, spare
 }
 
-// caps keeps room for what goes first: patient work of later queues, whose tasks
-// may take long, leaves free what the queues before it have lately needed at once.
+// long tells whether tasks take so long that what goes before their queue would
+// miss its aim if it had to wait for them.
+func (h *Helm) long(q mark.Queue, row blueprint.Row, task time.Duration) bool {
+	for _, r := range h.state.Table.Rows {
+		if u, ok := h.tasks[r.Name]; ok && r.Name != q && r.Priority < row.Priority && task.Seconds() > r.Stretch*u+float64(r.Target)/1000 {
+			return true
+		}
+	}
+	return false
+}
+
+// caps keeps room for what goes first: work of later queues, whose tasks take long,
+// leaves free what the queues before it have lately needed at once.
 func (h *Helm) caps(in choice.Input) {
 	fade := math.Exp2(-h.now.Mono.Sub(h.peaked).Seconds() / halving.Seconds())
 	h.peaked = h.now.Mono
+	need := map[mark.Queue]float64{}
+	for _, w := range in.Wants {
+		need[w.Queue] += float64(len(w.Tasks)) * float64(w.Room.Cores)
+	}
 	for q, d := range in.Dues {
-		h.peaks[q] = max(float64(d.Cores), h.peaks[q]*fade)
+		h.peaks[q] = max(min(float64(in.Total), float64(d.Cores)+need[q]), h.peaks[q]*fade)
 	}
-	for _, d := range in.Dues {
-		if !d.Row.Aims() {
+	for i := range in.Wants {
+		w := &in.Wants[i]
+		d := in.Dues[w.Queue]
+		if w.Spare == 0 {
 			continue
 		}
 		first, beside := 0.0, mark.Cores(0)
@@ -95,9 +138,7 @@
 				beside += o.Cores
 			}
 		}
-		if first > 0 {
-			first = min(first, float64(in.Total)*spare/100)
-			d.Cap = max(1, in.Total-mark.Cores(first)-beside)
-		}
+		first = min(first, float64(in.Total)*float64(w.Spare)/100)
+		w.Cap = max(1, in.Total-mark.Cores(first)-beside)
 	}
 }
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -65,6 +65,7 @@
 	moved   bool // something was applied, or time passed, since work was last placed
 	rates   map[mark.Queue]*rate
 	works   map[mark.Queue]float64 // mean work of a queue\'s jobs
+	tasks   map[mark.Queue]float64 // mean seconds of a queue's tasks
 	peaks   map[mark.Queue]float64 // cores that a queue lately had in use at once
 	peaked  mark.Stamp
 	early   []early
@@ -95,7 +96,7 @@
 func New(now mark.Now, rnd *rand.Rand, p Place, recs [][]byte) *Helm {
 	me := accord.Member{Addr: p.Addr, Loc: p.Loc}
 	h := &Helm{place: p, now: now, core: accord.New(now, p.Core, rnd, me, recs, mark.Mint(rnd)),
-		waits: map[mark.Index]waiter{}, ahead: map[mark.JobID]mark.Index{}, flight: map[store.End]bool{}, rates: map[mark.Queue]*rate{}, works: map[mark.Queue]float64{}, peaks: map[mark.Queue]float64{}, Trail: trail.New()}
+		waits: map[mark.Index]waiter{}, ahead: map[mark.JobID]mark.Index{}, flight: map[store.End]bool{}, rates: map[mark.Queue]*rate{}, works: map[mark.Queue]float64{}, peaks: map[mark.Queue]float64{}, tasks: map[mark.Queue]float64{}, Trail: trail.New()}
 	h.kin = kin.New(rnd, h.card(), p.Seeds)
 	h.desk = news.NewDesk(p.Addr)
 	h.load()
