How long tasks take is learned from the log, by every helm

Cause: estimates are wrong by half and more, and what was usual was the mean of the last ten tasks or so, mostly those of one wide step; a new leader knew nothing. Change: each helm learns a queue's times from the log, a step counting once, and how far its jobs' own estimates are off; an estimate is weighed against the mean by that. What has ended of the step itself, or tells how far it is, goes first.

--- a/helm/aims.go
+++ b/helm/aims.go
@@ -25,19 +25,6 @@
 	prior      = 1.0
 )
 
-// expect is how long a task of a step is expected to take.
-func (h *Helm) expect(j *store.Job, step int) time.Duration {
-	own := time.Duration(j.Spec.Steps[step].Estimate) * time.Millisecond
-	u, ok := h.head.Usual(usual(j, mark.StageOf(mark.No(0, step, 0))))
-	switch {
-	case !ok:
-		return own
-	case own == 0:
-		return u
-	}
-	return time.Duration(math.Sqrt(float64(own) * float64(u)))
-}
-
 // weigh takes a new job into the mean of its queue's.
 func (h *Helm) weigh(j *store.Job) {
 	work := 0.0
--- a/helm/calls.go
+++ b/helm/calls.go
@@ -268,6 +268,7 @@
 
 func (h *Helm) ended(e store.End) {
 	if j := h.state.Jobs[e.Leg.Job]; j != nil && j.Over() {
+		delete(h.courses, j.ID)
 		h.rate(j.Queue).hit(h.now.Mono)
 	}
 }
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -65,8 +65,10 @@
 	moved   bool // something was applied, or time passed, since work was last placed
 	rates   map[mark.Queue]*rate
 	works   map[mark.Queue]float64 // mean work of a queue\'s jobs
-	tasks   map[mark.Queue]float64 // mean seconds of a queue's tasks
-	peaks   map[mark.Queue]float64 // cores that a queue lately had in use at once
+	habits  map[mark.Queue]*habit
+	courses map[mark.JobID][]course // of jobs that are not over
+	tasks   map[mark.Queue]float64  // mean seconds of a queue's tasks
+	peaks   map[mark.Queue]float64  // cores that a queue lately had in use at once
 	peaked  mark.Stamp
 	early   []early
 	kept    *choice.Reserve // workers kept for work that was passed over
@@ -96,7 +98,7 @@
 func New(now mark.Now, rnd *rand.Rand, p Place, recs [][]byte) *Helm {
 	me := accord.Member{Addr: p.Addr, Loc: p.Loc}
 	h := &Helm{place: p, now: now, core: accord.New(now, p.Core, rnd, me, recs, mark.Mint(rnd)),
-		waits: map[mark.Index]waiter{}, ahead: map[mark.JobID]mark.Index{}, flight: map[store.End]bool{}, rates: map[mark.Queue]*rate{}, works: map[mark.Queue]float64{}, peaks: map[mark.Queue]float64{}, tasks: map[mark.Queue]float64{}, Trail: trail.New()}
+		waits: map[mark.Index]waiter{}, ahead: map[mark.JobID]mark.Index{}, flight: map[store.End]bool{}, rates: map[mark.Queue]*rate{}, works: map[mark.Queue]float64{}, peaks: map[mark.Queue]float64{}, tasks: map[mark.Queue]float64{}, habits: map[mark.Queue]*habit{}, courses: map[mark.JobID][]course{}, Trail: trail.New()}
 	h.kin = kin.New(rnd, h.card(), p.Seeds)
 	h.desk = news.NewDesk(p.Addr)
 	h.load()
@@ -238,6 +240,7 @@
 			panic(err)
 		}
 		h.moved = true
+		h.learn(f)
 		legs, bad := h.state.Apply(f)
 		h.core.Wind(h.state.Tick)
 		h.told(f, e.Index)
--- a/truth/pace.go
+++ b/truth/pace.go
@@ -81,17 +81,21 @@
 
 // elsewhere is the median of what the stage takes on other workers.
 func (t *times) elsewhere(shard mark.Shard) (time.Duration, bool) {
-	var list []time.Duration
+	list := t.sorted(func(x sample) bool { return x.shard != shard })
+	if len(list) < like {
+		return 0, false
+	}
+	return list[len(list)/2], true
+}
+
+func (t *times) sorted(only func(sample) bool) (list []time.Duration) {
 	for _, x := range t.list {
-		if x.shard != shard {
+		if only(x) {
 			list = append(list, x.took)
 		}
 	}
-	if len(list) < like {
-		return 0, false
-	}
 	slices.Sort(list)
-	return list[len(list)/2], true
+	return
 }
 
 // took takes what an attempt takes, or has taken, and what that tells of its
@@ -125,6 +129,17 @@
 	}
 }
 
+// Took is what the tasks of a step take, as far as is known: the median of those
+// that have ended or told how far they are.
+func (h *Head) Took(job mark.JobID, step int) (time.Duration, bool) {
+	t := h.stages[stage{job, mark.StageOf(mark.No(0, step, 0))}]
+	if t == nil {
+		return 0, false
+	}
+	list := t.sorted(func(sample) bool { return true })
+	return list[len(list)/2], true
+}
+
 // fade forgets a bad name with time.
 func (s *Seat) fade(now mark.Stamp) {
 	s.pace *= math.Exp2(-now.Sub(s.paced).Seconds() / trust.Seconds())
