Long work waits a second at most while less than half of all is in use

Ruled out: workers out of reach, reservations (none was held). Change: what has waited for a second is not bound while less than half of all cores is in use. Test in helm/, red before.

--- a/helm/aims.go
+++ b/helm/aims.go
@@ -18,6 +18,7 @@
 	most    = 4  // times its queue's worth, at most
 	patient = 40 // percent of its aim: work that has so much time left can wait
 	halving = 10 * time.Second
+	idle    = time.Second // work waits so long at most while less than half of all cores is in use
 
 	spareMost  = 85 // percent of all cores that patient work leaves at most to what goes first
 	spareLater = 60 // and other work that takes long
@@ -103,18 +104,19 @@
 func (h *Helm) caps(in choice.Input) {
 	fade := math.Exp2(-h.now.Mono.Sub(h.peaked).Seconds() / halving.Seconds())
 	h.peaked = h.now.Mono
-	need := map[mark.Queue]float64{}
+	need, used := map[mark.Queue]float64{}, mark.Cores(0)
 	for _, w := range in.Wants {
 		need[w.Queue] += float64(len(w.Tasks)) * float64(w.Room.Cores)
 	}
 	for q, d := range in.Dues {
+		used += d.Cores
 		h.peaks[q] = max(min(float64(in.Total), float64(d.Cores)+need[q]), h.peaks[q]*fade)
 	}
 	for i := range in.Wants {
 		w := &in.Wants[i]
 		d := in.Dues[w.Queue]
-		if w.Spare == 0 {
-			continue
+		if w.Spare == 0 || w.Since >= idle && 2*used < in.Total {
+			continue // nothing waits for long beside so much room
 		}
 		first, beside := 0.0, mark.Cores(0)
 		for q, o := range in.Dues {
