Room is kept for large tasks at once; only tasks that take far longer leave room

The second queue's tasks of 0.9 s were bound as long ones where the first one's aim is 0.6 s. And a long task was let in whenever less than half was in use. Ruled out: the horizon and weight of priority (no difference), turn-aways (none). Change: for work of queues with aims that found no room the round keeps the slots where it will find it first, a quarter of them at most; only tasks that outlast three times the aim of an earlier queue leave room to it; beside an idle half a job with nothing running gets one task, or its gang, not all.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -61,6 +61,7 @@
 	Class   Class      // whether its job can still meet its aim
 	Spare   int        // percent of all cores that it leaves at most to what goes before it
 	Cap     mark.Cores // what its queue may have in use with it, or 0 for no bound
+	Idle    bool       // nothing of its job runs
 	Turn    float64    // of what is in the same class, the lowest goes first
 	Near    mark.Rack  // where its data is
 	OneRack bool       // it is slower when spread over racks
@@ -140,6 +141,7 @@
 	passed bool  // and other work took room that would have suited it
 	free   []mark.Room
 	more   []int
+	holds  int // slots on which room is kept, for this round, for work that found none
 }
 
 // Place gives the round's placements.
@@ -166,6 +168,9 @@
 			}
 		}
 		if got == nil {
+			if room && t.due.Row.Aims() {
+				r.hold(w)
+			}
 			if room && r.missed == nil && r.out.Kept == nil && w.Since >= Endure && w.Class == InAim {
 				r.missed = w
 			}
--- a/choice/fit.go
+++ b/choice/fit.go
@@ -53,7 +53,7 @@
 				!free[i].Minus(s.held).Holds(w.Room) && w.Long > s.Clear {
 				continue
 			}
-			if s.Bad > r.mean+shun && s.Busy+more[i] > 0 || s.Now > slow || s.Now > 0 && s.Busy+more[i] >= proves {
+			if r.bad(s) && s.Busy+more[i] > 0 || s.Now > slow || s.Now > 0 && s.Busy+more[i] >= proves {
 				continue
 			}
 			v := worth(s, free[i])
@@ -84,6 +84,40 @@
 	proves = 2
 )
 
+// hold keeps the room of the slots where a want that found none will soonest find it,
+// so that smaller work whose turn is later does not take it piece by piece. It lasts
+// for the round: the next one comes to the same while nothing changes. A part of the
+// slots at most is kept so.
+func (r *round) hold(w *Want) {
+	if w.Class == Spent || w.Gang {
+		return
+	}
+	for range w.Tasks {
+		best := -1
+		for i := range r.Slots {
+			s := &r.Slots[i]
+			if s.held != (mark.Room{}) || !s.Suits(*w) || s.Now > slow || s.Now > 0 && s.Busy >= proves ||
+				w.Spread > 0 && s.Has[w.Part] >= w.Spread || r.bad(s) && s.Busy > 0 {
+				continue
+			}
+			if best < 0 || s.Free.Cores > r.Slots[best].Free.Cores {
+				best = i
+			}
+		}
+		if best < 0 || (r.holds+1)*keeps > len(r.Slots) {
+			return
+		}
+		r.Slots[best].held = w.Room
+		r.holds++
+	}
+}
+
+// keeps is of how many slots one at most has its room kept for work that found none.
+const keeps = 4
+
+// bad tells a worker whose legs end badly much more often than the others'.
+func (r *round) bad(s *Slot) bool { return s.Bad > r.mean+shun }
+
 // worth prefers workers with much room that end their legs well and in time.
 func worth(s *Slot, free mark.Room) float64 {
 	return float64(free.Cores) * (1 - s.Bad) / max(s.Slow, 0.2)
--- a/helm/aims.go
+++ b/helm/aims.go
@@ -18,12 +18,12 @@
 	most    = 4  // times its queue's worth, at most
 	patient = 40 // percent of its aim: work that has so much time left can wait
 	halving = 10 * time.Second
-	idle    = time.Second // work waits so long at most while less than half of all cores is in use
+	idle    = time.Second // a job has nothing running for so long at most while less than half of all cores is in use
 
-	spareMost  = 85 // percent of all cores that patient work leaves at most to what goes first
-	spareLater = 60 // and other work that takes long
-	hurry      = 1.0
-	prior      = 1.0
+	spareMost  = 85  // percent of all cores that patient work leaves at most to what goes first
+	spareLater = 60  // and other work that takes long
+	hurry      = 1.0 // seconds: work that has so much more time gains e times less by its turn
+	prior      = 1.0 // what goes first weighs so many times as much for each step of priority
 )
 
 // weigh takes a new job into the mean of its queue's.
@@ -88,11 +88,11 @@
 	return class, -gain, spare
 }
 
-// long tells whether tasks take so long that what goes before their queue would
-// miss its aim if it had to wait for them.
+// long tells whether tasks take so long that what goes before their queue would be
+// worth nothing any more if it had to wait for them.
 func (h *Helm) long(q mark.Queue, row blueprint.Row, task time.Duration) bool {
 	for _, r := range h.state.Table.Rows {
-		if u, ok := h.tasks[r.Name]; ok && r.Name != q && r.Priority < row.Priority && task.Seconds() > r.Stretch*u+float64(r.Target)/1000 {
+		if u, ok := h.tasks[r.Name]; ok && r.Name != q && r.Priority < row.Priority && task.Seconds() > lates*(r.Stretch*u+float64(r.Target)/1000) {
 			return true
 		}
 	}
@@ -115,8 +115,14 @@
 	for i := range in.Wants {
 		w := &in.Wants[i]
 		d := in.Dues[w.Queue]
-		if w.Spare == 0 || w.Since >= idle && 2*used < in.Total {
-			continue // nothing waits for long beside so much room
+		switch {
+		case w.Spare == 0:
+			continue
+		case w.Idle && w.Since >= idle && 2*used < in.Total:
+			if !w.Gang { // a job that has nothing running gets something to run
+				w.Tasks = w.Tasks[:1]
+			}
+			continue
 		}
 		first, beside := 0.0, mark.Cores(0)
 		for q, o := range in.Dues {
--- a/helm/plan.go
+++ b/helm/plan.go
@@ -124,7 +124,7 @@
 			class, turn, spare := h.aim(j, d.Row, x, b)
 			list = append(list, choice.Want{Part: choice.Part{Job: j.ID, Stage: b.Stage}, Queue: j.Queue, Urgency: j.Spec.Urgency,
 				Kind: p.Kind, Rack: p.Rack, Labels: p.Labels, Room: p.Room, Spread: p.Spread, Gang: p.Gang, Tasks: b.Tasks, Long: long, Shun: b.Shun,
-				Class: class, Turn: turn, Spare: spare, Near: p.Near, OneRack: p.OneRack})
+				Class: class, Turn: turn, Spare: spare, Idle: x.Running == 0, Near: p.Near, OneRack: p.OneRack})
 		}
 	}
 	return
