Long work leaves 92 percent while it has time, then 75

Cause: jobs of long tasks were all done in their aim while those of the first queue were late beside them: they had time to give. Change: 92 and 75 percent instead of 85 and 60 are left at most to earlier queues.

--- a/helm/aims.go
+++ b/helm/aims.go
@@ -20,8 +20,8 @@
 	halving = 10 * time.Second
 	idle    = time.Second // a job has nothing running for so long at most while less than half of all cores is in use
 
-	spareMost  = 85  // percent of all cores that patient work leaves at most to what goes first
-	spareLater = 60  // and other work that takes long
+	spareMost  = 92  // percent of all cores that patient work leaves at most to what goes first
+	spareLater = 75  // and other work that takes long
 	hurry      = 1.0 // seconds: work that has so much more time gains e times less by its turn
 	prior      = 1.0 // what goes first weighs so many times as much for each step of priority
 )
--- a/helm/aims_test.go
+++ b/helm/aims_test.go
@@ -26,8 +26,8 @@
 	}{
 		{"short work is not bound", 0, 0, 70, 10, 0, false, 3},
 		{"patient work", spareMost, 0, 70, 10, 30, false, 3},
-		{"so much at most is left", spareMost, 0, 95, 5, 15, false, 3},
-		{"less patient work", spareLater, 0, 95, 5, 40, false, 3},
+		{"so much at most is left", spareMost, 0, 95, 5, 8, false, 3},
+		{"less patient work", spareLater, 0, 95, 5, 25, false, 3},
 		{"just come, most is free", spareMost, 0, 0, 30, 20, false, 3},
 		{"waits, most is free", spareMost, idle, 0, 30, 0, false, 1},
 		{"waits, most is free, but its job runs", spareMost, idle, 0, 30, 20, true, 3},
