Several rounds of placing may be on their way into the log at once

Cause: a round waited until the one before it was in the log, so ends that came meanwhile waited for two commits. Ruled out: batching by time (adds what it saves). Change: up to four rounds; what is on its way is neither placed again nor its room. What is taken back, copied or kept for gangs still waits for the log.

--- a/helm/helm.go
+++ b/helm/helm.go
@@ -57,6 +57,8 @@
 	flight  map[store.End]bool
 	freed   map[mark.Leg]bool // of those, what surely runs no more
 	giving  mark.Index
+	given   map[mark.Task]store.Give // on their way into the log, or just there
+	rounds  []mark.Index             // of them
 	shaped  mark.Index
 	timed   mark.Stamp
 	since   mark.Index // the entry of the latest snapshot, or of the one under way
@@ -99,7 +101,7 @@
 func New(now mark.Now, rnd *rand.Rand, p Place, recs [][]byte) *Helm {
 	me := accord.Member{Addr: p.Addr, Loc: p.Loc}
 	h := &Helm{place: p, now: now, core: accord.New(now, p.Core, rnd, me, recs, mark.Mint(rnd)),
-		waits: map[mark.Index]waiter{}, ahead: map[mark.JobID]mark.Index{}, flight: map[store.End]bool{}, freed: map[mark.Leg]bool{}, rates: map[mark.Queue]*rate{}, works: map[mark.Queue]float64{}, peaks: map[mark.Queue]float64{}, tasks: map[mark.Queue]float64{}, habits: map[mark.Queue]*habit{}, courses: map[mark.JobID][]course{}, Trail: trail.New()}
+		waits: map[mark.Index]waiter{}, ahead: map[mark.JobID]mark.Index{}, flight: map[store.End]bool{}, freed: map[mark.Leg]bool{}, given: map[mark.Task]store.Give{}, rates: map[mark.Queue]*rate{}, works: map[mark.Queue]float64{}, peaks: map[mark.Queue]float64{}, tasks: map[mark.Queue]float64{}, habits: map[mark.Queue]*habit{}, courses: map[mark.JobID][]course{}, Trail: trail.New()}
 	h.kin = kin.New(rnd, h.card(), p.Seeds)
 	h.desk = news.NewDesk(p.Addr)
 	h.load()
@@ -254,6 +256,9 @@
 			if f.Job != nil && bad == nil {
 				h.weigh(h.state.Jobs[f.Job.ID])
 			}
+			for _, g := range f.Legs {
+				delete(h.given, g.Leg.Task)
+			}
 			h.order(legs)
 			h.head.Settle(f.Ends)
 			for _, x := range f.Ends {
@@ -301,7 +306,8 @@
 		clear(h.waits)
 		clear(h.flight)
 		clear(h.freed)
-		h.giving, h.shaped, h.kept, h.waited = 0, 0, nil, nil
+		clear(h.given)
+		h.giving, h.rounds, h.shaped, h.kept, h.waited = 0, nil, 0, nil, nil
 		return
 	}
 	if h.head == nil {
--- a/helm/plan.go
+++ b/helm/plan.go
@@ -17,6 +17,7 @@
 	near   = mark.Wall(50 * time.Millisecond)
 	astray = mark.Wall(20 * time.Millisecond)
 
+	rounds  = 4                  // that are on their way into the log at once
 	endless = 10_000 * time.Hour // what lasts fits before no window
 )
 
@@ -36,8 +37,10 @@
 	h.shapes()
 	h.times()
 	if h.giving > h.done {
+		h.more(holds)
 		return
 	}
+	clear(h.given)
 	backs := h.recall(holds)
 	if h.head.Wait {
 		h.give(nil, backs)
@@ -69,6 +72,22 @@
 	h.give(legs, backs)
 }
 
+// more gives out work while an earlier round is on its way into the log.
+func (h *Helm) more(holds []*truth.Hold) {
+	h.rounds = slices.DeleteFunc(h.rounds, func(i mark.Index) bool { return i <= h.done })
+	if h.head.Wait || len(h.rounds) >= rounds || h.kept != nil {
+		return
+	}
+	var in choice.Input
+	if in.Wants, in.Dues = h.wants(); len(in.Wants) == 0 {
+		return
+	}
+	in.Slots, in.Total = h.slots(holds)
+	h.ages(in.Wants)
+	h.caps(in)
+	h.give(h.number(choice.Place(in).Picks), nil)
+}
+
 // number gives each placement its leg's number; the members of a gang get the
 // same.
 func (h *Helm) number(picks []choice.Pick) (legs []store.Give) {
@@ -94,6 +113,10 @@
 	}
 	if i, ok := h.fact(store.Fact{Legs: legs, Backs: backs}); ok {
 		h.giving = i
+		h.rounds = append(h.rounds, i)
+		for _, g := range legs {
+			h.given[g.Leg.Task] = g
+		}
 	}
 }
 
@@ -116,6 +139,9 @@
 		d.Running += x.Running
 		d.Cores += x.Cores
 		for _, b := range x.Batches {
+			if b.Tasks = h.unsent(j, b, d); len(b.Tasks) == 0 {
+				continue
+			}
 			p := j.Spec.Steps[b.Stage.Step()]
 			long := h.limit(j, b.Stage)
 			if p.Lasts {
@@ -130,6 +156,22 @@
 	return
 }
 
+// unsent is what of a batch is not on its way into the log; what is counts as in use.
+func (h *Helm) unsent(j *store.Job, b store.Batch, d *choice.Due) (list []int) {
+	if len(h.given) == 0 {
+		return b.Tasks
+	}
+	for _, n := range b.Tasks {
+		if _, ok := h.given[mark.Task{Job: j.ID, N: n}]; !ok {
+			list = append(list, n)
+			continue
+		}
+		d.Running++
+		d.Cores += j.Spec.Steps[b.Stage.Step()].Room.Cores
+	}
+	return
+}
+
 // slots lists the workers that may be given work, and all cores there are.
 func (h *Helm) slots(holds []*truth.Hold) (list []choice.Slot, total mark.Cores) {
 	at := map[mark.Shard]int{}
@@ -144,6 +186,16 @@
 				Bad: s.Worth.Bad, Slow: s.Worth.Slow, Now: h.head.Slow(s), Has: map[choice.Part]int{}})
 		}
 	}
+	for _, g := range h.given {
+		if i, ok := at[g.Shard]; ok {
+			stage := mark.StageOf(g.Leg.N)
+			if j := h.state.Jobs[g.Leg.Job]; j != nil && !j.Over() {
+				list[i].Free = list[i].Free.Minus(j.Spec.Steps[stage.Step()].Room)
+			}
+			list[i].Busy++
+			list[i].Has[choice.Part{Job: g.Leg.Job, Stage: stage}]++
+		}
+	}
 	for _, o := range holds {
 		i, ok := at[o.Shard]
 		if !ok {
