Grown fleets are founded by the named helms, and every helm with a disk votes

Cause: founding wanted exactly three empty helms that see just each other.

Ruled out: the settings, the disks, the roster (all helms knew each other within 0.25 s), processor time (helms 0.03 cores).

Change: the settings' founders, where it is the first start of all, found together; that it was the first start is kept with the identity, so a wiped disk founds nothing, whatever its settings say later. The others wait for the cluster. A founder that turns out to be no helm is not waited for. Without named founders all is as it was. Every member is promoted, up to nine voters, one change at a time. A member that was there at the first start has a seat of its own; any other is a guest, which takes the seat of a voter that is gone: the one at its own address at once (another identity answers there), else one of its locality that has been silent for dead_ms, else one silent for 30 s anywhere. Nobody is struck off without one that takes the seat. Striking off goes first and the vote second, so that a vote of a dead member is never added to. That one was struck off is told only once that is committed. The status tells how many losses the voters bear, and says so where the settings ask for more.

--- a/accord/ballot.go
+++ b/accord/ballot.go
@@ -33,7 +33,7 @@
 		return
 	}
 	if c.role == lead {
-		if _, ok := c.roll.Find(b.ID); !ok && c.Firm() {
+		if _, ok := c.roll.Find(b.ID); !ok && c.Firm() && c.settled() {
 			c.say(from, word.Gone, gone{c.name, b.ID, c.commit})
 			return
 		}
@@ -106,7 +106,7 @@
 
 func (c *Core) crown() {
 	c.role, c.leader, c.leadAt = lead, c.self.ID, c.self.Addr
-	c.heir, c.pulse = "", 0
+	c.heir, c.pulse, c.calm = "", 0, c.now.Mono
 	c.mates = map[mark.ID]*track{}
 	for _, m := range c.roll {
 		c.mate(m.ID)
--- a/accord/core.go
+++ b/accord/core.go
@@ -41,9 +41,10 @@
 
 // Core is one member. It is owned by one goroutine and does no I/O.
 type Core struct {
-	pace Pace
-	rnd  *rand.Rand
-	self Member
+	pace   Pace
+	rnd    *rand.Rand
+	self   Member
+	origin Origin
 
 	name   string
 	vow    Vow
@@ -82,6 +83,7 @@
 	pre     bool
 	mates   map[mark.ID]*track
 	first   mark.Index
+	calm    mark.Stamp // when a voter was last silent, to this leader
 	pulse   mark.Stamp
 	heir    mark.ID
 	heirBy  mark.Stamp
@@ -90,6 +92,7 @@
 	pledged mark.Stamp
 	offers  map[mark.ID]bool
 	seen    []Seen
+	others  []mark.Addr // daemons that are no helms
 	asked   mark.Stamp
 
 	sends  []word.Send
@@ -97,10 +100,10 @@
 	whole  bool
 }
 
-// New starts a member from the records of its disk. mint is the identity to
-// take if the folder is empty.
-func New(now mark.Now, pace Pace, rnd *rand.Rand, me Member, recs [][]byte, fresh mark.ID) *Core {
-	c := &Core{pace: pace, rnd: rnd, self: me, role: empty, now: now, boot: now.Mono, tickAt: now.Mono,
+// New starts a member from the records of its disk. fresh is the identity to
+// take if the folder is empty; whether it is the first start of all is kept with it.
+func New(now mark.Now, pace Pace, rnd *rand.Rand, me Member, o Origin, recs [][]byte, fresh mark.ID) *Core {
+	c := &Core{pace: pace, rnd: rnd, self: me, origin: o, role: empty, now: now, boot: now.Mono, tickAt: now.Mono,
 		heard: now.Mono, led: never, mates: map[mark.ID]*track{}, offers: map[mark.ID]bool{}}
 	c.self.ID = ""
 	for _, b := range recs {
@@ -125,12 +128,14 @@
 
 func (c *Core) mint(id mark.ID) {
 	c.self.ID, c.pledge, c.offers = id, nil, map[mark.ID]bool{}
-	c.write(Record{Self: &Self{ID: id}})
+	c.self.Guest = !c.origin.First
+	c.write(Record{Self: &Self{id, c.origin.First}})
 }
 
 func (c *Core) load(r Record) {
 	if r.Self != nil {
-		c.self.ID, c.pledge = r.Self.ID, nil
+		c.self.ID, c.self.Guest, c.pledge = r.Self.ID, !r.Self.First, nil
+		c.origin.First = r.Self.First
 	}
 	if r.Pledge != nil {
 		c.pledge = r.Pledge
--- a/accord/found.go
+++ b/accord/found.go
@@ -1,12 +1,16 @@
-// Founding and joining. Three empty members that see just each other, and no
-// formed cluster, pledge themselves on disk to one charter; the one with the
-// least identity, once it has all three pledges, makes it real. A pledge that
-// leads nowhere is given up together with the identity that made it, so no
-// half-made charter can be completed behind anyone's back. Where a cluster is
-// seen, an empty member asks in instead.
+// Founding and joining. The founders that the settings name, where they say that
+// no cluster has been before, or else three empty members that see just each
+// other, pledge themselves on disk to one charter; the one with the least identity,
+// once it has all pledges, makes it real. A pledge that leads nowhere is given up
+// together with the identity that made it, so no half-made charter can be completed
+// behind anyone's back. Where a cluster is seen, an empty member asks in instead,
+// and so do all others that started with the founders.
 package accord
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"coppercourse/mark"
@@ -24,8 +28,9 @@
 	Name string
 }
 
-// See tells which helms are sound now, this one left out.
-func (c *Core) See(list []Seen) { c.seen = list }
+// See tells which helms are sound now, this one left out, and, while there is no
+// cluster, where other daemons than helms are.
+func (c *Core) See(list []Seen, others []mark.Addr) { c.seen, c.others = list, others }
 
 func (c *Core) adopt(k Charter) {
 	c.name, c.snap.Roll, c.pledge, c.why = k.Name, k.Roll, nil, ""
@@ -53,20 +58,53 @@
 		c.tell(*k)
 		return
 	}
-	trio := Roll{{c.self.ID, c.self.Addr, c.self.Loc, true}}
-	least := true
+	var roll Roll
+	if roll, c.why = c.founders(); roll == nil {
+		return
+	}
+	for _, m := range roll {
+		if m.ID < c.self.ID {
+			return
+		}
+	}
+	c.promise(Charter{Name: string(mark.Mint(c.rnd)), Roll: roll})
+	c.complete()
+}
+
+// founders lists the members of the cluster that this one would found now, itself
+// among them, in an order that all of them agree on; or tells why it founds none.
+func (c *Core) founders() (Roll, string) {
+	me := c.self
+	me.Vote, me.Guest = true, false
+	roll := Roll{me}
 	for _, s := range c.seen {
-		trio = append(trio, Member{s.ID, s.Addr, s.Loc, true})
-		least = least && c.self.ID < s.ID
+		if s.Name != "" {
+			return nil, "a cluster exists; waiting to be let in"
+		}
+		if c.origin.Founders == nil || slices.Contains(c.origin.Founders, s.Addr) {
+			roll = append(roll, Member{ID: s.ID, Addr: s.Addr, Loc: s.Loc, Vote: true})
+		}
 	}
-	if len(trio) != 3 {
-		c.why = "waiting for three empty helms that see each other, or for a cluster"
-		return
+	slices.SortFunc(roll, func(a, b Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	want := 3
+	if list := c.origin.Founders; list != nil {
+		switch {
+		case !c.origin.First:
+			return nil, "waiting for a cluster: one has been before"
+		case !slices.Contains(list, c.self.Addr):
+			return nil, "waiting for the founders: " + fmt.Sprint(list)
+		}
+		want = 0
+		for _, a := range list {
+			if !slices.Contains(c.others, a) {
+				want++
+			}
+		}
 	}
-	c.why = "three empty helms; founding"
-	if least {
-		c.promise(Charter{Name: string(mark.Mint(c.rnd)), Roll: trio})
+	if len(roll) != want {
+		return nil, fmt.Sprintf("waiting for %d empty helms that see each other, or for a cluster", want)
 	}
+	return roll, fmt.Sprintf("%d empty helms; founding", want)
 }
 
 // knock asks every formed helm seen to be let in; a voter that has long heard
@@ -117,24 +155,13 @@
 	same := c.pledge != nil && c.pledge.Name == f.Charter.Name
 	switch f.Step {
 	case "offer":
-		if c.pledge == nil && c.agrees(f.Charter) {
+		if roll, _ := c.founders(); c.pledge == nil && slices.Equal(roll, f.Charter.Roll) {
 			c.promise(f.Charter)
 		}
 	case "pledge":
-		if !same {
-			return
-		}
-		c.offers[f.ID] = true
-		for _, m := range f.Charter.Roll {
-			if !c.offers[m.ID] || m.ID < c.self.ID {
-				return
-			}
-		}
-		c.adopt(*c.pledge)
-		for _, m := range f.Charter.Roll {
-			if m.ID != c.self.ID {
-				c.hold(c.wrote, m.Addr, word.Found, found{f.Charter, c.self.ID, "done"})
-			}
+		if same {
+			c.offers[f.ID] = true
+			c.complete()
 		}
 	case "done":
 		if same {
@@ -143,12 +170,19 @@
 	}
 }
 
-// agrees is true when this member itself sees just the three of the charter.
-func (c *Core) agrees(k Charter) bool {
-	for _, s := range c.seen {
-		if _, ok := k.Roll.Find(s.ID); !ok || s.Name != "" {
-			return false
+// complete makes the charter real, once the member with the least identity has
+// all pledges.
+func (c *Core) complete() {
+	k := *c.pledge
+	for _, m := range k.Roll {
+		if !c.offers[m.ID] || m.ID < c.self.ID {
+			return
+		}
+	}
+	c.adopt(k)
+	for _, m := range k.Roll {
+		if m.ID != c.self.ID {
+			c.hold(c.wrote, m.Addr, word.Found, found{k, c.self.ID, "done"})
 		}
 	}
-	return len(k.Roll) == 3 && len(c.seen) == 2
 }
--- a/accord/kinds.go
+++ b/accord/kinds.go
@@ -11,12 +11,23 @@
 	"coppercourse/mark"
 )
 
-// Member is one helm on the roll. Without a vote it only learns.
+// Member is one helm on the roll. Without a vote it only learns. A guest came to a
+// cluster that was there before it, and has no seat yet: it is let vote beside the
+// others, and takes the seat of one that is gone.
 type Member struct {
-	ID   mark.ID       `json:"id"`
-	Addr mark.Addr     `json:"addr"`
-	Loc  mark.Locality `json:"loc"`
-	Vote bool          `json:"vote"`
+	ID    mark.ID       `json:"id"`
+	Addr  mark.Addr     `json:"addr"`
+	Loc   mark.Locality `json:"loc"`
+	Vote  bool          `json:"vote"`
+	Guest bool          `json:"guest,omitempty"`
+}
+
+// Origin is what a member's settings say of the cluster's beginning: that none has
+// been before, and which helms found it. Where none are named, any three that see
+// just each other do.
+type Origin struct {
+	First    bool
+	Founders []mark.Addr
 }
 
 // Roll is the list of members, in force from the moment it is in the log.
@@ -69,9 +80,11 @@
 	part    []byte   // in place of all else: a part of the snapshot before it
 }
 
-// Self is minted with an empty folder and never used again after its loss.
+// Self is minted with an empty folder and never used again after its loss. First
+// is true where that was the first start of all.
 type Self struct {
-	ID mark.ID `json:"id"`
+	ID    mark.ID `json:"id"`
+	First bool    `json:"first,omitempty"`
 }
 
 // Charter is the founding record: a cluster's name and its first roll.
--- a/accord/push.go
+++ b/accord/push.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	most    = 256
+	bunch   = 256
 	longest = 120_000 // entries that a log may have before it takes no more
 )
 
@@ -114,7 +114,7 @@
 	}
 	if t.next <= c.last() {
 		rest := c.log[t.next-c.snap.Index-1:]
-		p.Entries = rest[:min(len(rest), most)]
+		p.Entries = rest[:min(len(rest), bunch)]
 		t.next += mark.Index(len(p.Entries))
 		t.sent = c.now.Mono
 	}
@@ -292,7 +292,7 @@
 func (c *Core) rewrite() {
 	c.writes = nil
 	v, s := c.vow, c.snap
-	c.write(Record{Self: &Self{ID: c.self.ID}})
+	c.write(Record{Self: &Self{c.self.ID, c.origin.First}})
 	c.write(Record{Charter: &Charter{Name: c.name, Roll: s.Roll}})
 	c.write(Record{Vow: &v})
 	c.write(Record{Snap: &s})
--- a/accord/roll.go
+++ b/accord/roll.go
@@ -1,10 +1,12 @@
 // The roll and its changes, one vote at a time: an empty member is let in
-// without a vote, learns, is promoted where a voter of its locality is dead,
-// and then the dead one is struck off. Also the table from a note's kind to
-// what a member does with it.
+// without a vote, learns, and is promoted. One that was there at the first start
+// has a seat; any other is a guest, and takes the seat of one that is gone, which is
+// struck off. None is struck off without that, however long it is silent. Also
+// the table from a note's kind to what a member does with it.
 package accord
 
 import (
+	"slices"
 	"time"
 
 	"coppercourse/mark"
@@ -12,7 +14,8 @@
 )
 
 const (
-	seats = 3
+	most  = 9  // voters
+	crowd = 12 // members
 	gap   = 64
 	idle  = 30 * time.Second
 )
@@ -45,6 +48,7 @@
 	}
 }
 
+// settled is true for a leader whose roll is committed, and an entry of its term.
 func (c *Core) settled() bool { return c.commit >= c.first && c.commit >= c.rollAt && c.heir == "" }
 
 func (c *Core) onJoin(from mark.Addr, j join) {
@@ -55,7 +59,7 @@
 	if !ok && j.Old && c.Firm() {
 		c.say(from, word.Gone, gone{c.name, j.Who.ID, c.commit})
 	}
-	if ok || j.Old || len(c.roll) >= 2*seats {
+	if ok || j.Old || len(c.roll) >= crowd {
 		return
 	}
 	j.Who.Vote = false
@@ -78,50 +82,116 @@
 	return
 }
 
+// quiet is how long a member has not been heard.
+func (c *Core) quiet(m Member) time.Duration {
+	if m.ID == c.self.ID {
+		return 0
+	}
+	return c.now.Mono.Sub(c.mate(m.ID).heard)
+}
+
+// ready is true for a member that answers now and has nearly all of the log.
+func (c *Core) ready(m Member) bool {
+	if m.ID == c.self.ID {
+		return true
+	}
+	t := c.mate(m.ID)
+	return c.quiet(m) < c.pace.Stall && t.match+gap >= c.commit && t.match > 0
+}
+
 // tend makes at most one change to the roll.
 func (c *Core) tend() {
 	if !c.settled() {
 		return
 	}
-	quiet := func(m Member) time.Duration {
-		if m.ID == c.self.ID {
-			return 0
+	for _, m := range c.roll {
+		if o, ok := c.former(m); ok && c.ready(m) {
+			c.seat(m, o)
+			return
 		}
-		return c.now.Mono.Sub(c.mate(m.ID).heard)
 	}
-	here := map[mark.Locality]int{}
 	for _, m := range c.roll {
-		if m.Vote {
-			here[m.Loc]++
+		if !m.Vote && c.quiet(m) > idle {
+			c.change(c.without(m.ID))
+			return
+		}
+		if v, ok := c.dead(m); ok && m.Guest && c.ready(m) {
+			c.seat(m, v)
+			return
 		}
 	}
-	var worst *Member
 	for i, m := range c.roll {
-		if m.Vote && m.ID != c.self.ID && (quiet(m) > c.pace.Dead || here[m.Loc] > 1) &&
-			(worst == nil || quiet(m) > quiet(*worst)) {
-			worst = &c.roll[i]
+		if m.Vote || !c.ready(m) || c.roll.Votes() >= most || m.Guest && c.doubt(m) {
+			continue
 		}
-	}
-	if c.roll.Votes() > seats && worst != nil {
-		c.change(c.without(worst.ID))
+		r := slices.Clone(c.roll)
+		r[i].Vote = true
+		c.change(r)
 		return
 	}
-	for i, m := range c.roll {
-		if m.Vote {
-			continue
+	c.welcome()
+}
+
+// former is a member at another's address: its disk was lost, since another
+// identity answers there.
+func (c *Core) former(m Member) (Member, bool) {
+	for _, o := range c.roll {
+		if o.Addr == m.Addr && o.ID != m.ID && c.quiet(o) > c.quiet(m) {
+			return o, true
 		}
-		if quiet(m) > idle {
-			c.change(c.without(m.ID))
-			return
+	}
+	return Member{}, false
+}
+
+// dead is the voter whose seat a guest takes: one of its locality that has long
+// been silent, or else any that has been so for much longer.
+func (c *Core) dead(m Member) (worst Member, ok bool) {
+	for _, v := range c.roll {
+		least := idle
+		if v.Loc == m.Loc {
+			least = c.pace.Dead
 		}
-		ready := quiet(m) < c.pace.Stall && c.mate(m.ID).match+gap >= c.commit && c.mate(m.ID).match > 0
-		need := c.roll.Votes() < seats
-		for _, v := range c.roll {
-			need = need || v.Vote && v.Loc == m.Loc && quiet(v) > c.pace.Dead
+		if q := c.quiet(v); v.Vote && v.ID != m.ID && q > least && (!ok || q > c.quiet(worst)) {
+			worst, ok = v, true
 		}
-		if ready && need {
-			r := append(Roll{}, c.roll...)
-			r[i].Vote = true
+	}
+	return
+}
+
+// doubt is true while a voter of a guest's locality is silent: it may be the one
+// in whose place the guest comes, or be back soon.
+func (c *Core) doubt(m Member) bool {
+	return slices.ContainsFunc(c.roll, func(v Member) bool { return v.Vote && v.Loc == m.Loc && c.quiet(v) > c.pace.Least })
+}
+
+// seat strikes off one that is gone and gives its seat to a member. That goes
+// first, and the vote, where the member has none, with the next change: no vote
+// of a dead member is ever added to, and all stay one vote apart.
+func (c *Core) seat(m, gone Member) {
+	r := c.without(gone.ID)
+	for i := range r {
+		if r[i].ID == m.ID {
+			r[i].Guest = m.Guest && (gone.Guest || !gone.Vote)
+		}
+	}
+	c.change(r)
+}
+
+// welcome gives a guest that has long voted beside all others, with none of them
+// silent, a seat of its own: it has come to stay.
+func (c *Core) welcome() {
+	for _, m := range c.roll {
+		if m.Vote && c.quiet(m) > c.pace.Stall {
+			c.calm = c.now.Mono
+		}
+	}
+	if c.now.Mono.Sub(c.calm) < idle {
+		return
+	}
+	r := slices.Clone(c.roll)
+	for i := range r {
+		if r[i].Vote && r[i].Guest {
+			r[i].Guest = false
 			c.change(r)
 			return
 		}
--- a/cmd/coppercourse/daemons.go
+++ b/cmd/coppercourse/daemons.go
@@ -158,13 +158,13 @@
 	}
 	post := door.NewPost(context.Background(), s.Source)
 	o := door.NewOwner(post, file)
-	m := helm.New(door.Now(), chance(), helm.Place{Addr: s.Addr(), Loc: s.Loc(), Seeds: s.Near(), Issue: version,
+	m := helm.New(door.Now(), chance(), helm.Place{Addr: s.Addr(), Loc: s.Loc(), Seeds: s.Near(), Begin: s.Begin(), Loses: s.Loses, Issue: version,
 		Core: s.Pace.Core(), Truth: s.Pace.Truth()}, recs)
 	o.Carry(m)
 	var ready atomic.Bool
 	o.Show = func() any {
 		v := m.Status()
-		d.state("part", v.Part, "term", v.Term, "leader", v.Leader, "reason", v.Why, "waits", v.Wait != "", "members", len(v.Roll))
+		d.state("part", v.Part, "term", v.Term, "leader", v.Leader, "reason", v.Why, "waits", v.Wait != "", "members", len(v.Roll), "voters", v.Roll.Votes())
 		return v
 	}
 	o.After = func() { ready.Store(m.Ready()) }
--- a/helm/calls.go
+++ b/helm/calls.go
@@ -52,7 +52,11 @@
 	h.Sums.Calls++
 	w.term = h.core.Term()
 	if h.head == nil || !h.core.Firm() {
-		h.reply(w, word.ReplyBody{Away: true, Lead: h.core.Leader()})
+		lead := h.core.Leader()
+		if h.core.Name() == "" {
+			lead = h.kin.Lead()
+		}
+		h.reply(w, word.ReplyBody{Away: true, Lead: lead})
 		return
 	}
 	f := verbs[c.Verb]
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -27,6 +27,8 @@
 	Addr  mark.Addr
 	Loc   mark.Locality
 	Seeds []mark.Addr
+	Begin accord.Origin
+	Loses int // voters that may be lost at once, disk and all
 	Issue string
 	Core  accord.Pace
 	Truth truth.Pace
@@ -94,7 +96,7 @@
 // New starts a helm from the records of its disk.
 func New(now mark.Now, rnd *rand.Rand, p Place, recs [][]byte) *Helm {
 	me := accord.Member{Addr: p.Addr, Loc: p.Loc}
-	h := &Helm{place: p, now: now, core: accord.New(now, p.Core, rnd, me, recs, mark.Mint(rnd)),
+	h := &Helm{place: p, now: now, core: accord.New(now, p.Core, rnd, me, p.Begin, recs, mark.Mint(rnd)),
 		waits: map[mark.Index]waiter{}, ahead: map[mark.JobID]mark.Index{}, flight: map[store.End]bool{}, rates: map[mark.Queue]*rate{}, works: map[mark.Queue]float64{}, peaks: map[mark.Queue]float64{}, Trail: trail.New()}
 	h.kin = kin.New(rnd, h.card(), p.Seeds)
 	h.desk = news.NewDesk(p.Addr)
@@ -208,11 +210,24 @@
 			seen = append(seen, accord.Seen{Member: accord.Member{ID: c.ID, Addr: c.Addr, Loc: c.Loc}, Name: c.Name})
 		}
 	}
-	h.core.See(seen)
+	h.core.See(seen, h.others())
 	h.core.Tick(h.now)
 	h.pass()
 }
 
+// others are, while no cluster is known, where daemons are that are no helms: a
+// founder that turns out to be one of them is not waited for.
+func (h *Helm) others() (list []mark.Addr) {
+	if h.core.Name() == "" {
+		for _, a := range h.place.Begin.Founders {
+			if role := h.kin.Role(a); role != "" && role != "helm" {
+				list = append(list, a)
+			}
+		}
+	}
+	return
+}
+
 // close begins a planned stop: the duty goes to a successor.
 func (h *Helm) close() {
 	h.drain = true
--- a/helm/view.go
+++ b/helm/view.go
@@ -3,6 +3,7 @@
 package helm
 
 import (
+	"fmt"
 	"time"
 
 	"coppercourse/accord"
@@ -137,6 +138,7 @@
 	Leader  mark.Addr    `json:"leader"`
 	Commit  mark.Index   `json:"commit"`
 	Roll    accord.Roll  `json:"roll"`
+	Bears   int          `json:"losses_borne"`
 	Edition mark.Edition `json:"table_edition"`
 	Jobs    int          `json:"jobs_unfinished"`
 	Known   int          `json:"ids_remembered"`
@@ -155,5 +157,11 @@
 	if h.head != nil && h.head.Wait {
 		v.Wait = h.head.Why
 	}
+	if n := c.Roll().Votes(); n > 0 {
+		v.Bears = (n - 1) / 2
+	}
+	if v.Why == "" && c.Name() != "" && v.Bears < h.place.Loses {
+		v.Why = fmt.Sprintf("%d voters bear the loss of %d at once, and the settings ask for %d", c.Roll().Votes(), v.Bears, h.place.Loses)
+	}
 	return v
 }
--- a/kin/view.go
+++ b/kin/view.go
@@ -51,6 +51,14 @@
 	return
 }
 
+// Role is what the daemon at an address is, if that is known.
+func (r *Roster) Role(a mark.Addr) string {
+	if e := r.all[a]; e != nil {
+		return e.card.Role
+	}
+	return ""
+}
+
 // Apart tells whether a shard's ward fell silent with all that is known in its
 // locality, as when the locality is cut off; one machine's end leaves others.
 func (r *Roster) Apart(shard string) bool {
--- a/place/place.go
+++ b/place/place.go
@@ -27,6 +27,7 @@
 	Log      string
 	Founders []string // helms that found a cluster together, where settings name them
 	First    bool     // no cluster has been before
+	Loses    int      // helms that may be lost at once, disk and all
 	Conns    int      // connections at once on one address; 0 is the daemon's own bound
 	Bounds   Bounds
 	Pace     Pace
@@ -66,6 +67,7 @@
 		"seeds":     addrs(r, &s.Seeds),
 		"founders":  addrs(r, &s.Founders),
 		"first":     blueprint.Bool(r, &s.First),
+		"losses":    blueprint.Num(r, &s.Loses, 0, 4),
 		"grace_ms":  num(&s.Bounds.Grace),
 		"notice_ms": num(&s.Bounds.Notice),
 		"pace": func(at string) {
@@ -163,5 +165,14 @@
 	return
 }
 
+// Begin is what the settings say of the cluster's beginning.
+func (s Settings) Begin() (o accord.Origin) {
+	o.First = s.First
+	for _, a := range s.Founders {
+		o.Founders = append(o.Founders, mark.Addr(a))
+	}
+	return
+}
+
 func (s Settings) Loc() mark.Locality    { return mark.Locality(s.Locality) }
 func (s Settings) ShardName() mark.Shard { return mark.Shard(s.Shard) }
