A table that is known is confirmed at once when a leader is back

Cause: a gate that is not confirmed asks each 100 ms; the desk held each of these for 400 ms, since the edition was no news, and each new question began that anew. So a gate that knew the table and had heard no leader for longer than a confirmation lasts was never confirmed again until the next edition, and was never ready. Seen in a test of seven helms that all lost power while the gates ran on. Ruled out: the leader not being firm (it answered reads at once). Change: asking again does not put the answer off, and what is not confirmed is not held at all.

--- a/news/news.go
+++ b/news/news.go
@@ -59,9 +59,15 @@
 func NewDesk(me mark.Addr) *Desk { return &Desk{me, map[mark.Addr]wait{}} }
 
 func (d *Desk) Take(now mark.Stamp, n word.Note) {
-	if a, ok := word.Read[ask](n); ok && len(d.waits) < most {
-		d.waits[n.From] = wait{a, now.Add(a.hold())}
+	a, ok := word.Read[ask](n)
+	if !ok || len(d.waits) >= most {
+		return
 	}
+	by := now.Add(a.hold())
+	if w, ok := d.waits[n.From]; ok {
+		by = min(by, w.by) // asking again does not put the answer off
+	}
+	d.waits[n.From] = wait{a, by}
 }
 
 // Tell answers those for whom there is news, or whose hold is over.
@@ -106,15 +112,15 @@
 
 // Tick asks the leader again, at once after an answer.
 func (r *Reader) Tick(now mark.Stamp, lead mark.Addr) (sends []word.Send) {
-	wait := again
+	wait, held := again, r.part(hold).Milliseconds()
 	if !r.Fresh(now) {
-		wait = eager
+		wait, held = eager, 1 // to be confirmed at once
 	}
 	if lead == "" || r.open && now.Sub(r.asked) < r.part(wait) {
 		return nil
 	}
 	r.open, r.asked = true, now
-	return []word.Send{word.Make(r.me, lead, word.News, ask{r.Table.Edition, r.any, r.part(hold).Milliseconds(), now})}
+	return []word.Send{word.Make(r.me, lead, word.News, ask{r.Table.Edition, r.any, held, now})}
 }
 
 // Take handles an answer; true when the table changed. What it confirms counts
