--- a/trial/called_town.go
+++ b/trial/called_town.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"time"
 
 	"coppercourse/blueprint"
@@ -117,6 +118,19 @@
 	return t
 }
 
+// grown is a town with more of everything. Its callers send as many jobs a worker
+// as before, half as often, so that a run is short enough for every change.
+func (t Town) grown(name string, x Size) Town {
+	t.Name, t.Size = name, x
+	m := *t.Manner
+	m.Gang = 4 * time.Second
+	t.Manner, t.Streams = &m, slices.Clone(t.Streams)
+	for i := range t.Streams {
+		t.Streams[i].Every = 2 * t.Streams[i].Every * time.Duration(Small.Workers) / time.Duration(x.Workers)
+	}
+	return t
+}
+
 func init() {
 	beat := 1500 * time.Millisecond
 	a := calledTown("kingston-called", 16*mark.Core,
@@ -136,4 +150,6 @@
 		shape{queue: "bookings", every: 369 * time.Millisecond, steps: 1, width: 2, ms: 720, cores: 9.7, memory: 14000, uneven: 0.3, off: 0.2, fails: 0.03,
 			apart: 0.3, timed: 0.3, cancel: 0.04, priority: 1, tries: 4, stretch: 2.2, target: 1000})
 	Towns[a.Name], Towns[b.Name] = a, b
+	Towns["kingston-grown"] = a.grown("kingston-grown", Size{Zones: 4, Helms: 8, Gates: 8, Workers: 62, Rack: 7, Founders: 3})
+	Towns["romania-grown"] = b.grown("romania-grown", Size{Zones: 3, Helms: 6, Gates: 7, Workers: 50, Rack: 8, Founders: 3})
 }
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -158,7 +158,8 @@
 	"cut-worker-in":  cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { a, b := apart(r, r.hand().node); return b, a }),
 	"cut-worker-out": cutter(false, func(r *Run) ([]mark.Addr, []mark.Addr) { return apart(r, r.hand().node) }),
 	"cut-zone": cutter(true, func(r *Run) ([]mark.Addr, []mark.Addr) {
-		z := r.zones[Zone(r.rnd.Intn(3))]
+		x := r.Crew.town.size()
+		z := r.zones[x.zone(r.rnd.Intn(x.Zones))]
 		return z, r.rest(z...)
 	}),
 	"kill-worker": func(r *Run, _ time.Duration) func() {
@@ -313,7 +314,7 @@
 		if h.m == nil || h.frozen {
 			return nil
 		}
-		if s := h.m.(*helm.Helm).Status(); s.Part != "leader" && s.Part != "follower" || len(s.Roll) != 3 {
+		if s := h.m.(*helm.Helm).Status(); s.Part != "leader" && s.Part != "follower" || len(s.Roll) != len(r.helms) {
 			return nil
 		}
 	}
--- /dev/null
+++ b/trial/grown_day_test.go
@@ -0,0 +1,63 @@
+// Grown towns whose workers are called: a calm day, and one of losses.
+package trial
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"coppercourse/word"
+)
+
+// grownDay is short enough for every change.
+func grownDay(seed int64, town string, count int, faults ...string) Plan {
+	return Plan{Seed: seed, Town: town, Faults: faults, Count: count, Quick: true, Calm: 2 * time.Second, Storm: 4 * time.Second,
+		After: 3 * time.Second, Settle: 40 * time.Second, Patience: 5 * time.Second}
+}
+
+func TestGrownTownsServeACalmDay(t *testing.T) {
+	for i, town := range []string{"kingston-grown", "romania-grown"} {
+		t.Run(town, func(t *testing.T) {
+			if testing.Short() && i == 0 {
+				t.Skip("run without the race detector")
+			}
+			t.Parallel()
+			is := is.New(t)
+			r := Build(grownDay(int64(1+i), town, 0)).Go()
+			for _, b := range r.Verdict().Breaks {
+				t.Error(b)
+			}
+			n, hows := map[What]int{}, map[word.How]int{}
+			for _, h := range r.Hist.List {
+				n[h.What]++
+				if h.What == Ended {
+					hows[h.How]++
+				}
+			}
+			t.Log(Summary(&r.Hist), hows)
+			is.True(n[Started] > 1500)
+			is.Equal(n[Denied], 0)
+			is.Equal(n[Noted], n[Started])
+			is.Equal(hows[word.Expired]+hows[word.Lonely], 0)
+			is.True(r.whole(len(r.helms)))
+		})
+	}
+}
+
+func TestGrownTownsBearLosses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("run without the race detector")
+	}
+	for i, town := range []string{"kingston-grown", "romania-grown"} {
+		t.Run(town, func(t *testing.T) {
+			t.Parallel()
+			r := Build(grownDay(int64(11+i), town, 5, "kill-leader", "lose-disk", "swap-helm", "kill-helm", "kill-ward", "kill-machine", "cut-zone")).Go()
+			for _, b := range r.Verdict().Breaks {
+				t.Error(b)
+			}
+			t.Log(Summary(&r.Hist))
+			r.must(t, "all helms vote", r.whole(len(r.helms)))
+		})
+	}
+}
--- /dev/null
+++ b/trial/grown_test.go
@@ -0,0 +1,358 @@
+// Fleets with more helms than found them: how all come to vote, what of the core
+// may be lost, and that nobody founds or strikes off who must not.
+package trial
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"coppercourse/mark"
+)
+
+// many is a fleet of helms and two gates without traffic. The helms start by hand.
+func many(seed int64, helms, zones int) *Run {
+	r := build(Plan{Seed: seed, Quick: true}, Town{Size: Size{Zones: zones, Helms: helms, Gates: 2, Founders: 3}})
+	for _, n := range r.helms {
+		made := n.make
+		n.make = nil
+		r.at(301*time.Millisecond, func() { n.make = made })
+	}
+	r.Run(302 * time.Millisecond)
+	return r
+}
+
+// start boots the helms within so long of each other, in an order.
+func (r *Run) start(order []int, within time.Duration) {
+	for k, i := range order {
+		r.at(time.Duration(k)*within/time.Duration(len(order)), r.helms[i].boot)
+	}
+}
+
+func (r *Run) wait(d time.Duration) { r.Run(time.Duration(r.now) + d) }
+
+// waits lets the world go on until something holds, for so long at most.
+func (r *Run) waits(d time.Duration, ok func() bool) bool {
+	for end := r.now + int64(d); r.now < end; r.wait(20 * time.Millisecond) {
+		if ok() {
+			return true
+		}
+	}
+	return ok()
+}
+
+// whole is true once the helms there are all vote, and nobody else does.
+func (r *Run) whole(votes int) bool {
+	l := r.leader()
+	if l == nil {
+		return false
+	}
+	s := r.status(l)
+	for _, h := range r.helms {
+		if h.m == nil {
+			continue
+		}
+		m, ok := s.Roll.Find(r.status(h).ID)
+		if x := r.status(h); !ok || m.Addr != h.addr || x.Cluster != s.Cluster || len(x.Roll) != len(s.Roll) {
+			return false
+		}
+	}
+	return s.Roll.Votes() == votes && len(s.Roll) == len(r.helms)
+}
+
+// table has an operator put the next table; acked tells whether it was taken.
+func (r *Run) table(on mark.Edition) (acked func() bool) {
+	ok := false
+	t := Towns["kingston"].Table()
+	t.Edition = on
+	r.Crew.put(t, "g1", 0, func(b bool) { ok = ok || b })
+	return func() bool { return ok }
+}
+
+func (r *Run) must(t *testing.T, what string, ok bool) {
+	t.Helper()
+	if ok {
+		return
+	}
+	for _, h := range r.helms {
+		if h.m != nil {
+			s := r.status(h)
+			t.Logf("%s %s %s term %d, %q, roll %v", h.addr, s.ID, s.Part, s.Term, s.Why, s.Roll)
+		}
+	}
+	t.Fatalf("%.3f s: not so: %s", float64(r.now)/1e9, what)
+}
+
+// sizes are the cores that are looked at: a few where time is dear.
+func sizes(least, most int, few ...int) (list []int) {
+	if testing.Short() {
+		return few
+	}
+	for n := least; n <= most; n++ {
+		list = append(list, n)
+	}
+	return
+}
+
+func upTo(n int) (list []int) {
+	for i := range n {
+		list = append(list, i)
+	}
+	return
+}
+
+func TestAllHelmsVoteInWhateverOrderTheyStart(t *testing.T) {
+	for _, n := range sizes(3, 11, 6, 7, 10) {
+		for name, order := range map[string][]int{"founders first": upTo(n), "founders last": nil, "mixed": nil} {
+			t.Run(fmt.Sprint(n, " ", name), func(t *testing.T) {
+				t.Parallel()
+				r := many(int64(n), n, 2+n%3)
+				switch name {
+				case "founders last":
+					order = upTo(n)
+					slices.Reverse(order)
+				case "mixed":
+					order = r.rnd.Perm(n)
+				}
+				r.start(order, 1500*time.Millisecond)
+				votes := min(n, 9)
+				r.must(t, "all vote in time", r.waits(5*time.Second, func() bool { return r.whole(votes) }))
+				for _, m := range r.status(r.leader()).Roll {
+					r.must(t, "who starts first of all has a seat", !m.Guest)
+				}
+				r.must(t, "losses borne are told", r.status(r.leader()).Bears == (votes-1)/2)
+			})
+		}
+	}
+}
+
+func TestAFounderThatDiesMidwayIsWaitedFor(t *testing.T) {
+	for _, n := range sizes(6, 8, 7) {
+		for seed := range int64(6) {
+			t.Run(fmt.Sprint(n, " ", seed), func(t *testing.T) {
+				t.Parallel()
+				r := many(100+seed, n, 3)
+				r.start(upTo(n), 300*time.Millisecond)
+				f := r.helms[r.rnd.Intn(3)]
+				r.at(time.Duration(200+150*seed)*time.Millisecond, func() {
+					f.kill()
+					f.first = false // the settings no more tell of a first start
+					r.at(time.Duration(200+r.rnd.Intn(8000))*time.Millisecond, f.boot)
+				})
+				r.wait(11 * time.Second)
+				r.must(t, "all vote", r.waits(10*time.Second, func() bool { return r.whole(n) }))
+			})
+		}
+	}
+}
+
+// A founder on a machine without a disk runs as a gate behind the helm's address.
+func TestAFounderThatIsNoHelmIsNotWaitedFor(t *testing.T) {
+	r := many(7, 5, 3)
+	r.helms = slices.Delete(r.helms, 1, 2)
+	g := r.gate("h2", "z2")
+	r.nodes["h2"] = g
+	g.boot()
+	r.start(upTo(4), 300*time.Millisecond)
+	r.must(t, "the others vote", r.waits(5*time.Second, func() bool { return r.whole(4) }))
+}
+
+// Whatever its settings say of founders, a helm whose disk was lost founds nothing.
+func TestLostDisksFoundNothing(t *testing.T) {
+	is := is.New(t)
+	r := many(9, 7, 4)
+	r.start(upTo(7), 300*time.Millisecond)
+	r.must(t, "all vote", r.waits(5*time.Second, func() bool { return r.whole(7) }))
+	name := r.status(r.helms[0]).Cluster
+	for _, h := range r.helms {
+		h.kill()
+		h.disk.wipe()
+	}
+	r.start(r.rnd.Perm(7), time.Second)
+	r.wait(20 * time.Second)
+	for _, h := range r.helms {
+		s := r.status(h)
+		is.Equal([2]string{s.Cluster, s.Part}, [2]string{"", "empty"})
+		is.True(s.Why != "")
+		is.True(name != "")
+	}
+}
+
+// Two of seven lose their disks just after something was acknowledged, whoever
+// acknowledged it, and the others their power: it is still there, and all vote again.
+func TestAcknowledgedTableOutlivesTwoDisksOfSeven(t *testing.T) {
+	for _, i := range sizes(0, 6, 2, 5) {
+		for _, k := range []int{1, 3} {
+			t.Run(fmt.Sprint(i, " ", k), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				r := many(int64(20+7*i+k), 7, 4)
+				r.start(r.rnd.Perm(7), 300*time.Millisecond)
+				r.must(t, "all vote", r.waits(5*time.Second, func() bool { return r.whole(7) }))
+				r.wait(time.Second)
+				acked := r.table(0)
+				for !acked() {
+					r.wait(time.Millisecond)
+				}
+				lost := []*node{r.helms[i], r.helms[(i+k)%7]}
+				if k == 3 {
+					if l := r.leader(); l != nil && !slices.Contains(lost, l) {
+						lost[0] = l
+					}
+				}
+				for _, h := range r.helms {
+					if k == 3 || slices.Contains(lost, h) {
+						h.kill()
+					}
+				}
+				for _, h := range lost {
+					h.disk.wipe()
+				}
+				r.wait(800 * time.Millisecond)
+				for _, h := range r.helms {
+					if h.m == nil {
+						h.boot()
+					}
+				}
+				r.must(t, "all seven vote again", r.waits(5*time.Second, func() bool { return r.whole(7) }))
+				r.wait(time.Second)
+				e, ok := r.edition(3 * time.Second)
+				is.True(ok)
+				is.Equal(e, mark.Edition(1))
+			})
+		}
+	}
+}
+
+// Disks are lost and machines replaced in turn, one as soon as the last has caught
+// up. At the end just those that are there vote, and everything is still known.
+func TestWipesAndReplacementsInTurn(t *testing.T) {
+	for _, n := range sizes(3, 8, 3, 6) {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			zones := 2 + n%3
+			r := many(int64(40+n), n, zones)
+			r.start(r.rnd.Perm(n), 300*time.Millisecond)
+			r.must(t, "all vote", r.waits(5*time.Second, func() bool { return r.whole(n) }))
+			r.wait(time.Second)
+			edition := mark.Edition(0)
+			for i := range 2 * n {
+				acked := r.table(edition)
+				r.must(t, "a table is taken", r.waits(4*time.Second, acked))
+				edition++
+				h := r.helms[i%n]
+				if i%3 == 2 { // warned: a new one comes before it goes
+					r.Close(h)
+				} else {
+					h.kill()
+					h.disk.wipe()
+				}
+				if i%3 == 0 {
+					r.at(time.Duration(r.rnd.Intn(1500))*time.Millisecond, h.boot)
+				} else {
+					r.seeds = nil // as they are when the new one starts
+					for _, k := range r.rnd.Perm(n) {
+						if k != i%n && len(r.seeds) < 3 {
+							r.seeds = append(r.seeds, r.helms[k].addr)
+						}
+					}
+					h.make = nil
+					r.helms[i%n] = r.World.helm(h.addr+"x", h.loc)
+					r.at(time.Duration(r.rnd.Intn(1500))*time.Millisecond, r.helms[i%n].boot)
+				}
+				r.wait(2 * time.Second)
+				r.must(t, fmt.Sprint("all vote after change ", i), r.waits(10*time.Second, func() bool { return r.whole(n) }))
+			}
+			e, ok := r.edition(3 * time.Second)
+			is.True(ok)
+			is.Equal(e, edition)
+		})
+	}
+}
+
+// A zone is cut off for long, and the machines there are silent: nobody takes their
+// seats, on either side, and they vote again at once when they return. A helm that
+// comes on the smaller side changes nothing there.
+func TestACutStrikesNobodyOff(t *testing.T) {
+	for _, n := range sizes(6, 8, 7) {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r := many(int64(60+n), n, 4)
+			r.start(r.rnd.Perm(n), 300*time.Millisecond)
+			r.must(t, "all vote", r.waits(5*time.Second, func() bool { return r.whole(n) }))
+			r.wait(time.Second)
+			before := r.status(r.leader()).Roll
+			l := r.leader()
+			away := []mark.Addr{l.addr}
+			for _, h := range r.helms {
+				if h != l && len(away) < (n-1)/2 {
+					away = append(away, h.addr)
+				}
+			}
+			fresh := r.World.helm("h99", l.loc)
+			away = append(away, fresh.addr)
+			r.Split(away, r.rest(away...), true, true)
+			r.at(time.Second, fresh.boot)
+			r.wait(20 * time.Second)
+			now := r.leader()
+			is.True(now != nil && !slices.Contains(away, now.addr)) // the larger side goes on
+			is.Equal(len(r.status(now).Roll), n)
+			acked := r.table(0)
+			r.must(t, "a table is taken", r.waits(4*time.Second, acked))
+			fresh.kill()
+			clear(r.cut)
+			r.must(t, "all are back", r.waits(3*time.Second, func() bool { return r.whole(n) }))
+			for _, m := range before {
+				_, ok := r.status(r.leader()).Roll.Find(m.ID)
+				is.True(ok)
+			}
+		})
+	}
+}
+
+// Of six, four go on and three do not, until a fourth is back.
+func TestHalfOfAnEvenCoreDecidesNothing(t *testing.T) {
+	is := is.New(t)
+	r := many(80, 6, 3)
+	r.start(upTo(6), 300*time.Millisecond)
+	r.must(t, "all vote", r.waits(5*time.Second, func() bool { return r.whole(6) }))
+	r.wait(time.Second)
+	for _, h := range r.helms[:2] {
+		h.kill()
+	}
+	r.wait(2 * time.Second)
+	acked := r.table(0)
+	r.must(t, "four of six take a table", r.waits(4*time.Second, acked))
+	r.helms[2].kill()
+	r.wait(2 * time.Second)
+	_, ok := r.edition(3 * time.Second)
+	is.Equal(ok, false)
+	r.helms[0].boot()
+	r.wait(3 * time.Second)
+	e, ok := r.edition(3 * time.Second)
+	is.True(ok)
+	is.Equal(e, mark.Edition(1))
+}
+
+// A machine that is added has a seat of its own once it has voted beside all others
+// for long: then another's silence costs nobody a seat.
+func TestAnAddedHelmComesToStay(t *testing.T) {
+	is := is.New(t)
+	r := many(90, 6, 3)
+	r.start(upTo(6), 300*time.Millisecond)
+	r.must(t, "all vote", r.waits(5*time.Second, func() bool { return r.whole(6) }))
+	r.helms = append(r.helms, r.World.helm("h7", "z1"))
+	r.helms[6].boot()
+	r.must(t, "the added one votes", r.waits(5*time.Second, func() bool { return r.whole(7) }))
+	r.wait(40 * time.Second)
+	r.helms[0].kill()
+	r.wait(20 * time.Second)
+	is.Equal(len(r.status(r.leader()).Roll), 7)
+	r.helms[0].boot()
+	r.must(t, "all vote", r.waits(3*time.Second, func() bool { return r.whole(7) }))
+}
--- a/trial/net.go
+++ b/trial/net.go
@@ -101,7 +101,8 @@
 	queue  []write
 	liar   bool // a planted bug: says synced, and is not
 	sealed bool
-	broken int // a generation; writes of an earlier one do not finish
+	wiped  bool // once at least
+	broken int  // a generation; writes of an earlier one do not finish
 	use    *Usage
 }
 
@@ -208,5 +209,5 @@
 // wipe loses everything.
 func (d *disk) wipe() {
 	d.power()
-	d.safe = nil
+	d.safe, d.wiped = nil, true
 }
--- a/trial/storm.go
+++ b/trial/storm.go
@@ -48,10 +48,12 @@
 	until  time.Time // of real time, for runs that measure; they give up then
 }
 
-// Build sets a town up: 3 helms, 4 gates, 11 wards and their workers.
-func Build(p Plan) *Run {
+// Build sets the plan's town up: its helms, gates, wards and their workers.
+func Build(p Plan) *Run { return build(p, Towns[p.Town]) }
+
+func build(p Plan, town Town) *Run {
 	r := &Run{World: NewWorld(p.Seed), Plan: p, zones: map[mark.Locality][]mark.Addr{}, drains: map[string]bool{}}
-	town := Towns[p.Town]
+	size := town.size()
 	if town.Manner != nil {
 		r.floor = NewFloor(*town.Manner)
 	}
@@ -62,21 +64,27 @@
 		r.pace = p.Pace
 	}
 	r.seeds = []mark.Addr{"h1", "g1", "w1"}
-	for i := range 3 {
-		r.helms = append(r.helms, r.helm(mark.Addr(fmt.Sprintf("h%d", i+1)), Zone(i)))
+	for i := range size.Founders {
+		r.founders = append(r.founders, mark.Addr(fmt.Sprintf("h%d", i+1)))
+		r.seeds = r.founders
+	}
+	for i := range size.Helms {
+		n := r.helm(mark.Addr(fmt.Sprintf("h%d", i+1)), size.zone(i))
+		n.first = true
+		r.helms = append(r.helms, n)
 	}
-	for i := range 4 {
-		r.gates = append(r.gates, r.gate(mark.Addr(fmt.Sprintf("g%d", i+1)), Zone(i)))
+	for i := range size.Gates {
+		r.gates = append(r.gates, r.gate(mark.Addr(fmt.Sprintf("g%d", i+1)), size.zone(i)))
 	}
 	for i, m := range town.Workers() {
 		a := mark.Addr(fmt.Sprintf("w%d", i+1))
-		r.wards = append(r.wards, r.ward(a, Zone(i), m))
+		r.wards = append(r.wards, r.ward(a, size.zone(i), m))
 		if town.Manner != nil {
 			m.Guards = !p.Bare
-			r.callee(mark.Addr(fmt.Sprintf("k%d", i+1)), a, Zone(i), m)
+			r.callee(mark.Addr(fmt.Sprintf("k%d", i+1)), a, size.zone(i), m)
 			continue
 		}
-		r.worker(mark.Addr(fmt.Sprintf("k%d", i+1)), a, Zone(i), m)
+		r.worker(mark.Addr(fmt.Sprintf("k%d", i+1)), a, size.zone(i), m)
 	}
 	for _, a := range r.order {
 		n := r.nodes[a]
--- a/trial/town.go
+++ b/trial/town.go
@@ -19,11 +19,31 @@
 	Cores mark.Cores
 	Flows []Flow
 
+	Size            // of the deployment; nothing said is Small
 	Manner  *Manner // of its workers, where they are called
 	Streams []Stream
 	rows    []blueprint.Row
 }
 
+// Size is how many of each there are. Where helms found the cluster together, they
+// are named to all.
+type Size struct {
+	Zones, Helms, Gates, Workers, Rack, Founders int
+}
+
+// Small is the size of the first deployments: three helms, any of which found.
+var Small = Size{Zones: 3, Helms: 3, Gates: 4, Workers: 11, Rack: 3}
+
+func (t Town) size() Size {
+	if t.Size == (Size{}) {
+		return Small
+	}
+	return t.Size
+}
+
+// zone names the locality of the i-th of something.
+func (x Size) zone(i int) mark.Locality { return mark.Locality(fmt.Sprintf("z%d", i%x.Zones+1)) }
+
 // Flow is one stream of jobs of a shape, with its mean rate.
 type Flow struct {
 	Queue mark.Queue
@@ -107,13 +127,14 @@
 	return blueprint.Table{Rows: []blueprint.Row{row(t.Flows[0], 4, 30), row(t.Flows[1], 2, 10), row(t.Flows[2], 4, 20)}}
 }
 
-// Workers are eleven, three to a rack.
+// Workers lists them, rack by rack.
 func (t Town) Workers() (list []Make) {
 	kinds := [][]mark.Kind{{"quote", "menu"}, {"quote", "pay"}, {"menu", "pay", "quote"}}
-	for i := range 11 {
+	x := t.size()
+	for i := range x.Workers {
 		if t.Manner != nil {
 			size := []float64{1, 1, 1.5}[i%3]
-			m := Make{Shard: mark.Shard(fmt.Sprintf("k%d", i+1)), Rack: mark.Rack(fmt.Sprintf("r%d", i/3+1)), Kinds: []mark.Kind{"work"},
+			m := Make{Shard: mark.Shard(fmt.Sprintf("k%d", i+1)), Rack: mark.Rack(fmt.Sprintf("r%d", i/x.Rack+1)), Kinds: []mark.Kind{"work"},
 				Room: mark.Room{Cores: mark.Cores(float64(t.Cores) * size), Memory: int(float64(t.Cores) * size * 2048 / 1000)}, Guards: true}
 			if m.Labels = []string{"a"}; i%3 == 1 {
 				m.Labels = append(m.Labels, "b")
@@ -121,14 +142,14 @@
 			list = append(list, m)
 			continue
 		}
-		list = append(list, Make{Shard: mark.Shard(fmt.Sprintf("k%d", i+1)), Rack: mark.Rack(fmt.Sprintf("r%d", i/3+1)),
+		list = append(list, Make{Shard: mark.Shard(fmt.Sprintf("k%d", i+1)), Rack: mark.Rack(fmt.Sprintf("r%d", i/x.Rack+1)),
 			Kinds: kinds[i%3], Room: mark.Room{Cores: t.Cores, Memory: int(t.Cores) * 1024 / 1000}})
 	}
 	return
 }
 
 // Zone names the locality of the i-th of something.
-func Zone(i int) mark.Locality { return mark.Locality(fmt.Sprintf("z%d", i%3+1)) }
+func Zone(i int) mark.Locality { return Small.zone(i) }
 
 // Parade is a stream of gangs of long tasks. No town sends it; the simulator
 // does, so that faults meet gangs that run for long.
--- a/trial/world.go
+++ b/trial/world.go
@@ -38,6 +38,7 @@
 	m      word.Machine
 	make   func(*node) word.Machine
 	gen    int
+	first  bool // a helm of the first start; a lost disk ends that
 	frozen bool
 	queue  []func()
 	base   mark.Stamp
@@ -53,25 +54,26 @@
 
 // World is one run.
 type World struct {
-	rnd   *rand.Rand
-	now   int64
-	seq   uint64
-	plan  agenda
-	cut   map[pair]bool
-	lag   map[pair]time.Duration
-	sky   Weather
-	nodes map[mark.Addr]*node
-	order []mark.Addr
-	hands []*hand
-	yard  []*callee
-	lines map[mark.Addr]*callee // by where they are called
-	floor *Floor
-	pace  truth.Pace
-	core  accord.Pace
-	Hist  History
-	seeds []mark.Addr
-	Meter bool                                   // count what every daemon spends
-	far   func(from, to mark.Addr) time.Duration // more than within a region, one way
+	rnd      *rand.Rand
+	now      int64
+	seq      uint64
+	plan     agenda
+	cut      map[pair]bool
+	lag      map[pair]time.Duration
+	sky      Weather
+	nodes    map[mark.Addr]*node
+	order    []mark.Addr
+	hands    []*hand
+	yard     []*callee
+	lines    map[mark.Addr]*callee // by where they are called
+	floor    *Floor
+	pace     truth.Pace
+	core     accord.Pace
+	Hist     History
+	seeds    []mark.Addr
+	founders []mark.Addr                            // that found the cluster together, where they are named
+	Meter    bool                                   // count what every daemon spends
+	far      func(from, to mark.Addr) time.Duration // more than within a region, one way
 	// Planted bugs: what is sent, asked and answered may be changed on its way,
 	// and a note for which Tamper is false is never sent.
 	Tamper func(s *word.Send) bool
@@ -303,7 +305,8 @@
 		n.disk.safe = n.disk.safe[:keep]
 		core := w.core
 		core.Hold = w.pace.Grant
-		return helm.New(n.clock(), w.chance(), helm.Place{Addr: addr, Loc: loc, Seeds: w.seeds, Core: core, Truth: w.pace, Every: 600}, recs)
+		return helm.New(n.clock(), w.chance(), helm.Place{Addr: addr, Loc: loc, Seeds: w.seeds,
+			Begin: accord.Origin{First: n.first && !n.disk.wiped, Founders: w.founders}, Core: core, Truth: w.pace, Every: 600}, recs)
 	})
 }
 
