--- a/accord/kinds.go
+++ b/accord/kinds.go
@@ -12,8 +12,8 @@
 )
 
 // Member is one helm on the roll. Without a vote it only learns. A guest came to a
-// cluster that was there before it, and has no seat yet: it is let vote beside the
-// others, and takes the seat of one that is gone.
+// cluster that was there before it: it is let vote beside the others, and replaces
+// one that is gone.
 type Member struct {
 	ID    mark.ID       `json:"id"`
 	Addr  mark.Addr     `json:"addr"`
--- a/accord/roll.go
+++ b/accord/roll.go
@@ -1,8 +1,8 @@
 // The roll and its changes, one vote at a time: an empty member is let in
-// without a vote, learns, and is promoted. One that was there at the first start
-// has a seat; any other is a guest, and takes the seat of one that is gone, which is
-// struck off. None is struck off without that, however long it is silent. Also
-// the table from a note's kind to what a member does with it.
+// without a vote, learns, and is promoted. One that was not there at the first
+// start is a guest until it has replaced one that is gone, which is struck off, or
+// has come to stay. None is struck off but by a replacement, however long it is
+// silent. Also the table from a note's kind to what a member does with it.
 package accord
 
 import (
@@ -106,7 +106,7 @@
 	}
 	for _, m := range c.roll {
 		if o, ok := c.former(m); ok && c.ready(m) {
-			c.seat(m, o)
+			c.replace(m, o)
 			return
 		}
 	}
@@ -116,7 +116,7 @@
 			return
 		}
 		if v, ok := c.dead(m); ok && m.Guest && c.ready(m) {
-			c.seat(m, v)
+			c.replace(m, v)
 			return
 		}
 	}
@@ -143,15 +143,15 @@
 	return Member{}, false
 }
 
-// dead is the voter whose seat a guest takes: one of its locality that has long
-// been silent, or else any that has been so for much longer.
+// dead is the voter that a guest replaces: the one of its locality that has been
+// silent longest, for long enough; and where there are as many voters as may be, any
+// that has been silent for much longer.
 func (c *Core) dead(m Member) (worst Member, ok bool) {
+	full := !m.Vote && c.roll.Votes() >= most
 	for _, v := range c.roll {
-		least := idle
-		if v.Loc == m.Loc {
-			least = c.pace.Dead
-		}
-		if q := c.quiet(v); v.Vote && v.ID != m.ID && q > least && (!ok || q > c.quiet(worst)) {
+		q := c.quiet(v)
+		gone := v.Loc == m.Loc && q > c.pace.Dead || full && q > idle
+		if v.Vote && v.ID != m.ID && gone && (!ok || q > c.quiet(worst)) {
 			worst, ok = v, true
 		}
 	}
@@ -159,15 +159,15 @@
 }
 
 // doubt is true while a voter of a guest's locality is silent: it may be the one
-// in whose place the guest comes, or be back soon.
+// that the guest replaces, or be back soon.
 func (c *Core) doubt(m Member) bool {
 	return slices.ContainsFunc(c.roll, func(v Member) bool { return v.Vote && v.Loc == m.Loc && c.quiet(v) > c.pace.Least })
 }
 
-// seat strikes off one that is gone and gives its seat to a member. That goes
-// first, and the vote, where the member has none, with the next change: no vote
-// of a dead member is ever added to, and all stay one vote apart.
-func (c *Core) seat(m, gone Member) {
+// replace strikes off one that is gone, for a member that is no guest from then on.
+// The vote, where it has none, comes with the next change, so that each is one vote
+// apart from the last, and none asks for more of those that live than the last did.
+func (c *Core) replace(m, gone Member) {
 	r := c.without(gone.ID)
 	for i := range r {
 		if r[i].ID == m.ID {
@@ -177,8 +177,8 @@
 	c.change(r)
 }
 
-// welcome gives a guest that has long voted beside all others, with none of them
-// silent, a seat of its own: it has come to stay.
+// welcome makes a guest that has long voted beside all others, with none of them
+// silent, one of them: it has come to stay.
 func (c *Core) welcome() {
 	for _, m := range c.roll {
 		if m.Vote && c.quiet(m) > c.pace.Stall {
--- /dev/null
+++ b/trial/grown_rig_test.go
@@ -0,0 +1,101 @@
+// What tests of fleets of helms have in common: starting, waiting, and looking at
+// whether all that are there vote.
+package trial
+
+import (
+	"testing"
+	"time"
+
+	"coppercourse/mark"
+)
+
+// many is a fleet of helms and two gates without traffic. The helms start by hand.
+func many(seed int64, helms, zones int) *Run {
+	r := build(Plan{Seed: seed, Quick: true}, Town{Size: Size{Zones: zones, Helms: helms, Gates: 2, Founders: 3}})
+	for _, n := range r.helms {
+		made := n.make
+		n.make = nil
+		r.at(301*time.Millisecond, func() { n.make = made })
+	}
+	r.Run(302 * time.Millisecond)
+	return r
+}
+
+// start boots the helms within so long of each other, in an order.
+func (r *Run) start(order []int, within time.Duration) {
+	for k, i := range order {
+		r.at(time.Duration(k)*within/time.Duration(len(order)), r.helms[i].boot)
+	}
+}
+
+func (r *Run) wait(d time.Duration) { r.Run(time.Duration(r.now) + d) }
+
+// waits lets the world go on until something holds, for so long at most.
+func (r *Run) waits(d time.Duration, ok func() bool) bool {
+	for end := r.now + int64(d); r.now < end; r.wait(20 * time.Millisecond) {
+		if ok() {
+			return true
+		}
+	}
+	return ok()
+}
+
+// whole is true once the helms there are all vote, and nobody else does.
+func (r *Run) whole(votes int) bool {
+	l := r.leader()
+	if l == nil {
+		return false
+	}
+	s := r.status(l)
+	for _, h := range r.helms {
+		if h.m == nil {
+			continue
+		}
+		m, ok := s.Roll.Find(r.status(h).ID)
+		if x := r.status(h); !ok || m.Addr != h.addr || x.Cluster != s.Cluster || len(x.Roll) != len(s.Roll) {
+			return false
+		}
+	}
+	return s.Roll.Votes() == votes && len(s.Roll) == len(r.helms)
+}
+
+// table has an operator put the next table; acked tells whether it was taken.
+func (r *Run) table(on mark.Edition) (acked func() bool) {
+	ok := false
+	t := Towns["kingston"].Table()
+	t.Edition = on
+	r.Crew.put(t, "g1", 0, func(b bool) { ok = ok || b })
+	return func() bool { return ok }
+}
+
+func (r *Run) must(t *testing.T, what string, ok bool) {
+	t.Helper()
+	if ok {
+		return
+	}
+	for _, h := range r.helms {
+		if h.m != nil {
+			s := r.status(h)
+			t.Logf("%s %s %s term %d, %q, roll %v", h.addr, s.ID, s.Part, s.Term, s.Why, s.Roll)
+		}
+	}
+	t.Fatalf("%.3f s: not so: %s", float64(r.now)/1e9, what)
+}
+
+// sizes are the cores that are looked at: a few where time is dear.
+func sizes(least, most int, few ...int) (list []int) {
+	if testing.Short() {
+		return few
+	}
+	for n := least; n <= most; n++ {
+		list = append(list, n)
+	}
+	return
+}
+
+func upTo(n int) (list []int) {
+	for i := range n {
+		list = append(list, i)
+	}
+	return
+}
--- a/trial/grown_test.go
+++ b/trial/grown_test.go
@@ -13,97 +13,6 @@
 	"coppercourse/mark"
 )
 
-// many is a fleet of helms and two gates without traffic. The helms start by hand.
-func many(seed int64, helms, zones int) *Run {
-	r := build(Plan{Seed: seed, Quick: true}, Town{Size: Size{Zones: zones, Helms: helms, Gates: 2, Founders: 3}})
-	for _, n := range r.helms {
-		made := n.make
-		n.make = nil
-		r.at(301*time.Millisecond, func() { n.make = made })
-	}
-	r.Run(302 * time.Millisecond)
-	return r
-}
-
-// start boots the helms within so long of each other, in an order.
-func (r *Run) start(order []int, within time.Duration) {
-	for k, i := range order {
-		r.at(time.Duration(k)*within/time.Duration(len(order)), r.helms[i].boot)
-	}
-}
-
-func (r *Run) wait(d time.Duration) { r.Run(time.Duration(r.now) + d) }
-
-// waits lets the world go on until something holds, for so long at most.
-func (r *Run) waits(d time.Duration, ok func() bool) bool {
-	for end := r.now + int64(d); r.now < end; r.wait(20 * time.Millisecond) {
-		if ok() {
-			return true
-		}
-	}
-	return ok()
-}
-
-// whole is true once the helms there are all vote, and nobody else does.
-func (r *Run) whole(votes int) bool {
-	l := r.leader()
-	if l == nil {
-		return false
-	}
-	s := r.status(l)
-	for _, h := range r.helms {
-		if h.m == nil {
-			continue
-		}
-		m, ok := s.Roll.Find(r.status(h).ID)
-		if x := r.status(h); !ok || m.Addr != h.addr || x.Cluster != s.Cluster || len(x.Roll) != len(s.Roll) {
-			return false
-		}
-	}
-	return s.Roll.Votes() == votes && len(s.Roll) == len(r.helms)
-}
-
-// table has an operator put the next table; acked tells whether it was taken.
-func (r *Run) table(on mark.Edition) (acked func() bool) {
-	ok := false
-	t := Towns["kingston"].Table()
-	t.Edition = on
-	r.Crew.put(t, "g1", 0, func(b bool) { ok = ok || b })
-	return func() bool { return ok }
-}
-
-func (r *Run) must(t *testing.T, what string, ok bool) {
-	t.Helper()
-	if ok {
-		return
-	}
-	for _, h := range r.helms {
-		if h.m != nil {
-			s := r.status(h)
-			t.Logf("%s %s %s term %d, %q, roll %v", h.addr, s.ID, s.Part, s.Term, s.Why, s.Roll)
-		}
-	}
-	t.Fatalf("%.3f s: not so: %s", float64(r.now)/1e9, what)
-}
-
-// sizes are the cores that are looked at: a few where time is dear.
-func sizes(least, most int, few ...int) (list []int) {
-	if testing.Short() {
-		return few
-	}
-	for n := least; n <= most; n++ {
-		list = append(list, n)
-	}
-	return
-}
-
-func upTo(n int) (list []int) {
-	for i := range n {
-		list = append(list, i)
-	}
-	return
-}
-
 func TestAllHelmsVoteInWhateverOrderTheyStart(t *testing.T) {
 	for _, n := range sizes(3, 11, 6, 7, 10) {
 		for name, order := range map[string][]int{"founders first": upTo(n), "founders last": nil, "mixed": nil} {
@@ -121,7 +30,7 @@
 				votes := min(n, 9)
 				r.must(t, "all vote in time", r.waits(5*time.Second, func() bool { return r.whole(votes) }))
 				for _, m := range r.status(r.leader()).Roll {
-					r.must(t, "who starts first of all has a seat", !m.Guest)
+					r.must(t, "who was there at the first start is no guest", !m.Guest)
 				}
 				r.must(t, "losses borne are told", r.status(r.leader()).Bears == (votes-1)/2)
 			})
@@ -274,8 +183,8 @@
 	}
 }
 
-// A zone is cut off for long, and the machines there are silent: nobody takes their
-// seats, on either side, and they vote again at once when they return. A helm that
+// A zone is cut off for long, and the machines there are silent: nobody replaces
+// them, on either side, and they vote again at once when they return. A helm that
 // comes on the smaller side changes nothing there.
 func TestACutStrikesNobodyOff(t *testing.T) {
 	for _, n := range sizes(6, 8, 7) {
@@ -339,8 +248,8 @@
 	is.Equal(e, mark.Edition(1))
 }
 
-// A machine that is added has a seat of its own once it has voted beside all others
-// for long: then another's silence costs nobody a seat.
+// A machine that is added is one of the core once it has voted beside all others for
+// long: from then on it replaces nobody.
 func TestAnAddedHelmComesToStay(t *testing.T) {
 	is := is.New(t)
 	r := many(90, 6, 3)
@@ -356,3 +265,53 @@
 	r.helms[0].boot()
 	r.must(t, "all vote", r.waits(3*time.Second, func() bool { return r.whole(7) }))
 }
+
+// While two voters of another zone are long cut off, one is replaced: that one is
+// struck off, and not those.
+func TestAReplacementStrikesOffJustWhatItReplaces(t *testing.T) {
+	is := is.New(t)
+	r := many(95, 8, 4)
+	r.start(upTo(8), 300*time.Millisecond)
+	r.must(t, "all vote", r.waits(5*time.Second, func() bool { return r.whole(8) }))
+	away := []*node{r.helms[3], r.helms[7]}
+	cut := []mark.Addr{away[0].addr, away[1].addr}
+	ids := []mark.ID{r.status(away[0]).ID, r.status(away[1]).ID, r.status(r.helms[0]).ID}
+	r.Split(cut, r.rest(cut...), true, true)
+	r.wait(40 * time.Second)
+	r.helms[0].kill()
+	r.helms[0].make = nil
+	r.helms[0] = r.World.helm("h1x", "z1")
+	r.seeds = []mark.Addr{"h2", "h3", "h5"}
+	r.helms[0].boot()
+	r.Split([]mark.Addr{"h1x"}, cut, true, true)
+	r.wait(10 * time.Second)
+	roll := r.status(r.leader()).Roll
+	is.Equal(roll.Votes(), 8)
+	for i, id := range ids {
+		_, ok := roll.Find(id)
+		is.Equal(ok, i < 2)
+	}
+	clear(r.cut)
+	r.must(t, "all vote", r.waits(5*time.Second, func() bool { return r.whole(8) }))
+}
+
+// Nine vote at most; a tenth learns, and replaces one that has been silent for long.
+func TestATenthHelmReplacesOneThatIsLongSilent(t *testing.T) {
+	is := is.New(t)
+	r := many(96, 10, 3)
+	r.start(upTo(10), 300*time.Millisecond)
+	r.must(t, "nine vote", r.waits(5*time.Second, func() bool { return r.whole(9) }))
+	r.helms = append(r.helms, r.World.helm("h11", "z2")) // this one was not there at first
+	r.helms[10].boot()
+	r.wait(5 * time.Second)
+	lost := r.helms[0]
+	lost.kill()
+	lost.make = nil
+	r.helms = r.helms[1:]
+	r.wait(50 * time.Second)
+	s := r.status(r.leader())
+	is.Equal(s.Roll.Votes(), 9)
+	for _, m := range s.Roll {
+		is.True(m.Addr != lost.addr)
+	}
+}
