Entries share messages under load, and helms pass reports on only after a while

Cause: the leader's processor time. Two things grew with the core. Every step with an entry sent a message to each of six followers, and each answered twice, before and after its sync: in the simulated town with 8 helms and the full rate of jobs, 151,755 messages of work out and 217,000 of the log in, in 29 s. And a helm that had heard of an end passed it on to the leader after 100 ms, and by way of every gate, so that a leader that was behind was told each end by six helms and sixteen gates again and again: the overload fed itself. Change: entries that come while earlier ones are on their way to a member wait for the answer, for a round at most; a follower answers entries once, when they are synced, or at once where its disk has been slow for a round. A helm passes reports on after the time that makes a worker ill, to the leader first, then also by way of two gates, others each time; the ward itself repeats them all the while.

--- a/accord/push.go
+++ b/accord/push.go
@@ -57,7 +57,9 @@
 	return c.append(Entry{Fact: fact}), true
 }
 
-// flush sends each member what it has not been sent.
+// flush sends each member what it has not been sent. Entries that come while earlier
+// ones are on their way wait for the answer, so that under load one message carries
+// what one sync of a member's disk can take.
 func (c *Core) flush() {
 	if c.heir != "" && c.mate(c.heir).match == c.last() {
 		m, _ := c.roll.Find(c.heir)
@@ -84,7 +86,8 @@
 		if due && t.match+1 < t.next && c.now.Mono.Sub(t.sent) > 2*c.pace.Beat {
 			t.next = t.match + 1
 		}
-		if due || t.next <= c.last() {
+		flying := t.match+1 < t.next && c.now.Mono.Sub(t.sent) < c.pace.Beat
+		if due || t.next <= c.last() && !flying {
 			c.feed(m, t)
 		}
 	}
@@ -161,7 +164,9 @@
 	}
 	c.commit = max(c.commit, min(p.Commit, tip))
 	a.OK, a.Match = true, min(tip, c.synced)
-	c.say(from, word.Append2, a)
+	if tip <= c.synced || c.now.Mono.Sub(c.stall) >= c.pace.Beat { // a slow disk is no silence
+		c.say(from, word.Append2, a)
+	}
 	if tip > c.synced {
 		a.Match = tip
 		c.hold(c.wrote, from, word.Append2, a)
--- a/helm/early.go
+++ b/helm/early.go
@@ -16,13 +16,17 @@
 type early struct {
 	from mark.Addr
 	truth.Status
-	at   mark.Stamp
-	sent mark.Stamp
+	at    mark.Stamp
+	sent  mark.Stamp
+	tries int // so often it was passed on
 }
 
 // lag is how long a report of a leg that this helm's log does not have yet is
-// kept.
-const lag = 10 * time.Second
+// kept; by is by way of how many gates one is passed on at once.
+const (
+	lag = 10 * time.Second
+	by  = 2
+)
 
 // logged tells whether an end need not be kept any longer.
 func (h *Helm) logged(e store.End, at mark.Stamp) bool {
@@ -47,18 +51,24 @@
 		u.Ends = slices.DeleteFunc(u.Ends, func(e store.End) bool { return slices.Contains(x.Ends, e) })
 	}
 	if len(u.Ends) > 0 {
-		h.early = append(h.early, early{n.From, u, h.now.Mono, h.now.Mono})
+		h.early = append(h.early, early{from: n.From, Status: u, at: h.now.Mono, sent: h.now.Mono})
 	}
 }
 
-// pass tells the leader, or this helm's own dispatcher, what is not in the log.
+// pass tells this helm's own dispatcher what is not in the log, or the leader, to
+// whom the ward itself repeats it: so only after a while, lest a leader that is
+// behind is told everything by everybody.
 func (h *Helm) pass() {
 	h.early = slices.DeleteFunc(h.early, func(x early) bool {
 		return !slices.ContainsFunc(x.Ends, func(e store.End) bool { return !h.logged(e, x.at) })
 	})
 	for i := range h.early {
 		x := &h.early[i]
-		if h.now.Mono.Sub(x.sent) < h.place.Truth.Again {
+		wait := h.place.Truth.Ill
+		if h.head != nil {
+			wait = h.place.Truth.Again
+		}
+		if h.now.Mono.Sub(x.sent) < wait {
 			continue
 		}
 		to := h.core.Leader()
@@ -68,19 +78,25 @@
 		if s := word.Make(x.from, to, word.Status, x.Status); h.head != nil {
 			h.head.Take(h.now.Mono, h.core.Grace(), s.Note)
 		} else {
-			h.relay(s, to)
+			h.relay(s, to, x.tries)
+			x.tries++
 		}
 		x.sent = h.now.Mono
 	}
 }
 
-// relay sends a report to the leader, and by way of the gates: this helm may be
-// cut off from the leader alone.
-func (h *Helm) relay(s word.Send, to mark.Addr) {
+// relay sends a report to the leader, and, if it is none known or that did not help,
+// by way of a few gates, others each time: this helm may be cut off from the leader
+// alone.
+func (h *Helm) relay(s word.Send, to mark.Addr, tries int) {
 	if to != "" {
 		h.sends = append(h.sends, s)
 	}
-	for _, c := range h.kin.Known("gate") {
-		h.sends = append(h.sends, word.Send{To: c.Addr, Note: s.Note})
+	if to != "" && tries == 0 {
+		return
+	}
+	gates := h.kin.Known("gate")
+	for i := range min(by, len(gates)) {
+		h.sends = append(h.sends, word.Send{To: gates[(by*tries+i)%len(gates)].Addr, Note: s.Note})
 	}
 }
