--- a/helm/plan.go
+++ b/helm/plan.go
@@ -121,10 +121,10 @@
 			if p.Lasts {
 				long = endless
 			}
-			class, turn, patient := h.aim(j, d.Row, x, b)
+			class, turn, spare := h.aim(j, d.Row, x, b)
 			list = append(list, choice.Want{Part: choice.Part{Job: j.ID, Stage: b.Stage}, Queue: j.Queue, Urgency: j.Spec.Urgency,
 				Kind: p.Kind, Rack: p.Rack, Labels: p.Labels, Room: p.Room, Spread: p.Spread, Gang: p.Gang, Tasks: b.Tasks, Long: long, Shun: b.Shun,
-				Class: class, Turn: turn, Patient: patient, Near: p.Near, OneRack: p.OneRack})
+				Class: class, Turn: turn, Spare: spare, Near: p.Near, OneRack: p.OneRack})
 		}
 	}
 	return
@@ -140,7 +140,7 @@
 		total += s.Room.Cores
 		if till, _, _ := h.till(s); !s.Leaving && s.Sound {
 			at[s.Shard] = len(list)
-			list = append(list, choice.Slot{Shard: s.Shard, Rack: s.Rack, Kinds: s.Kinds, Labels: s.Labels, Free: s.Room, Size: s.Room, Till: till,
+			list = append(list, choice.Slot{Shard: s.Shard, Rack: s.Rack, Kinds: s.Kinds, Labels: s.Labels, Free: s.Room.Minus(s.Lacks), Size: s.Room, Till: till,
 				Bad: s.Worth.Bad, Slow: s.Worth.Slow, Now: h.head.Slow(s), Has: map[choice.Part]int{}})
 		}
 	}
