--- a/trial/grown_day_test.go
+++ b/trial/grown_day_test.go
@@ -62,3 +62,35 @@
 		})
 	}
 }
+
+// What a day's work costs in messages grows with the work and not with its speed or
+// its trouble: while all disks are slow, the leader is not told everything by everybody.
+func TestSlowDisksMakeNoStormOfMessages(t *testing.T) {
+	is := is.New(t)
+	p := grownDay(21, "romania-grown", 0)
+	p.Calm, p.Settle = 4*time.Second, 4*time.Second
+	r := Build(p)
+	r.Meter = true
+	r.at(8*time.Second, func() {
+		for _, h := range r.helms {
+			h.disk.slow = 150 * time.Millisecond
+		}
+	})
+	r.Go()
+	legs, pushes, told := 0, 0, 0
+	for _, h := range r.Hist.List {
+		if h.What == Ended {
+			legs++
+		}
+	}
+	for _, h := range r.helms {
+		pushes += h.use.Received[LogMessages].Messages + h.use.Received[WorkMessages].Messages
+		if h != r.leader() {
+			told += h.use.Sent[WorkMessages].Messages
+		}
+	}
+	t.Logf("%d legs, %d messages to the helms, %d by followers of work", legs, pushes, told)
+	is.True(legs > 500)
+	is.True(told < legs)
+	is.True(pushes < 20*legs)
+}
