--- a/accord/push.go
+++ b/accord/push.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	most    = 256
+	bunch   = 256
 	longest = 120_000 // entries that a log may have before it takes no more
 )
 
@@ -57,7 +57,9 @@
 	return c.append(Entry{Fact: fact}), true
 }
 
-// flush sends each member what it has not been sent.
+// flush sends each member what it has not been sent. Entries that come while earlier
+// ones are on their way wait for the answer, so that under load one message carries
+// what one sync of a member's disk can take.
 func (c *Core) flush() {
 	if c.heir != "" && c.mate(c.heir).match == c.last() {
 		m, _ := c.roll.Find(c.heir)
@@ -84,7 +86,8 @@
 		if due && t.match+1 < t.next && c.now.Mono.Sub(t.sent) > 2*c.pace.Beat {
 			t.next = t.match + 1
 		}
-		if due || t.next <= c.last() {
+		flying := t.match+1 < t.next && c.now.Mono.Sub(t.sent) < c.pace.Beat
+		if due || t.next <= c.last() && !flying {
 			c.feed(m, t)
 		}
 	}
@@ -114,7 +117,7 @@
 	}
 	if t.next <= c.last() {
 		rest := c.log[t.next-c.snap.Index-1:]
-		p.Entries = rest[:min(len(rest), most)]
+		p.Entries = rest[:min(len(rest), bunch)]
 		t.next += mark.Index(len(p.Entries))
 		t.sent = c.now.Mono
 	}
@@ -161,7 +164,9 @@
 	}
 	c.commit = max(c.commit, min(p.Commit, tip))
 	a.OK, a.Match = true, min(tip, c.synced)
-	c.say(from, word.Append2, a)
+	if tip <= c.synced || c.now.Mono.Sub(c.stall) >= c.pace.Beat { // a slow disk is no silence
+		c.say(from, word.Append2, a)
+	}
 	if tip > c.synced {
 		a.Match = tip
 		c.hold(c.wrote, from, word.Append2, a)
@@ -292,7 +297,7 @@
 func (c *Core) rewrite() {
 	c.writes = nil
 	v, s := c.vow, c.snap
-	c.write(Record{Self: &Self{ID: c.self.ID}})
+	c.write(Record{Self: &Self{c.self.ID, c.origin.First}})
 	c.write(Record{Charter: &Charter{Name: c.name, Roll: s.Roll}})
 	c.write(Record{Vow: &v})
 	c.write(Record{Snap: &s})
--- /dev/null
+++ b/helm/ends.go
@@ -0,0 +1,35 @@
+// Ends on their way from the dispatcher into the log.
+package helm
+
+import (
+	"coppercourse/store"
+)
+
+// heed sends what the dispatcher has to say and puts the ends it has into the log.
+func (h *Helm) heed() {
+	sends, ends := h.head.Out()
+	h.sends = append(h.sends, sends...)
+	h.propose(ends)
+}
+
+// propose puts ends into the log, each at most once at a time.
+func (h *Helm) propose(ends []store.End) {
+	var list []store.End
+	for _, e := range ends {
+		if !h.flight[e] && !h.taken(e) {
+			list = append(list, e)
+		}
+	}
+	if list == nil {
+		return
+	}
+	if i, ok := h.fact(store.Fact{Ends: list}); ok {
+		for _, e := range list {
+			h.flight[e], h.ahead[e.Leg.Job] = true, i
+			if e.Fate.Over() {
+				h.freed[e.Leg], h.moved = true, true
+			}
+		}
+		h.Sums.Ends += uint64(len(list))
+	}
+}
--- a/helm/helm.go
+++ b/helm/helm.go
@@ -27,6 +27,8 @@
 	Addr  mark.Addr
 	Loc   mark.Locality
 	Seeds []mark.Addr
+	Begin accord.Origin
+	Loses int // voters that may be lost at once, disk and all
 	Issue string
 	Core  accord.Pace
 	Truth truth.Pace
@@ -100,8 +102,10 @@
 // New starts a helm from the records of its disk.
 func New(now mark.Now, rnd *rand.Rand, p Place, recs [][]byte) *Helm {
 	me := accord.Member{Addr: p.Addr, Loc: p.Loc}
-	h := &Helm{place: p, now: now, core: accord.New(now, p.Core, rnd, me, recs, mark.Mint(rnd)),
-		waits: map[mark.Index]waiter{}, ahead: map[mark.JobID]mark.Index{}, flight: map[store.End]bool{}, freed: map[mark.Leg]bool{}, given: map[mark.Task]store.Give{}, rates: map[mark.Queue]*rate{}, works: map[mark.Queue]float64{}, peaks: map[mark.Queue]float64{}, tasks: map[mark.Queue]float64{}, habits: map[mark.Queue]*habit{}, courses: map[mark.JobID][]course{}, Trail: trail.New()}
+	h := &Helm{place: p, now: now, core: accord.New(now, p.Core, rnd, me, p.Begin, recs, mark.Mint(rnd)),
+		waits: map[mark.Index]waiter{}, ahead: map[mark.JobID]mark.Index{}, flight: map[store.End]bool{}, freed: map[mark.Leg]bool{},
+		given: map[mark.Task]store.Give{}, rates: map[mark.Queue]*rate{}, works: map[mark.Queue]float64{}, peaks: map[mark.Queue]float64{},
+		tasks: map[mark.Queue]float64{}, habits: map[mark.Queue]*habit{}, courses: map[mark.JobID][]course{}, Trail: trail.New()}
 	h.kin = kin.New(rnd, h.card(), p.Seeds)
 	h.desk = news.NewDesk(p.Addr)
 	h.load()
@@ -214,11 +218,24 @@
 			seen = append(seen, accord.Seen{Member: accord.Member{ID: c.ID, Addr: c.Addr, Loc: c.Loc}, Name: c.Name})
 		}
 	}
-	h.core.See(seen)
+	h.core.See(seen, h.others())
 	h.core.Tick(h.now)
 	h.pass()
 }
 
+// others are, while no cluster is known, where daemons are that are no helms: a
+// founder that turns out to be one of them is not waited for.
+func (h *Helm) others() (list []mark.Addr) {
+	if h.core.Name() == "" {
+		for _, a := range h.place.Begin.Founders {
+			if role := h.kin.Role(a); role != "" && role != "helm" {
+				list = append(list, a)
+			}
+		}
+	}
+	return
+}
+
 // close begins a planned stop: the duty goes to a successor.
 func (h *Helm) close() {
 	h.drain = true
@@ -332,35 +349,6 @@
 	}
 }
 
-// heed sends what the dispatcher has to say and puts the ends it has into the log.
-func (h *Helm) heed() {
-	sends, ends := h.head.Out()
-	h.sends = append(h.sends, sends...)
-	h.propose(ends)
-}
-
-// propose puts ends into the log, each at most once at a time.
-func (h *Helm) propose(ends []store.End) {
-	var list []store.End
-	for _, e := range ends {
-		if !h.flight[e] && !h.taken(e) {
-			list = append(list, e)
-		}
-	}
-	if list == nil {
-		return
-	}
-	if i, ok := h.fact(store.Fact{Ends: list}); ok {
-		for _, e := range list {
-			h.flight[e], h.ahead[e.Leg.Job] = true, i
-			if e.Fate.Over() {
-				h.freed[e.Leg], h.moved = true, true
-			}
-		}
-		h.Sums.Ends += uint64(len(list))
-	}
-}
-
 func (h *Helm) fact(f store.Fact) (mark.Index, bool) {
 	f.Tick = max(h.core.Clock(), h.state.Tick)
 	return h.core.Propose(word.Body(f))
