--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -37,7 +37,7 @@
 	syncedIndex types.Index // highest entry known to be on this member's disk
 	unsynced    []unsyncedTail
 
-	incoming Snapshot // one that a leader sends, as far as it has been received
+	incoming incomingSnapshot
 }
 
 // unsyncedTail says that the log up to an index is on disk once a batch is synced.
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -24,20 +24,28 @@
 // isComplete tells whether all parts are there.
 func (s *Snapshot) isComplete() bool { return len(s.Parts) >= s.PartCount }
 
-// add adds one part of a snapshot that a leader sends. A part of another snapshot than
-// before begins anew with that one; parts out of order are ignored.
-func (s *Snapshot) add(from Snapshot, number int, part []byte) {
-	if s.Index != from.Index || s.Term != from.Term {
-		*s = from
+// incomingSnapshot is a snapshot that a leader sends, as far as it has been received.
+type incomingSnapshot struct {
+	Snapshot
+	leaderTerm types.Term // of the leader that sends it
+}
+
+// add adds one part of a snapshot that the leader of a term sends. A part of another
+// snapshot than before, or of another leader's, begins anew with that one: two members may
+// divide their states after the same entry into different parts. Parts out of order are
+// ignored.
+func (in *incomingSnapshot) add(leaderTerm types.Term, from Snapshot, number int, part []byte) {
+	if in.leaderTerm != leaderTerm || in.Index != from.Index || in.Term != from.Term {
+		*in = incomingSnapshot{Snapshot: from, leaderTerm: leaderTerm}
 	}
-	if number == len(s.Parts) {
-		s.Parts = append(s.Parts, part)
+	if number == len(in.Parts) {
+		in.Parts = append(in.Parts, part)
 	}
 }
 
 // restoreSnapshot replaces the log by a snapshot of later entries.
 func (l *raftLog) restoreSnapshot(snapshot Snapshot) {
-	l.snapshot, l.incoming = snapshot, Snapshot{}
+	l.snapshot, l.incoming = snapshot, incomingSnapshot{}
 	l.entries, l.unsynced = nil, nil
 	l.bytes = 0
 	l.commitIndex, l.syncedIndex = snapshot.Index, 0
@@ -108,7 +116,9 @@
 }
 
 // onInstallSnapshot takes one part of a snapshot. With the last one it replaces the log, and
-// acknowledges the snapshot once it is on disk (section 5.1 of the thesis).
+// acknowledges the snapshot once it is on disk (section 5.1 of the thesis). A log that has
+// the snapshot's last entry is kept: this member may have acknowledged entries after it,
+// which are committed by that (step 6 of InstallSnapshot in the paper's Figure 13).
 func (n *Node) onInstallSnapshot(from types.Addr, request installSnapshot) {
 	if !n.acceptLeader(from, request.appendEntries) {
 		return
@@ -116,7 +126,12 @@
 	reply := n.newAppendReply(request.Round)
 	reply.Success, reply.MatchIndex = true, request.Snapshot.Index
 	if request.Snapshot.Index > n.log.commitIndex {
-		n.log.incoming.add(request.Snapshot, request.PartNumber, request.Part)
+		if n.log.matches(request.Snapshot.Index, request.Snapshot.Term) {
+			n.log.commitTo(request.Snapshot.Index)
+			n.acknowledge(from, reply, request.Snapshot.Index)
+			return
+		}
+		n.log.incoming.add(request.Term, request.Snapshot, request.PartNumber, request.Part)
 		if len(n.log.incoming.Parts) < request.Snapshot.PartCount {
 			reply.MatchIndex, reply.SnapshotParts = 0, len(n.log.incoming.Parts)
 			n.send(from, wire.AppendReply, reply)
@@ -129,7 +144,7 @@
 
 // restoreSnapshot replaces the log by the snapshot that was received completely.
 func (n *Node) restoreSnapshot() {
-	n.log.restoreSnapshot(n.log.incoming)
+	n.log.restoreSnapshot(n.log.incoming.Snapshot)
 	n.assignRole()
 	n.rewriteFile()
 	n.log.awaitSync(n.disk.writtenBatch)
--- a/internal/raft/snapshot_test.go
+++ b/internal/raft/snapshot_test.go
@@ -36,3 +36,81 @@
 	is.Equal(restored.log.snapshot.Index, types.Index(compacted))
 	is.Equal(restored.log.snapshot.Parts, n.log.snapshot.Parts)
 }
+
+// fromLeaderSnapshot is the only part of a snapshot that leader b sends to a, which
+// startedNode is.
+func fromLeaderSnapshot(index types.Index, term types.Term) installSnapshot {
+	return installSnapshot{
+		appendEntries: fromLeader(index, term),
+		Snapshot:      Snapshot{Index: index, Term: term, Config: Configuration{{ID: "a", Voter: true}}, PartCount: 1},
+		Part:          []byte(`{"state":1}`),
+	}
+}
+
+// TestSnapshotKeepsTheEntriesAfterIt: a follower that has the snapshot's last entry has
+// acknowledged what follows it. That may be committed by now, and rests on this follower's
+// disk among others (step 6 of InstallSnapshot in the paper's Figure 13).
+func TestSnapshotKeepsTheEntriesAfterIt(t *testing.T) {
+	is := is.New(t)
+	n := startedNode(t)
+	written := n.disk.writtenBatch
+	n.onInstallSnapshot("addr-b", fromLeaderSnapshot(4, 3))
+	reply := oneBody[appendReply](t, n)
+	is.True(reply.Success)
+	is.Equal(reply.SnapshotParts, 0) // no further part is needed
+	is.Equal(reply.MatchIndex, types.Index(4))
+	is.Equal(n.log.lastIndex(), types.Index(5))
+	is.Equal(n.log.commitIndex, types.Index(4))
+	is.Equal(n.disk.writtenBatch, written) // the file stays as it is
+}
+
+// TestSnapshotReplacesAnotherLog: where the logs part ways, the snapshot replaces all.
+func TestSnapshotReplacesAnotherLog(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		index types.Index
+		term  types.Term
+	}{
+		{"entry of another term", 3, 3},
+		{"entry that is not there", 8, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			n := startedNode(t)
+			n.onInstallSnapshot("addr-b", fromLeaderSnapshot(c.index, c.term))
+			is.Equal(oneBody[appendReply](t, n).MatchIndex, c.index)
+			is.Equal(n.log.lastIndex(), c.index)
+			is.Equal(n.log.snapshot.Index, c.index)
+		})
+	}
+}
+
+// TestSnapshotOfUnsyncedEntriesIsNotAcknowledged: the snapshot's last entry is in the log but
+// not on disk yet, so the follower can't vouch for it.
+func TestSnapshotOfUnsyncedEntriesIsNotAcknowledged(t *testing.T) {
+	is := is.New(t)
+	n := startedNode(t)
+	n.onAppendEntries("addr-b", fromLeader(5, 3, Entry{Index: 6, Term: 3}))
+	n.onInstallSnapshot("addr-b", fromLeaderSnapshot(6, 3))
+	ready := n.Ready()
+	is.Equal(len(ready.Messages), 0)
+	n.Synced(n.now, ready.BatchNumber)
+	is.Equal(len(n.Ready().Messages), 2) // to the entry and to the snapshot
+}
+
+// TestSnapshotPartsOfTwoLeadersDoNotMix: the next leader has a snapshot of the same entry in
+// other parts, and begins with its first one.
+func TestSnapshotPartsOfTwoLeadersDoNotMix(t *testing.T) {
+	is := is.New(t)
+	n := startedNode(t)
+	part := func(leaderTerm types.Term, number int, content string) installSnapshot {
+		request := fromLeaderSnapshot(9, 3)
+		request.appendEntries.Term, request.Snapshot.PartCount = leaderTerm, 2
+		request.PartNumber, request.Part = number, []byte(content)
+		return request
+	}
+	n.onInstallSnapshot("addr-b", part(3, 0, `"first half"`))
+	n.onInstallSnapshot("addr-c", part(4, 0, `"first third"`))
+	n.onInstallSnapshot("addr-c", part(4, 1, `"other two"`))
+	is.Equal(n.log.snapshot.Parts, [][]byte{[]byte(`"first third"`), []byte(`"other two"`)})
+}
