settings: leases that outlast the loss of a leader

Cause: an agent's lease was 0.8 s whatever the bounds allow (8 to 10 s for a worker's hold). Ruled out: lapses by lost agents, which are few.

Change: the lease is derived from the bounds: up to 1.8 s, a fifth below the time after which a silent voter is replaced (3/8 of catchUpS), and as before within the bounds on cancels and holds. The other relations between timeouts are unchanged.

--- a/internal/settings/bounds.go
+++ b/internal/settings/bounds.go
@@ -40,14 +40,19 @@
 	return milliseconds(b.GraceMS), milliseconds(b.NoticeMS)
 }
 
-// QuickTimeouts are the longest timeouts that are derived from bounds. They are shorter
-// than the defaults: where the surroundings give bounds, a lost worker or leader costs more
-// than frequent heartbeats do.
+// minDerivedLeaseMS is the lease that is derived from bounds at the least, however soon a
+// silent voter has to be replaced.
+const minDerivedLeaseMS = 800
+
+// QuickTimeouts are the longest timeouts that are derived from bounds. All but the leases are
+// shorter than the defaults: where the surroundings give bounds, a lost leader costs more
+// than frequent heartbeats do. An agent's lease is long enough that what runs survives the
+// loss of a leader: its detection, the election, and the first heartbeats to the next one.
 var QuickTimeouts = Timeouts{
 	HeartbeatMS:     100,
 	UnhealthyMS:     400,
-	LostMS:          1000,
-	LeaseMS:         800,
+	LostMS:          lostAfterMS(1800),
+	LeaseMS:         1800,
 	WorkerLeaseMS:   600,
 	RetryMS:         100,
 	RaftHeartbeatMS: 40,
@@ -61,9 +66,11 @@
 // a bound requires that.
 func DeriveTimeouts(b Bounds) Timeouts {
 	t := QuickTimeouts
+	t.ReplaceAfterMS = within(t.ReplaceAfterMS, b.CatchUpMS, 3, 8)
 	t.LeaseMS = min(
 		within(t.LeaseMS, b.MaxLeaseMS, 8, 10),
-		within(t.LeaseMS, b.CancelMS, 2, 3))
+		within(t.LeaseMS, b.CancelMS, 2, 3),
+		max(minDerivedLeaseMS, longestLeaseMS(t.ReplaceAfterMS)))
 	t.WorkerLeaseMS = min(t.WorkerLeaseMS, t.LeaseMS*3/4)
 	t.StaleAfterMS = within(t.StaleAfterMS, b.ApplyTableMS, 3, 4)
 	t.ElectionMS = min(
@@ -79,11 +86,19 @@
 		t.RetryMS,
 		t.HeartbeatMS,
 		within(t.RetryMS, b.GangWaitMS, 1, 5))
-	t.LostMS = max(t.LostMS, (5*t.LeaseMS+3)/4)
-	t.ReplaceAfterMS = max(t.LostMS+1, within(t.ReplaceAfterMS, b.CatchUpMS, 3, 8))
+	t.LostMS = lostAfterMS(t.LeaseMS)
+	t.ReplaceAfterMS = max(t.LostMS+1, t.ReplaceAfterMS)
 	return t
 }
 
+// lostAfterMS returns after how long a worker counts as lost whose agent has a lease of so
+// many milliseconds: the lease has ended by then, also on a clock that is a little slow.
+func lostAfterMS(leaseMS int) int { return (5*max(leaseMS, minDerivedLeaseMS) + 3) / 4 }
+
+// longestLeaseMS returns the longest lease whose worker counts as lost before a silent voter
+// is replaced.
+func longestLeaseMS(replaceAfterMS int) int { return (replaceAfterMS - 1) * 4 / 5 }
+
 // within returns a timeout, or the given fraction of a bound if that is less. A bound of 0 is
 // no bound.
 func within(timeoutMS, boundMS, numerator, denominator int) int {
