executor: renewals spaced by what ends; idle workers polled every 1.9 s

Hypothesis: the largest price, looks at workers, is mostly the renewal that follows each end at once, and the renewals of workers that run nothing.

Change: after a reply that lists ends the next renewal is due after a twelfth of the worker's usual duration, 60 ms at least, whether or not they are committed before; while none of the ends is new and none committed it backs off. A worker that runs nothing is polled with the longest wait, since no lease depends on it; a start that comes meanwhile grants the lease itself, and a renewal beside the poll follows.

Test changed: a record is forgotten once the renewal that acknowledged its end is answered, which now is at 1.06 s and no longer at 0.997 s of that test.

--- a/internal/dispatch/executor/link.go
+++ b/internal/dispatch/executor/link.go
@@ -75,7 +75,7 @@
 	l.fence = fence{token: tokenAt(max(heartbeat.ClockMS, 0))}
 	l.calls.renewal, l.calls.query, l.calls.nextAt = 0, 0, types.DistantPast
 	clear(l.ends.open)
-	l.ends.acknowledged = 0
+	l.ends = endTable{open: l.ends.open}
 	l.newestListClock = 0
 	l.capacity = capacityLimit{until: types.DistantPast}
 	l.unhealthyUntil = types.DistantPast
@@ -199,6 +199,6 @@
 	if link.process.incarnation == "" || link.silent || ex.now < link.unhealthyUntil {
 		return true
 	}
-	maxUnheard := ex.longPollWait() + replyTimeout + ex.timeouts.UnhealthyAfter
+	maxUnheard := idlePollWait + replyTimeout + ex.timeouts.UnhealthyAfter
 	return ex.now.Sub(ex.worker.heardAt) > maxUnheard
 }
--- a/internal/dispatch/executor/link_calls.go
+++ b/internal/dispatch/executor/link_calls.go
@@ -17,9 +17,12 @@
 	renewalOverdueAfter = 100 * time.Millisecond
 	// renewalRetryInterval is the time before the renewal after one that was rejected.
 	renewalRetryInterval = 100 * time.Millisecond
-	// commitTime is how long a newly reported end may take to be committed; the
-	// next renewal waits for that, to acknowledge it.
-	commitTime = 60 * time.Millisecond
+	// minEndInterval is the least time between the report of an end and the next renewal.
+	// The end may be committed by then, so that this renewal acknowledges it.
+	minEndInterval = 60 * time.Millisecond
+	// endIntervalDivisor is what part of the usual duration of the worker's attempts an end
+	// may go unnoticed, so that one renewal reports several ends.
+	endIntervalDivisor = 12
 )
 
 // openCall is a call that has no reply yet.
@@ -35,6 +38,7 @@
 	renewal    uint64               // number of the lease renewal that waits for an end, or 0
 	query      uint64               // number of the renewal that resolves unsure starts, or 0
 	nextAt     types.MonoTime       // earliest time of the next renewal or query
+	grantedAt  types.MonoTime       // when the latest call that grants a lease was made
 	out        []wire.WorkerCall    // to make
 }
 
@@ -136,22 +140,32 @@
 // unless one is waiting.
 func (ex *Executor) renewWorkerLease() {
 	calls := &ex.link.calls
-	if renewal := calls.open[calls.renewal]; renewal != nil {
-		isOverdue := ex.now.Sub(renewal.sentAt) > renewal.LongPollWait+renewalOverdueAfter
-		if isOverdue || renewal.LeaseEndMS == 0 && ex.nextLeaseEnd() > 0 {
-			calls.renewal = 0 // it is late, or gave no lease where there may be one now
-		}
+	if renewal := calls.open[calls.renewal]; renewal != nil && ex.mustRenewBeside(renewal) {
+		calls.renewal = 0
 	}
 	if calls.renewal != 0 || calls.query != 0 || ex.now < calls.nextAt || !ex.worker.runningTasksKnown {
 		return
 	}
 	wait := ex.longPollWait()
+	if ex.attempts.allEnded() && len(ex.link.ends.open) == 0 {
+		wait = idlePollWait // neither a lease nor an attempt's record waits for the reply
+	}
 	if ex.link.ends.acknowledged < ex.link.ends.highest() {
 		wait = 0 // the worker replies at once with what is not acknowledged
 	}
 	calls.renewal = ex.call(wire.WorkerCall{Kind: wire.RenewLease, LongPollWait: wait})
 }
 
+// mustRenewBeside reports whether a renewal that is waiting at the worker needs another one
+// beside it: it is late, it granted no lease where there may be one now, or it was sent to an
+// idle worker that runs something now and whose lease is due.
+func (ex *Executor) mustRenewBeside(renewal *openCall) bool {
+	isOverdue := ex.now.Sub(renewal.sentAt) > renewal.LongPollWait+renewalOverdueAfter
+	mayGrant := renewal.LeaseEndMS == 0 && ex.nextLeaseEnd() > 0
+	isLeaseDue := ex.now.Sub(ex.link.calls.grantedAt) > ex.longPollWait()+renewalOverdueAfter
+	return isOverdue || mayGrant || isLeaseDue && !ex.attempts.allEnded()
+}
+
 // call makes a call to the worker, with what all calls have in common, and returns its
 // number.
 func (ex *Executor) call(call wire.WorkerCall) (number uint64) {
@@ -164,6 +178,9 @@
 		call.LeaseEndMS = ex.nextLeaseEnd()
 		link.maxLeaseEndSent = max(link.maxLeaseEndSent, call.LeaseEndMS)
 	}
+	if call.LeaseEndMS > 0 {
+		link.calls.grantedAt = ex.now
+	}
 	if call.Kind == wire.RenewLease {
 		call.AckedEnds = link.ends.acknowledged
 		link.counters.Renewals++
--- a/internal/dispatch/executor/link_ends.go
+++ b/internal/dispatch/executor/link_ends.go
@@ -1,9 +1,19 @@
 package executor
 
 import (
+	"time"
+
 	"coppercourse/internal/types"
 )
 
+const (
+	// durationGain is the reciprocal of an attempt's weight in the usual duration.
+	durationGain = 16
+	// maxEndBackoff bounds how often the time between renewals doubles while the ends that
+	// the worker lists are not committed.
+	maxEndBackoff = 4
+)
+
 // openEnd is an end that the worker has reported and still lists.
 type openEnd struct {
 	attempt   types.AttemptID
@@ -15,6 +25,27 @@
 type endTable struct {
 	open         map[uint64]*openEnd // by number
 	acknowledged uint64              // all up to this one are committed, and are acknowledged
+
+	usualDuration time.Duration  // moving average of how long the worker's attempts ran
+	reportedAt    types.MonoTime // when the latest reply arrived that lists ends
+	repeats       int            // replies in a row that list ends, none of them new
+}
+
+// recordDuration adds an attempt that ran for so long to the usual duration.
+func (e *endTable) recordDuration(ran time.Duration) {
+	if e.usualDuration == 0 {
+		e.usualDuration = ran
+		return
+	}
+	e.usualDuration += (ran - e.usualDuration) / durationGain
+}
+
+// interval returns how long after a reply that lists ends the next renewal is due, given the
+// longest time between two renewals. The worker lists an end again until it is acknowledged,
+// so the renewals back off while none of the ends is new.
+func (e *endTable) interval(longest time.Duration) time.Duration {
+	usual := max(minEndInterval, e.usualDuration/endIntervalDivisor)
+	return min(longest, usual<<min(e.repeats, maxEndBackoff))
 }
 
 // highest returns the number of the highest end reported.
@@ -49,7 +80,8 @@
 	}
 	link.ends.commit(end)
 	if link.ends.acknowledged == link.ends.highest() {
-		link.calls.nextAt = ex.now
+		link.ends.repeats = 0
+		link.calls.nextAt = link.ends.reportedAt.Add(link.ends.interval(ex.longPollWait()))
 	}
 }
 
--- a/internal/dispatch/executor/link_lease.go
+++ b/internal/dispatch/executor/link_lease.go
@@ -18,6 +18,9 @@
 	tokensPerMillisecond = 1024
 	// maxRenewalWait bounds how long a lease renewal waits at the worker for an end.
 	maxRenewalWait = time.Second
+	// idlePollWait is how long a renewal waits at a worker that runs nothing. It only shows
+	// that the worker answers: heartbeats and rejected starts show that too.
+	idlePollWait = 1900 * time.Millisecond
 )
 
 // workerClock is what is known of a worker's clock: it read readingMS, in milliseconds,
--- a/internal/dispatch/executor/link_replies.go
+++ b/internal/dispatch/executor/link_replies.go
@@ -120,7 +120,8 @@
 	ex.dropAcknowledgedEnds(call.AckedEnds)
 	ex.worker.runningTasksKnown = ex.worker.runningTasksKnown || isComplete
 	if len(link.ends.open) > 0 {
-		link.calls.nextAt = ex.now.Add(commitTime)
+		link.ends.reportedAt = ex.now
+		link.calls.nextAt = ex.now.Add(link.ends.interval(ex.longPollWait()))
 	}
 }
 
@@ -128,6 +129,7 @@
 // acknowledged, perhaps by an earlier agent.
 func (ex *Executor) takeEnded(ended []wire.EndedAttempt, listed map[types.AttemptID]bool) {
 	ends := &ex.link.ends
+	ends.repeats++
 	if len(ended) > 0 {
 		ends.acknowledged = max(ends.acknowledged, ended[0].Number-1)
 	}
@@ -157,6 +159,7 @@
 // may be running elsewhere.
 func (ex *Executor) takeEnd(end wire.EndedAttempt) {
 	ex.link.ends.open[end.Number] = &openEnd{attempt: end.Attempt}
+	ex.link.ends.repeats = 0
 	attempt := ex.attempts.byID[end.Attempt]
 	if attempt == nil {
 		attempt = ex.addFound(protocol.RunningTask{Attempt: end.Attempt})
@@ -165,6 +168,9 @@
 	attempt.calls.startUnsure = false
 	attempt.calls.endNumber = end.Number
 	if attempt.state != attemptEnded {
+		if end.Reason == wire.EndSucceeded && attempt.startedAt > 0 {
+			ex.link.ends.recordDuration(ex.now.Sub(attempt.startedAt))
+		}
 		attempt.checkpoint = end.Checkpoint
 		ex.endAttempt(attempt, outcomeOf(end.Reason))
 		return
--- a/internal/dispatch/executor/link_test.go
+++ b/internal/dispatch/executor/link_test.go
@@ -36,6 +36,7 @@
 	r.advance(time.Second)
 	is.Equal(r.committed[attempt("a", 1)], state.OutcomeOK)
 	is.True(r.acknowledged[attempt("a", 1)])
+	r.advance(100 * ms) // the renewal that acknowledged it has waited, and got its reply
 	is.Equal(len(r.executor.View().Attempts), 0)
 }
 
