scheduler: the initial wait ends by the consensus of the agents that have come

Cause: the wait could end early only if all agents of the leader before had come and all attempts in the log were confirmed. One machine that is cut off or dead, which often goes with the loss of a leader, kept all work waiting for the loss timeout, which is 2.25 s with long leases.

The log has each attempt before its order goes out, so a task whose attempt may run on unseen is not ready to be placed; it waits for the loss timeout as before, and no longer holds up the others. What ends the wait is the paper's consensus under the new leader: every agent that has come has told what runs, all agree transitively on the worker set, and they are more than half of those that the leader before had.

--- a/internal/dispatch/scheduler/scheduler.go
+++ b/internal/dispatch/scheduler/scheduler.go
@@ -119,8 +119,8 @@
 	}
 	sc.resolveUnsure()
 	sc.stages.prune(now)
-	if sc.wait.active {
-		sc.endInitialWait()
+	if !sc.wait.leasesOver {
+		sc.advanceInitialWait()
 	}
 }
 
