gateway: changes wait for a leader that answers; a definite answer after 0.7 s

Change: a leader that has left every request unanswered for 0.4 s gets no more changes until it answers; a change that no controller was sent waits for such a leader for 0.7 s and is then rejected, with one second as the time to come back.

--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -16,6 +16,9 @@
 	// each by the hint of a controller that does not lead. After that the request is
 	// forwarded again by ForwardTimeout only.
 	maxHintedForwards = 6
+	// leaderlessWait is how long a change that no controller can have accepted waits for a
+	// leader. Elections are shorter; in a longer loss its client has time to come back.
+	leaderlessWait = 700 * time.Millisecond
 )
 
 // retryRequests gives up the requests that have timed out, and forwards again those that a
@@ -24,7 +27,7 @@
 	now := g.core.Now().Mono
 	for _, p := range g.requests.inOrder() {
 		switch {
-		case now.Sub(p.receivedAt) >= p.timeout:
+		case now.Sub(p.receivedAt) >= g.patience(p):
 			g.giveUp(p)
 		case p.target == "" || now.Sub(p.sentAt) >= ForwardTimeout:
 			g.forward(p, "")
@@ -34,6 +37,20 @@
 	}
 }
 
+// patience returns how long after its arrival a request is given up.
+func (g *Gateway) patience(p *pendingRequest) time.Duration {
+	if mutatingVerbs[p.Verb] && !p.maybeAccepted() && !g.leaderAnswers() {
+		return min(p.timeout, leaderlessWait)
+	}
+	return p.timeout
+}
+
+// leaderAnswers reports whether there is a leader that answers, as far as the gateway knows.
+func (g *Gateway) leaderAnswers() bool {
+	leader := g.core.Leader()
+	return leader != "" && !g.leader.isSilent(g.core.Now().Mono, leader)
+}
+
 // giveUp rejects a request that has timed out. The error says whether a controller may have
 // accepted it.
 func (g *Gateway) giveUp(p *pendingRequest) {
@@ -48,8 +65,12 @@
 
 // forward sends a request to the controller at the address hint. Without a hint it goes to
 // the leader or, if none is known or the leader has not answered, to the controllers in
-// turn.
+// turn. A change that none has been sent yet waits for a leader that answers: so its
+// rejection can say that it was not accepted.
 func (g *Gateway) forward(p *pendingRequest, hint types.Addr) {
+	if hint == "" && mutatingVerbs[p.Verb] && !p.maybeAccepted() && !g.leaderAnswers() {
+		return
+	}
 	to := hint
 	if to == "" {
 		to = g.core.Leader()
@@ -63,6 +84,9 @@
 	p.unresolved = p.maybeAccepted()
 	p.target, p.sentAt = to, g.core.Now().Mono
 	p.forwards++
+	if to == g.core.Leader() {
+		g.leader.forwarded(p.sentAt, to)
+	}
 	g.Counters.Forwards++
 	body := wire.ForwardedRequest{ID: p.id, Verb: p.Verb, Arg: p.Arg, Body: p.Body}
 	g.core.Send(wire.NewMessage(g.core.Self().Addr, to, wire.ForwardRequest, body))
@@ -82,6 +106,7 @@
 // handleForwardReply handles a controller's reply to a request. Replies to requests that are
 // answered already are dropped.
 func (g *Gateway) handleForwardReply(from types.Addr, reply wire.ForwardedReply) {
+	g.leader.heard(from)
 	p := g.requests.pending[reply.ID]
 	switch {
 	case p == nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,6 +121,7 @@
 }
 
 func (g *Gateway) handleConfigWatchReply(message wire.Message) {
+	g.leader.heard(message.From)
 	if g.configWatcher.HandleResponse(message) {
 		g.core.Record(trace.TableSubject(g.configWatcher.Table.Version), "table in force")
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -202,3 +202,26 @@
 		is.Equal(len(h.answers), 0)
 	}
 }
+
+// A change that arrives while the leader leaves all requests unanswered is not forwarded, so
+// that its rejection, soon after, can say that it was not accepted. The leader's next reply,
+// or another leader, takes what waits.
+func TestChangesWaitForALeaderThatAnswers(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(0) // the first request is forwarded to a, which is silent
+	h.advance(leaderSilentAfter + 40*time.Millisecond)
+	h.step(wire.Event{Request: &wire.Request{Token: 2, Verb: wire.VerbSubmitJob, Arg: "k"}})
+	h.step(wire.Event{Request: &wire.Request{Token: 3, Verb: wire.VerbGetJob, Arg: "k"}})
+	is.Equal(len(h.sent), 2) // the read is forwarded
+	h.advance(leaderlessWait + 40*time.Millisecond)
+	is.Equal(len(h.answers), 1)
+	is.Equal(h.answers[0].Token, uint64(2))
+	is.Equal(h.answers[0].Error.Kind, apierror.NoLeader)
+	is.True(h.answers[0].Error.RetryAfterSeconds > 0)
+
+	h.step(wire.Event{Request: &wire.Request{Token: 4, Verb: wire.VerbSubmitJob, Arg: "l"}})
+	forwarded := len(h.sent)
+	h.reply("a", 0, okReply(`"of j"`))
+	h.advance(40 * time.Millisecond)
+	is.Equal(len(h.sent), forwarded+1) // a answers again
+}
--- a/internal/gateway/leader_tracker.go
+++ b/internal/gateway/leader_tracker.go
@@ -9,16 +9,44 @@
 // Bounds of the time after which a request is retried.
 const (
 	retryAfterFailure = time.Second // a leader is known: only this request has failed
-	minRetryAfterLoss = 2 * time.Second
+	minRetryAfterLoss = time.Second
 	maxRetryAfterLoss = 30 * time.Second
 	// retryLossDivisor: this part of the time without a leader is added to minRetryAfterLoss.
 	retryLossDivisor = 4
 )
 
-// leaderTracker remembers the last leader, and for how long none has been known.
+// leaderSilentAfter is how long a leader may leave every request unanswered until no more
+// are forwarded to it. A leader that can't answer for so long steps down by itself.
+const leaderSilentAfter = 400 * time.Millisecond
+
+// leaderTracker remembers the last leader, for how long none has been known, and whether the
+// present one answers.
 type leaderTracker struct {
 	last   types.Addr     // the last leader that was known
 	lostAt types.MonoTime // since when none is known; 0 while one is
+
+	awaited      types.Addr     // the controller to which a request was forwarded last
+	awaitedSince types.MonoTime // since when it has sent nothing; 0 for not at all
+}
+
+// forwarded records that a request was forwarded to a controller.
+func (l *leaderTracker) forwarded(now types.MonoTime, to types.Addr) {
+	if l.awaited != to || l.awaitedSince == 0 {
+		l.awaited, l.awaitedSince = to, now
+	}
+}
+
+// heard records that a controller has sent a reply.
+func (l *leaderTracker) heard(from types.Addr) {
+	if l.awaited == from {
+		l.awaitedSince = 0
+	}
+}
+
+// isSilent reports whether a controller leaves requests unanswered, so that what is forwarded
+// to it now might be accepted or not.
+func (l *leaderTracker) isSilent(now types.MonoTime, controller types.Addr) bool {
+	return l.awaited == controller && l.awaitedSince != 0 && now.Sub(l.awaitedSince) > leaderSilentAfter
 }
 
 // observe records the leader that is known now, if any, and returns the last one before.
