placement: tasks wait for the rack of their data; distance is not slowness

A worker with such tasks also counted as slow, and the tasks as stragglers, to be restarted.

Change: delay scheduling. Durations are compared as they would be beside the data.

--- a/cmd/coppercourse/controller_daemon.go
+++ b/cmd/coppercourse/controller_daemon.go
@@ -28,6 +28,7 @@
 		LossTolerance:    s.MaxLosses,
 		RaftTimeouts:     s.Timeouts.Raft(),
 		DispatchTimeouts: s.Timeouts.Dispatch(),
+		RemoteSlowdown:   s.Bounds.RemoteSlowdown,
 	}, records)
 	loop := server.NewEventLoop(server.Config{
 		Machine:  machine,
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -27,6 +27,7 @@
 	RaftTimeouts      raft.Timeouts
 	DispatchTimeouts  protocol.Timeouts
 	SnapshotThreshold types.Index // entries between two snapshots at least; 0 is DefaultSnapshotThreshold
+	RemoteSlowdown    float64     // how many times as long a task takes away from its data; 0 means as long
 }
 
 // Controller is one controller as a state machine. It joins the parts, and has a field for
@@ -62,7 +63,7 @@
 		options:   options,
 		now:       now,
 		raft:      newMember(now, rnd, options, records),
-		durations: newDurationEstimates(),
+		durations: newDurationEstimates(locality{options.RemoteSlowdown}),
 		overload:  &overload{},
 		requests:  newRequestTable(),
 		publisher: configwatch.NewPublisher(options.Addr),
--- a/internal/controller/duration_estimates.go
+++ b/internal/controller/duration_estimates.go
@@ -21,12 +21,15 @@
 	jobDurationsSlack = 64
 )
 
-// durationEstimates is how long tasks take, learned from the committed ends of attempts.
+// durationEstimates is how long tasks take beside their data, learned from the committed ends
+// of attempts.
 // Every controller keeps it, so that a new leader knows what the last one did. All is in
 // logarithms: durations differ by factors.
 type durationEstimates struct {
 	queues map[types.QueueName]*queueDurations
 	jobs   map[types.JobID][]stepDurations // by step, of jobs that have not ended
+
+	locality locality
 }
 
 // queueDurations describes the tasks of a queue, each step of a job counting once. A job's
@@ -45,10 +48,11 @@
 	count     float64
 }
 
-func newDurationEstimates() *durationEstimates {
+func newDurationEstimates(l locality) *durationEstimates {
 	return &durationEstimates{
-		queues: map[types.QueueName]*queueDurations{},
-		jobs:   map[types.JobID][]stepDurations{},
+		locality: l,
+		queues:   map[types.QueueName]*queueDurations{},
+		jobs:     map[types.JobID][]stepDurations{},
 	}
 }
 
@@ -69,8 +73,10 @@
 		if attempt == nil {
 			continue
 		}
-		took := max(time.Millisecond, command.Time.Sub(attempt.AssignedAt))
-		d.recordTask(j, types.StageOf(end.ID.TaskNumber).Step(), took)
+		step := types.StageOf(end.ID.TaskNumber).Step()
+		factor := d.locality.factor(s, &j.Spec.Steps[step], attempt.Shard)
+		took := time.Duration(float64(command.Time.Sub(attempt.AssignedAt)) / factor)
+		d.recordTask(j, step, max(time.Millisecond, took))
 	}
 }
 
--- a/internal/controller/duration_estimates_test.go
+++ b/internal/controller/duration_estimates_test.go
@@ -38,7 +38,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			d := newDurationEstimates()
+			d := newDurationEstimates(locality{})
 			for range 40 {
 				for i, took := range c.took {
 					d.recordTask(estimated("earlier", c.estimate[i]), 0, took)
@@ -53,7 +53,7 @@
 
 func TestAStepsOwnTasksTellItsDuration(t *testing.T) {
 	is := is.New(t)
-	d := newDurationEstimates()
+	d := newDurationEstimates(locality{})
 	j := estimated("j", time.Minute)
 	_, ok := d.ofStep(j, 0)
 	is.True(!ok)
@@ -85,7 +85,7 @@
 			l.table(t, testQueue("q"))
 			j := l.submit(t, "j", state.Spec{Queue: "q", Steps: []state.Step{testStep("s", 1)}})
 			l.run(t, attemptID("j", 0, 1), "k0")
-			d := newDurationEstimates()
+			d := newDurationEstimates(locality{})
 			at := l.log.state().Time.Add(2 * time.Second)
 			d.record(l.log.state(), state.Command{Time: at, Ends: []state.AttemptEnd{c.end}})
 			took, ok := d.ofStep(j, 0)
@@ -100,7 +100,7 @@
 // Jobs that a snapshot replaced are forgotten once they are many.
 func TestDurationsOfVanishedJobsAreDropped(t *testing.T) {
 	is := is.New(t)
-	d := newDurationEstimates()
+	d := newDurationEstimates(locality{})
 	for i := range jobDurationsSlack {
 		d.recordTask(estimated(types.JobID(rune('a'+i)), 0), 0, time.Second)
 	}
--- a/internal/controller/job_ranking_test.go
+++ b/internal/controller/job_ranking_test.go
@@ -30,7 +30,7 @@
 	urgent.TargetFactor = 1
 	q.Priority = 1
 	s.Table.Queues = []config.Queue{urgent, q}
-	v := &leaderView{clock: clock, state: s, durations: newDurationEstimates()}
+	v := &leaderView{clock: clock, state: s, durations: newDurationEstimates(locality{})}
 	spec := &state.Spec{Queue: "q", Steps: []state.Step{step}}
 	j := &state.Job{ID: "j", Queue: "q", Status: state.JobOpen, Spec: spec}
 	ready := &state.ReadyIndex{RemainingTasks: []int{step.Tasks}}
@@ -97,7 +97,7 @@
 func TestMeansOfAQueueFollowItsJobs(t *testing.T) {
 	is := is.New(t)
 	r := newJobRanking()
-	v := &leaderView{state: state.New(), durations: newDurationEstimates()}
+	v := &leaderView{state: state.New(), durations: newDurationEstimates(locality{})}
 	job := func(tasks int, cores types.MilliCores, seconds int) *state.Job {
 		step := testStep("s", tasks)
 		step.Resources.Cores, step.EstimateMillis = cores, 1000*seconds
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -36,6 +36,7 @@
 	timeLimits timeLimitReview
 	shapes     workerShapes
 	wallOffset wallOffset
+	locality   locality
 	current    leaderView // see view
 }
 
@@ -51,7 +52,8 @@
 		requests: c.requests,
 		counters: &c.Counters,
 		ends:     ends,
-		planner:  newPlanner(windows, ends),
+		planner:  newPlanner(windows, ends, locality{c.options.RemoteSlowdown}),
+		locality: locality{c.options.RemoteSlowdown},
 		current:  leaderView{durations: c.durations},
 	}
 }
@@ -90,7 +92,7 @@
 		Addr:               l.options.Addr,
 		Term:               l.raft.Term(),
 		PriorLeaderHeardAt: l.raft.PriorLeaderHeardAt(),
-		Outstanding:        outstandingAttempts(l.log.state()),
+		Outstanding:        outstandingAttempts(l.log.state(), l.locality),
 		Cluster:            clusterState{log: l.log, members: l.members},
 	})
 }
@@ -107,7 +109,7 @@
 }
 
 // outstandingAttempts lists the attempts that a state has as outstanding.
-func outstandingAttempts(s *state.State) []scheduler.OutstandingAttempt {
+func outstandingAttempts(s *state.State, l locality) []scheduler.OutstandingAttempt {
 	var list []scheduler.OutstandingAttempt
 	for _, j := range s.LiveJobs() {
 		for i := range j.Tasks {
@@ -116,12 +118,12 @@
 			task := types.TaskID{Job: j.ID, TaskNumber: number}
 			for _, attempt := range j.Tasks[i].Outstanding() {
 				list = append(list, scheduler.OutstandingAttempt{
-					ID:           types.AttemptID{TaskID: task, Attempt: attempt.Number},
-					Shard:        attempt.Shard,
-					Stage:        stage,
-					Resources:    j.Spec.Steps[stage.Step()].Resources,
-					BaselineName: baselineName(j, stage),
-					TimeLimit:    timeLimit(s, j, stage),
+					ID:          types.AttemptID{TaskID: task, Attempt: attempt.Number},
+					Shard:       attempt.Shard,
+					Stage:       stage,
+					Resources:   j.Spec.Steps[stage.Step()].Resources,
+					Expectation: l.expectation(s, j, stage, attempt.Shard),
+					TimeLimit:   timeLimit(s, j, stage),
 				})
 			}
 		}
@@ -248,7 +250,7 @@
 		stage := types.StageOf(a.ID.TaskNumber)
 		step := &j.Spec.Steps[stage.Step()]
 		l.counters.Orders++
-		l.scheduler.RunTask(a.Shard, stage, baselineName(j, stage), protocol.AttemptSpec{
+		l.scheduler.RunTask(a.Shard, stage, l.locality.expectation(s, j, stage, a.Shard), protocol.AttemptSpec{
 			Attempt:     a.ID,
 			Kind:        step.Kind,
 			Rack:        step.Rack,
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -25,20 +25,22 @@
 	limits      coreLimits
 	slots       slotCache
 	ends        *endTracker
+	locality    locality
 	reservation *placement.Reservation // workers kept for a request that was passed over
 	requests    []placement.Request    // the last list; its memory is reused
 }
 
 // newPlanner returns a planner. windows tells how long workers are available, ends which
-// attempts have released their resources.
-func newPlanner(windows workerWindows, ends *endTracker) planner {
+// attempts have released their resources, l what it costs to run a task away from its data.
+func newPlanner(windows workerWindows, ends *endTracker, l locality) planner {
 	return planner{
-		review:  attemptReview{windows: windows},
-		rounds:  assignmentRounds{assignments: map[types.TaskID]state.Assignment{}},
-		ranking: newJobRanking(),
-		limits:  newCoreLimits(),
-		slots:   slotCache{windows: windows},
-		ends:    ends,
+		locality: l,
+		review:   attemptReview{windows: windows},
+		rounds:   assignmentRounds{assignments: map[types.TaskID]state.Assignment{}},
+		ranking:  newJobRanking(),
+		limits:   newCoreLimits(),
+		slots:    slotCache{windows: windows},
+		ends:     ends,
 	}
 }
 
@@ -197,6 +199,7 @@
 	request.HeadroomPercent = rank.headroomPercent
 	request.SortKey = rank.sortKey
 	request.JobIdle = ready.OutstandingAttempts == 0
+	request.DataRackWait = p.locality.wait(step, v.expectedDuration(j, stage.Stage.Step()))
 	return request
 }
 
--- a/internal/controller/slot_cache_test.go
+++ b/internal/controller/slot_cache_test.go
@@ -115,7 +115,8 @@
 	attempt, shard := r.randomAttempt()
 	switch i := r.rnd.Intn(len(r.agents)); r.rnd.Intn(10) {
 	case 0, 1, 2:
-		r.scheduler.RunTask(shard, types.StageOf(attempt.TaskNumber), "u", protocol.AttemptSpec{
+		expectation := scheduler.Expectation{BaselineName: "u"}
+		r.scheduler.RunTask(shard, types.StageOf(attempt.TaskNumber), expectation, protocol.AttemptSpec{
 			Attempt:     attempt,
 			Resources:   types.Resources{Cores: types.MilliCores(r.rnd.Intn(3000)), MemoryMB: r.rnd.Intn(2000)},
 			TimeLimitMS: r.rnd.Intn(3) * 1000,
--- a/internal/dispatch/executor/link_rig_test.go
+++ b/internal/dispatch/executor/link_rig_test.go
@@ -288,7 +288,7 @@
 func (lr *linkRig) runTask(id types.AttemptID, input string) {
 	lr.outstanding[id] = true
 	spec := protocol.AttemptSpec{Attempt: id, Kind: "x", Resources: cores(1), Input: []byte(input)}
-	lr.scheduler.RunTask("s", 0, "", spec)
+	lr.scheduler.RunTask("s", 0, scheduler.Expectation{}, spec)
 	lr.deliver()
 }
 
--- a/internal/dispatch/scheduler/outstanding_attempt.go
+++ b/internal/dispatch/scheduler/outstanding_attempt.go
@@ -24,6 +24,20 @@
 // StageUnknown is the stage of an attempt that the log does not have.
 const StageUnknown types.Stage = -1
 
+// Expectation is what the duration of an attempt is compared with.
+type Expectation struct {
+	// BaselineName names the baseline; empty for none.
+	BaselineName string
+	// LocalityFactor is how many times as long as beside its data it takes where it runs; 0
+	// means as long.
+	LocalityFactor float64
+}
+
+// atData returns how long an attempt that has taken so long would have taken beside its data.
+func (e *Expectation) atData(duration time.Duration) time.Duration {
+	return time.Duration(float64(duration) / max(1, e.LocalityFactor))
+}
+
 // OutstandingAttempt is an attempt that possibly runs.
 type OutstandingAttempt struct {
 	ID        types.AttemptID
@@ -31,9 +45,8 @@
 	Stage     types.Stage // or StageUnknown
 	Resources types.Resources
 	phase     attemptPhase
-	// BaselineName names the baseline that its duration is compared with; empty for none.
-	BaselineName string
-	TimeLimit    time.Duration // 0 for none
+	Expectation
+	TimeLimit time.Duration // 0 for none
 	// OrderedAt is when RunTask was sent, or for an attempt of an earlier leadership
 	// when this one began.
 	OrderedAt  types.MonoTime
--- a/internal/dispatch/scheduler/reliability.go
+++ b/internal/dispatch/scheduler/reliability.go
@@ -49,7 +49,8 @@
 		sc.recordDuration(attempt, duration, true)
 	}
 	if duration > 0 {
-		worker.Reliability.recordDuration(sc.baselines.record(attempt.BaselineName, duration))
+		ratio := sc.baselines.record(attempt.BaselineName, attempt.atData(duration))
+		worker.Reliability.recordDuration(ratio)
 	}
 }
 
--- a/internal/dispatch/scheduler/reliability_test.go
+++ b/internal/dispatch/scheduler/reliability_test.go
@@ -56,7 +56,9 @@
 	sc, worker := newTestScheduler()
 	sc.baselines["n"] = &baseline{duration: 1e9, count: 1}
 	sc.now = testStart.Add(3 * time.Second)
-	attempt := &OutstandingAttempt{Shard: "s", Stage: StageUnknown, BaselineName: "n", OrderedAt: testStart}
+	attempt := &OutstandingAttempt{
+		Shard: "s", Stage: StageUnknown, Expectation: Expectation{BaselineName: "n"}, OrderedAt: testStart,
+	}
 	sc.recordOutcome(attempt, state.OutcomeFailed)
 	is.True(isNear(worker.Reliability.RelativeDuration, 1))
 	sc.recordOutcome(attempt, state.OutcomeOK)
--- a/internal/dispatch/scheduler/run_task.go
+++ b/internal/dispatch/scheduler/run_task.go
@@ -12,17 +12,19 @@
 // RunTask orders a worker to run an attempt (runTask). The attempt counts as possibly
 // running from before the order is sent until its end is committed. The order is sent once;
 // if the worker is not fit for tasks by now, the attempt ends at once as one that never ran.
-// baselineName names what its duration is compared with, or is empty.
-func (sc *Scheduler) RunTask(shard types.Shard, stage types.Stage, baselineName string, spec protocol.AttemptSpec) {
+// expectation is what its duration is compared with.
+func (sc *Scheduler) RunTask(
+	shard types.Shard, stage types.Stage, expectation Expectation, spec protocol.AttemptSpec,
+) {
 	sc.attempts.add(&OutstandingAttempt{
-		ID:           spec.Attempt,
-		Shard:        shard,
-		Stage:        stage,
-		Resources:    spec.Resources,
-		phase:        orderSent,
-		BaselineName: baselineName,
-		TimeLimit:    time.Duration(spec.TimeLimitMS) * time.Millisecond,
-		OrderedAt:    sc.now,
+		ID:          spec.Attempt,
+		Shard:       shard,
+		Stage:       stage,
+		Resources:   spec.Resources,
+		phase:       orderSent,
+		Expectation: expectation,
+		TimeLimit:   time.Duration(spec.TimeLimitMS) * time.Millisecond,
+		OrderedAt:   sc.now,
 	})
 	worker := sc.Worker(shard)
 	canRun := worker != nil && worker.State == protocol.WorkerHealthy && !worker.Departing && sc.authorityRemaining > 0
--- a/internal/dispatch/scheduler/slowdown.go
+++ b/internal/dispatch/scheduler/slowdown.go
@@ -30,19 +30,21 @@
 )
 
 // recordDuration takes how long an attempt takes by an estimate, or has taken if it has
-// ended, and what that shows of its worker and of itself.
+// ended, and what that shows of its worker and of itself. That it is away from its data is
+// taken into account.
 func (sc *Scheduler) recordDuration(attempt *OutstandingAttempt, duration time.Duration, hasEnded bool) {
 	if attempt.Stage == StageUnknown || duration <= 0 {
 		return
 	}
-	samples := sc.stages.record(sc.now, attempt, duration)
+	atData := attempt.atData(duration)
+	samples := sc.stages.record(sc.now, attempt, atData)
 	elsewhere, ok := samples.medianElsewhere(attempt.Shard)
 	worker := sc.Worker(attempt.Shard)
 	if !ok || worker == nil {
 		return
 	}
-	worker.slowdown.add(sc.now, float64(duration)/float64(elsewhere))
-	isStraggler := !hasEnded && float64(duration) > stragglerRatio*float64(elsewhere)
+	worker.slowdown.add(sc.now, float64(atData)/float64(elsewhere))
+	isStraggler := !hasEnded && float64(atData) > stragglerRatio*float64(elsewhere)
 	if isStraggler {
 		attempt.StragglerEnd = attempt.OrderedAt.Add(duration)
 	} else {
--- a/internal/dispatch/scheduler/slowdown_test.go
+++ b/internal/dispatch/scheduler/slowdown_test.go
@@ -67,3 +67,25 @@
 		})
 	}
 }
+
+// An attempt that takes longer because it is away from its data shows nothing of its worker,
+// and is no straggler.
+func TestDistanceFromTheDataIsNoSlowness(t *testing.T) {
+	is := is.New(t)
+	sc, worker := newTestScheduler()
+	for i, shard := range []types.Shard{"t", "u", "v"} {
+		id := types.AttemptID{TaskID: types.TaskID{Job: "j", TaskNumber: i}, Attempt: 1}
+		sc.recordDuration(&OutstandingAttempt{ID: id, Shard: shard}, time.Second, true)
+	}
+	remote := &OutstandingAttempt{
+		ID:          types.AttemptID{TaskID: types.TaskID{Job: "j", TaskNumber: 3}, Attempt: 1},
+		Shard:       "s",
+		Expectation: Expectation{LocalityFactor: 3},
+	}
+	sc.recordDuration(remote, 3*time.Second, false)
+	is.Equal(remote.StragglerEnd, types.MonoTime(0))
+	is.Equal(sc.Slowdown(worker), 0.0)
+	remote.LocalityFactor = 1
+	sc.recordDuration(remote, 3*time.Second, false)
+	is.True(remote.StragglerEnd > 0) // beside its data it is one
+}
--- a/internal/dispatch/scheduler/unsure_test.go
+++ b/internal/dispatch/scheduler/unsure_test.go
@@ -18,7 +18,7 @@
 	sc, worker := newTestScheduler()
 	worker.State = protocol.WorkerHealthy
 	id := types.AttemptID{TaskID: types.TaskID{Job: "j"}, Attempt: 1}
-	sc.RunTask("s", 0, "", protocol.AttemptSpec{Attempt: id})
+	sc.RunTask("s", 0, Expectation{}, protocol.AttemptSpec{Attempt: id})
 	attempt := sc.attempts.byID[id]
 	is.Equal(attempt.phase, orderSent)
 	sc.now = testStart.Add(protocol.DefaultTimeouts.RetryInterval)
@@ -98,7 +98,7 @@
 			worker.State = protocol.WorkerHealthy
 			test.change(sc, worker)
 			id := types.AttemptID{TaskID: types.TaskID{Job: "j"}, Attempt: 1}
-			sc.RunTask("s", 0, "", protocol.AttemptSpec{Attempt: id})
+			sc.RunTask("s", 0, Expectation{}, protocol.AttemptSpec{Attempt: id})
 			messages, ends := sc.TakeOutput()
 			is.Equal(len(messages) == 1, test.want)
 			is.Equal(len(ends) == 1, !test.want)
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -23,6 +23,7 @@
 	Gang          bool            // all are assigned together
 	MaxPerWorker  int             // of the stage's tasks, 0 for no bound
 	DataRack      types.Rack      // where their data is; preferred
+	DataRackWait  time.Duration   // how long they wait for it before they go elsewhere
 	PreferOneRack bool            // they are slower when spread over racks
 	AvoidWorkers  map[types.Shard]bool
 
--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -149,11 +149,14 @@
 // request could use and that are not reserved, or nil.
 func (r *round) slotToReserve(request *Request) *Slot {
 	var best *Slot
+	waitsForDataRack := r.waitsForDataRack(request)
 	for i := range r.Slots {
 		slot := &r.Slots[i]
 		switch {
 		case slot.reserved != (types.Resources{}) || !slot.Feasible(request):
 			continue
+		case waitsForDataRack && slot.Rack != request.DataRack:
+			continue
 		case request.MaxPerWorker > 0 && slot.TaskCount(request.StageID) >= request.MaxPerWorker:
 			continue
 		case !r.trusts(slot, slot.RunningTasks):
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -60,6 +60,9 @@
 // this round.
 func (r *round) findSlotsOnce(request *Request) []int {
 	shape := request.shape()
+	if r.waitsForDataRack(request) {
+		shape.rack = request.DataRack
+	}
 	if r.infeasible[shape] && !request.Gang {
 		return nil
 	}
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -1,6 +1,10 @@
 package placement
 
-import "coppercourse/internal/types"
+import (
+	"slices"
+
+	"coppercourse/internal/types"
+)
 
 const (
 	// failureRateMargin is by how much the failure rate of a worker may exceed the mean.
@@ -28,6 +32,9 @@
 // findSlots returns the indexes of slots for a number of tasks of a request, one for each
 // task, or nil if there are not enough.
 func (r *round) findSlots(request *Request, tasks int) []int {
+	if r.waitsForDataRack(request) {
+		return r.findSlotsOn(request.DataRack, request, tasks)
+	}
 	if request.PreferOneRack {
 		if slots := r.findSlotsOnOneRack(request, tasks); slots != nil {
 			return slots
@@ -36,6 +43,17 @@
 	return r.findSlotsOn("", request, tasks)
 }
 
+// waitsForDataRack reports whether a request goes nowhere but to the rack of its data for now:
+// it has not waited for long, and a worker there can run it.
+func (r *round) waitsForDataRack(request *Request) bool {
+	if request.DataRack == "" || request.WaitingFor >= request.DataRackWait {
+		return false
+	}
+	return slices.ContainsFunc(r.Slots, func(slot Slot) bool {
+		return slot.Rack == request.DataRack && slot.Feasible(request)
+	})
+}
+
 // findSlotsOnOneRack is findSlots with all slots on one rack: that of the data, or one
 // where tasks of the stage run already, or any other.
 func (r *round) findSlotsOnOneRack(request *Request, tasks int) []int {
--- a/internal/placement/search_test.go
+++ b/internal/placement/search_test.go
@@ -133,3 +133,45 @@
 	got := tasksByRack(slots)
 	is.Equal(got["r0"]+got["r1"], 6) // spread over two rather than not placed
 }
+
+// While it has not waited for long, a request goes nowhere but to the rack of its data, if
+// that has a worker that could run it.
+func TestRequestWaitsForItsDataRack(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		change     func(*Request, []Slot)
+		wantPlaced int
+	}{
+		{"there is room", func(*Request, []Slot) {}, 2},
+		{"the rack is full", func(_ *Request, slots []Slot) { fillRack(slots, "r1") }, 0},
+		{"the rack is full and it has waited", func(request *Request, slots []Slot) {
+			fillRack(slots, "r1")
+			request.WaitingFor = time.Second
+		}, 2},
+		{"no worker of the rack can run it", func(request *Request, slots []Slot) {
+			request.Labels = []string{"b"}
+			slots[0].Labels, slots[1].Labels = request.Labels, request.Labels
+		}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			request := newRequest("j", "q", 2, 1)
+			request.DataRack, request.DataRackWait = "r1", time.Second
+			slots := newSlots(6, 4)
+			c.change(&request, slots)
+			other := newRequest("k", "q", 1, 1) // of the same shape, without data
+			placed := tasksByJob(place([]Request{request, other}, slots, usageOf(config.Queue{Name: "q"}), 24))
+			is.Equal(placed["j"], c.wantPlaced)
+			is.Equal(placed["k"], 1)
+		})
+	}
+}
+
+// fillRack leaves nothing free on a rack.
+func fillRack(slots []Slot, rack types.Rack) {
+	for i := range slots {
+		if slots[i].Rack == rack {
+			slots[i].Free = types.Resources{}
+		}
+	}
+}
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -117,6 +117,9 @@
 			SnapshotThreshold: snapshotThreshold,
 		}
 		options.RaftTimeouts.AuthorityLease = w.Timeouts.AgentLease
+		if w.Environment != nil {
+			options.RemoteSlowdown = w.Environment.RemoteSlowdown
+		}
 		return controller.New(n.ClockReading(), w.newRandom(), options, n.Disk.read())
 	})
 	n.Disk = &Disk{world: w, usage: &n.Usage}
