--- a/cmd/coppersim/main.go
+++ b/cmd/coppersim/main.go
@@ -23,5 +23,6 @@
 	addFleet(app, commands)
 	addWorker(app, commands)
 	addCapacity(app, commands)
+	addExperiment(app, commands)
 	return commands
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,6 +13,7 @@
 	"coppercourse/internal/dispatch/executor"
 	"coppercourse/internal/dispatch/protocol"
 	"coppercourse/internal/membership"
+	"coppercourse/internal/policy"
 	"coppercourse/internal/trace"
 	"coppercourse/internal/types"
 	"coppercourse/internal/wire"
@@ -26,6 +27,7 @@
 	Seeds    []types.Addr // other daemons, to find the cluster by
 	Build    string
 	Timeouts protocol.Timeouts
+	Policy   policy.Policy
 }
 
 // Agent is the state machine of one worker's daemon.
@@ -36,6 +38,7 @@
 	core     *daemon.Core
 	executor *executor.Executor
 	poll     longPoll
+	policy   policy.Policy
 }
 
 // Counters count since the start of the process.
@@ -49,7 +52,11 @@
 // New returns an agent at its start. Its instance ids are drawn from rnd.
 func New(now types.Now, rnd *rand.Rand, options Options) *Agent {
 	newID := func() types.ID { return types.NewID(rnd) }
-	a := &Agent{executor: executor.New(now.Mono, options.Timeouts, options.Addr, options.Shard, newID)}
+	a := &Agent{
+		executor: executor.New(now.Mono, options.Timeouts, options.Addr, options.Shard, newID),
+		policy:   options.Policy,
+	}
+	a.executor.Policy = options.Policy
 	self := membership.MemberInfo{
 		Addr:   options.Addr,
 		Role:   membership.RoleAgent,
@@ -132,7 +139,7 @@
 // lost, and so may this machine before another one leads.
 func (a *Agent) broadcastEndReports(messages []wire.OutboundMessage) []wire.OutboundMessage {
 	for _, m := range messages {
-		if m.Message.Kind != wire.StatusReport {
+		if m.Message.Kind != wire.StatusReport || a.policy.NoEndBroadcast {
 			continue
 		}
 		for _, controller := range a.core.Members().MembersOf(membership.RoleController) {
--- a/internal/controller/attempt_review.go
+++ b/internal/controller/attempt_review.go
@@ -5,6 +5,7 @@
 
 	"coppercourse/internal/dispatch/scheduler"
 	"coppercourse/internal/placement"
+	"coppercourse/internal/policy"
 	"coppercourse/internal/state"
 	"coppercourse/internal/types"
 )
@@ -25,6 +26,7 @@
 type attemptReview struct {
 	windows workerWindows
 	timer   reviewTimer
+	policy  policy.Policy
 }
 
 // reviewTimer limits something to once in each reviewInterval.
@@ -48,6 +50,9 @@
 		return nil, nil
 	}
 	attempts := v.scheduler.Attempts()
+	if r.policy.NoHedges {
+		return r.toWithdraw(v, attempts), nil
+	}
 	return r.toWithdraw(v, attempts), hedgeRequests(v, attempts)
 }
 
@@ -60,7 +65,7 @@
 		if reason == "" && broken[attempt.StageID()] {
 			reason = state.GangPeerUnreachable
 		}
-		if reason == "" && (isStalled(v, attempt) || isWorthRestarting(v, attempt)) {
+		if reason == "" && r.straggles(v, attempt) {
 			reason = state.Straggling
 		}
 		if reason != "" && canWithdraw(v.state, attempt.ID) {
@@ -70,6 +75,11 @@
 	return list
 }
 
+// straggles reports whether an attempt is so far behind that its task is better done elsewhere.
+func (r *attemptReview) straggles(v *leaderView, attempt *scheduler.OutstandingAttempt) bool {
+	return isStalled(v, attempt) || !r.policy.NoStragglerRestart && isWorthRestarting(v, attempt)
+}
+
 // departingWorkers returns the workers that must be empty soon, and why.
 func (r *attemptReview) departingWorkers(v *leaderView) map[types.Shard]state.WithdrawReason {
 	departing := map[types.Shard]state.WithdrawReason{}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 	"coppercourse/internal/configwatch"
 	"coppercourse/internal/dispatch/protocol"
 	"coppercourse/internal/membership"
+	"coppercourse/internal/policy"
 	"coppercourse/internal/raft"
 	"coppercourse/internal/state"
 	"coppercourse/internal/trace"
@@ -28,6 +29,7 @@
 	DispatchTimeouts  protocol.Timeouts
 	SnapshotThreshold types.Index // entries between two snapshots at least; 0 is DefaultSnapshotThreshold
 	RemoteSlowdown    float64     // how many times as long a task takes away from its data; 0 means as long
+	Policy            policy.Policy
 }
 
 // Controller is one controller as a state machine. It joins the parts, and has a field for
@@ -63,8 +65,8 @@
 		options:   options,
 		now:       now,
 		raft:      newMember(now, rnd, options, records),
-		durations: newDurationEstimates(locality{options.RemoteSlowdown}),
-		overload:  &overload{},
+		durations: newDurationEstimates(newLocality(options)),
+		overload:  &overload{policy: options.Policy},
 		requests:  newRequestTable(),
 		publisher: configwatch.NewPublisher(options.Addr),
 		Trace:     trace.New(),
--- a/internal/controller/job_ranking.go
+++ b/internal/controller/job_ranking.go
@@ -6,6 +6,7 @@
 
 	"coppercourse/internal/config"
 	"coppercourse/internal/placement"
+	"coppercourse/internal/policy"
 	"coppercourse/internal/state"
 	"coppercourse/internal/types"
 )
@@ -39,6 +40,7 @@
 type jobRanking struct {
 	meanWork        map[types.QueueName]float64 // core-seconds of a queue's mean job
 	meanTaskSeconds map[types.QueueName]float64 // of the first steps of a queue's jobs
+	policy          policy.Policy
 }
 
 // jobRank is a job's place among those that wait.
@@ -48,8 +50,12 @@
 	headroomPercent int                   // of all cores, left at most to more urgent queues
 }
 
-func newJobRanking() jobRanking {
-	return jobRanking{meanWork: map[types.QueueName]float64{}, meanTaskSeconds: map[types.QueueName]float64{}}
+func newJobRanking(p policy.Policy) jobRanking {
+	return jobRanking{
+		meanWork:        map[types.QueueName]float64{},
+		meanTaskSeconds: map[types.QueueName]float64{},
+		policy:          p,
+	}
 }
 
 // recordJob adds a new job to the means of its queue.
@@ -95,12 +101,15 @@
 	duration := func(step int) time.Duration { return v.expectedDuration(j, step) }
 	target := latencyTarget(queue, j.Spec.CriticalPath(-1, duration))
 	slack := stage.ReadySince.Add(target).Sub(v.clock) - j.Spec.CriticalPath(step, duration)
-	class, lostValue, untilLost := classify(value, slack, target)
-	return jobRank{
+	class, lostValue, untilLost := r.classify(value, slack, target)
+	rank := jobRank{
 		class:           class,
-		sortKey:         -tardinessCost(lostValue, remainingWork, untilLost),
 		headroomPercent: r.headroom(v.state, j.Queue, queue, duration(step), slack, target),
 	}
+	if !r.policy.NoRanking {
+		rank.sortKey = -tardinessCost(lostValue, remainingWork, untilLost)
+	}
+	return rank
 }
 
 // jobWork returns the work of a job's tasks that have not ended, and of all its tasks, in
@@ -116,6 +125,9 @@
 
 // jobValue returns the value of a job of so much work, in values of its queue's mean job.
 func (r *jobRanking) jobValue(queue types.QueueName, totalWork float64) float64 {
+	if r.policy.NoJobValue {
+		return 1
+	}
 	relativeWork := (1 - baseValue) * totalWork / max(r.meanWork[queue], minMeanWork)
 	return min(maxJobValue, baseValue+relativeWork)
 }
@@ -135,9 +147,11 @@
 
 // classify returns whether a job with so much slack can still meet its latency target, what
 // of its value is lost if it does not run now, and the slack until then.
-func classify(value float64, slack, target time.Duration) (placement.TargetClass, float64, time.Duration) {
+func (r *jobRanking) classify(
+	value float64, slack, target time.Duration,
+) (placement.TargetClass, float64, time.Duration) {
 	switch tooLate := slack + (lateTargetFactor-1)*target; {
-	case slack > -target/targetTolerance: // the estimate is no better than that
+	case slack > -target/targetTolerance || r.policy.NoTargetClasses: // the estimate is no better than that
 		return placement.OnTarget, onTargetPart * value, slack
 	case tooLate > 0:
 		return placement.Late, latePart * value, tooLate
@@ -151,7 +165,7 @@
 func (r *jobRanking) headroom(s *state.State, name types.QueueName, queue config.Queue,
 	task, slack, target time.Duration) int {
 	switch {
-	case !r.outlastsUrgentQueues(s, name, queue, task):
+	case r.policy.NoHeadroom || !r.outlastsUrgentQueues(s, name, queue, task):
 		return 0
 	case slack > target*patientSlackPercent/100:
 		return patientHeadroomPercent
--- a/internal/controller/job_ranking_test.go
+++ b/internal/controller/job_ranking_test.go
@@ -9,6 +9,7 @@
 
 	"coppercourse/internal/config"
 	"coppercourse/internal/placement"
+	"coppercourse/internal/policy"
 	"coppercourse/internal/state"
 	"coppercourse/internal/types"
 )
@@ -22,7 +23,7 @@
 	step.EstimateMillis = 1000
 	q := testQueue("q")
 	q.TargetFactor, q.TargetMarginMillis = 2, 1000
-	r := newJobRanking()
+	r := newJobRanking(policy.Policy{})
 	r.meanWork["q"] = 1
 	alter(&step, &q, &r)
 	s := state.New()
@@ -96,7 +97,7 @@
 
 func TestMeansOfAQueueFollowItsJobs(t *testing.T) {
 	is := is.New(t)
-	r := newJobRanking()
+	r := newJobRanking(policy.Policy{})
 	v := &leaderView{state: state.New(), durations: newDurationEstimates(locality{})}
 	job := func(tasks int, cores types.MilliCores, seconds int) *state.Job {
 		step := testStep("s", tasks)
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -52,8 +52,8 @@
 		requests: c.requests,
 		counters: &c.Counters,
 		ends:     ends,
-		planner:  newPlanner(windows, ends, locality{c.options.RemoteSlowdown}),
-		locality: locality{c.options.RemoteSlowdown},
+		planner:  newPlanner(windows, ends, c.options),
+		locality: newLocality(c.options),
 		current:  leaderView{durations: c.durations},
 	}
 }
@@ -94,6 +94,7 @@
 		PriorLeaderHeardAt: l.raft.PriorLeaderHeardAt(),
 		Outstanding:        outstandingAttempts(l.log.state(), l.locality),
 		Cluster:            clusterState{log: l.log, members: l.members},
+		Policy:             l.options.Policy,
 	})
 }
 
--- a/internal/controller/locality_test.go
+++ b/internal/controller/locality_test.go
@@ -40,7 +40,7 @@
 		{"runs until it is cancelled", 3, state.Step{DataRack: "r", AlwaysRestart: true}, time.Second, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			is.New(t).Equal(locality{c.remoteSlowdown}.wait(&c.step, c.usual), c.want)
+			is.New(t).Equal(locality{remoteSlowdown: c.remoteSlowdown}.wait(&c.step, c.usual), c.want)
 		})
 	}
 }
--- a/internal/controller/overload.go
+++ b/internal/controller/overload.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coppercourse/internal/policy"
 	"coppercourse/internal/raft"
 	"coppercourse/internal/types"
 	"coppercourse/internal/wire"
@@ -27,6 +28,7 @@
 	laggingSince types.MonoTime // since when the lag is more than a leader may have; 0 if it isn't
 	overloaded   bool           // that has been so for overloadDelay
 	leaderSince  types.MonoTime // when this controller last did not lead
+	policy       policy.Policy
 }
 
 // measure takes the load reported with an event.
@@ -45,6 +47,9 @@
 // shedsWork reports whether the request of the present step must be shed if it brings new
 // work: the loop is too far behind, or the request has waited too long.
 func (o *overload) shedsWork() bool {
+	if o.policy.NoLoadShedding {
+		return false
+	}
 	return o.lag() > maxAdmissionLag || o.load.EventAge > maxRequestAge
 }
 
@@ -73,5 +78,8 @@
 		o.leaderSince = now.Mono
 		return false
 	}
+	if o.policy.NoOverloadTransfer {
+		return false
+	}
 	return o.overloaded && node.HoldsReadLease() && node.TransferWhenOverloaded(now, now.Mono.Sub(o.leaderSince))
 }
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -5,6 +5,7 @@
 
 	"coppercourse/internal/config"
 	"coppercourse/internal/placement"
+	"coppercourse/internal/policy"
 	"coppercourse/internal/state"
 	"coppercourse/internal/types"
 )
@@ -26,18 +27,20 @@
 	slots       slotCache
 	ends        *endTracker
 	locality    locality
+	policy      policy.Policy
 	reservation *placement.Reservation // workers kept for a request that was passed over
 	requests    []placement.Request    // the last list; its memory is reused
 }
 
 // newPlanner returns a planner. windows tells how long workers are available, ends which
-// attempts have released their resources, l what it costs to run a task away from its data.
-func newPlanner(windows workerWindows, ends *endTracker, l locality) planner {
+// attempts have released their resources.
+func newPlanner(windows workerWindows, ends *endTracker, options Options) planner {
 	return planner{
-		locality: l,
-		review:   attemptReview{windows: windows},
+		locality: newLocality(options),
+		policy:   options.Policy,
+		review:   attemptReview{windows: windows, policy: options.Policy},
 		rounds:   assignmentRounds{assignments: map[types.TaskID]state.Assignment{}},
-		ranking:  newJobRanking(),
+		ranking:  newJobRanking(options.Policy),
 		limits:   newCoreLimits(),
 		slots:    slotCache{windows: windows},
 		ends:     ends,
@@ -83,7 +86,7 @@
 	if v.scheduler.InInitialWait() {
 		return result
 	}
-	in := placement.Input{Reservation: p.reservation}
+	in := placement.Input{Reservation: p.reservation, Policy: p.policy}
 	in.Requests, in.Usage = p.readyWork(v)
 	if len(in.Requests) == 0 {
 		p.reservation = nil
@@ -99,7 +102,7 @@
 		result.assignments = p.assign(v.state, out.Assignments)
 	}
 	result.assignments = append(result.assignments, placeHedges(v, in, hedges)...)
-	if result.empty() && p.reservation == nil {
+	if result.empty() && p.reservation == nil && !p.policy.NoPreemption {
 		result.withdrawals, p.reservation = p.preemption.find(v, in)
 	}
 	return result
@@ -111,7 +114,7 @@
 	if p.rounds.full(applied) || v.scheduler.InInitialWait() || p.reservation != nil {
 		return round{}
 	}
-	var in placement.Input
+	in := placement.Input{Policy: p.policy}
 	if in.Requests, in.Usage = p.readyWork(v); len(in.Requests) == 0 {
 		return round{}
 	}
--- a/internal/dispatch/executor/executor.go
+++ b/internal/dispatch/executor/executor.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"coppercourse/internal/dispatch/protocol"
+	"coppercourse/internal/policy"
 	"coppercourse/internal/state"
 	"coppercourse/internal/types"
 	"coppercourse/internal/wire"
@@ -23,6 +24,8 @@
 
 // Executor is the worker half beside one worker.
 type Executor struct {
+	Policy policy.Policy // set before the first event
+
 	timeouts    protocol.Timeouts
 	addr        types.Addr
 	shard       types.Shard
--- a/internal/dispatch/executor/link_calls.go
+++ b/internal/dispatch/executor/link_calls.go
@@ -17,6 +17,9 @@
 	renewalOverdueAfter = 100 * time.Millisecond
 	// renewalRetryInterval is the time before the renewal after one that was rejected.
 	renewalRetryInterval = 100 * time.Millisecond
+	// firstProgressWait is how long a renewal waits at the worker at most while something runs
+	// there of which no progress is known: from that it shows whether the worker is slow.
+	firstProgressWait = 300 * time.Millisecond
 	// minEndInterval is the least time between the report of an end and the next renewal.
 	// The end may be committed by then, so that this renewal acknowledges it.
 	minEndInterval = 60 * time.Millisecond
@@ -147,11 +150,15 @@
 		return
 	}
 	wait := ex.longPollWait()
-	if ex.attempts.allEnded() && len(ex.link.ends.open) == 0 {
-		wait = idlePollWait // neither a lease nor an attempt's record waits for the reply
-	}
-	if ex.link.ends.acknowledged < ex.link.ends.highest() {
+	switch {
+	case ex.link.ends.acknowledged < ex.link.ends.highest():
 		wait = 0 // the worker replies at once with what is not acknowledged
+	case ex.Policy.NoLongPoll:
+		calls.nextAt, wait = ex.now.Add(wait), 0
+	case ex.attempts.allEnded() && len(ex.link.ends.open) == 0 && !ex.Policy.NoIdlePoll:
+		wait = idlePollWait // neither a lease nor an attempt's record waits for the reply
+	case ex.attempts.anyWithoutProgress():
+		wait = min(wait, firstProgressWait)
 	}
 	calls.renewal = ex.call(wire.WorkerCall{Kind: wire.RenewLease, LongPollWait: wait})
 }
--- a/internal/dispatch/executor/link_ends.go
+++ b/internal/dispatch/executor/link_ends.go
@@ -82,6 +82,9 @@
 	if link.ends.acknowledged == link.ends.highest() {
 		link.ends.repeats = 0
 		link.calls.nextAt = link.ends.reportedAt.Add(link.ends.interval(ex.longPollWait()))
+		if ex.Policy.NoEndSpacing {
+			link.calls.nextAt = ex.now
+		}
 	}
 }
 
--- a/internal/dispatch/executor/link_replies.go
+++ b/internal/dispatch/executor/link_replies.go
@@ -122,6 +122,9 @@
 	if len(link.ends.open) > 0 {
 		link.ends.reportedAt = ex.now
 		link.calls.nextAt = ex.now.Add(link.ends.interval(ex.longPollWait()))
+		if ex.Policy.NoEndSpacing {
+			link.calls.nextAt = ex.now.Add(minEndInterval)
+		}
 	}
 }
 
--- a/internal/dispatch/executor/protocol_test.go
+++ b/internal/dispatch/executor/protocol_test.go
@@ -101,7 +101,8 @@
 
 // runTask has the scheduler give an attempt to the worker of shard s.
 func (tc *testCluster) runTask(id types.AttemptID) {
-	tc.scheduler.RunTask("s", 0, scheduler.Expectation{}, protocol.AttemptSpec{Attempt: id, Kind: "x", Resources: oneCore()})
+	spec := protocol.AttemptSpec{Attempt: id, Kind: "x", Resources: oneCore()}
+	tc.scheduler.RunTask("s", 0, scheduler.Expectation{}, spec)
 }
 
 // collect puts all that both halves want sent in flight.
--- a/internal/dispatch/scheduler/initial_wait.go
+++ b/internal/dispatch/scheduler/initial_wait.go
@@ -46,7 +46,7 @@
 		}
 		return
 	}
-	if sc.wait.active {
+	if sc.wait.active && !sc.policy.NoEarlyInitialWait {
 		sc.wait.reason = sc.initialWaitReason()
 		sc.wait.active = sc.wait.reason != ""
 	}
--- a/internal/dispatch/scheduler/scheduler.go
+++ b/internal/dispatch/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"coppercourse/internal/dispatch/protocol"
+	"coppercourse/internal/policy"
 	"coppercourse/internal/state"
 	"coppercourse/internal/types"
 	"coppercourse/internal/wire"
@@ -56,6 +57,7 @@
 	// Outstanding are the attempts that the log has as assigned and not ended.
 	Outstanding []OutstandingAttempt
 	Cluster     ClusterState
+	Policy      policy.Policy
 }
 
 // Scheduler is the scheduler half under one leadership.
@@ -64,6 +66,7 @@
 	addr     types.Addr
 	term     types.Term
 	cluster  ClusterState
+	policy   policy.Policy
 
 	now                types.MonoTime // of the present step
 	authorityRemaining time.Duration  // how long the leader's own authority lasts from now
@@ -87,6 +90,7 @@
 		addr:        config.Addr,
 		term:        config.Term,
 		cluster:     config.Cluster,
+		policy:      config.Policy,
 		now:         now,
 		wait:        newInitialWait(now, config.PriorLeaderHeardAt),
 		workers:     newWorkerTable(),
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -48,7 +48,8 @@
 // leaderAnswers reports whether there is a leader that answers, as far as the gateway knows.
 func (g *Gateway) leaderAnswers() bool {
 	leader := g.core.Leader()
-	return leader != "" && !g.leader.isSilent(g.core.Now().Mono, leader)
+	isSilent := g.leader.isSilent(g.core.Now().Mono, leader)
+	return g.policy.NoSilenceDetection || leader != "" && !isSilent
 }
 
 // giveUp rejects a request that has timed out. The error says whether a controller may have
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"coppercourse/internal/configwatch"
 	"coppercourse/internal/daemon"
 	"coppercourse/internal/membership"
+	"coppercourse/internal/policy"
 	"coppercourse/internal/trace"
 	"coppercourse/internal/types"
 	"coppercourse/internal/wire"
@@ -30,6 +31,7 @@
 	// StaleAfter is how old the leader's confirmation of the table may be while requests are
 	// still decided by it; 0 is configwatch.DefaultStaleAfter.
 	StaleAfter time.Duration
+	Policy     policy.Policy
 }
 
 // Gateway is the state machine of a gateway.
@@ -44,6 +46,7 @@
 	endReports    endReportBuffer
 	// nextController counts the forwards to controllers in turn, while no leader is known.
 	nextController int
+	policy         policy.Policy
 }
 
 // Counters count since the start of the process.
@@ -65,6 +68,7 @@
 		configWatcher: configwatch.NewWatcher(options.Addr, options.StaleAfter, configwatch.NewNonce(rnd)),
 		leader:        leaderTracker{lostAt: now.Mono},
 		requests:      newRequestTable(rnd),
+		policy:        options.Policy,
 	}
 	self := membership.MemberInfo{
 		Addr: options.Addr, Role: membership.RoleGateway, Zone: options.Zone, Build: options.Build,
@@ -128,7 +132,9 @@
 }
 
 func (g *Gateway) handleStatusReport(message wire.Message) {
-	g.endReports.add(g.core.Now().Mono, message)
+	if !g.policy.NoGatewayEndBuffer {
+		g.endReports.add(g.core.Now().Mono, message)
+	}
 }
 
 func (g *Gateway) listPeers(request wire.Request) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -13,6 +13,7 @@
 package placement
 
 import (
+	"coppercourse/internal/policy"
 	"coppercourse/internal/types"
 )
 
@@ -26,6 +27,7 @@
 	Usage       map[types.QueueName]*QueueUsage // requests of other queues are left out
 	TotalCores  types.MilliCores                // of all workers, for the queues' shares
 	Reservation *Reservation                    // of the last round, or nil
+	Policy      policy.Policy
 }
 
 // Output is what a round has decided.
@@ -45,7 +47,7 @@
 	r := newRound(input)
 	r.honorReservation()
 	r.placeInTurn()
-	if r.passedOver != nil && r.bypassed {
+	if r.passedOver != nil && r.bypassed && !r.Policy.NoReservation {
 		r.output.Reservation = r.reserve(r.passedOver)
 	}
 	return r.output
--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -132,7 +132,7 @@
 // will be able to use soonest, so that smaller requests whose turn is later don't take them
 // piece by piece. The next round chooses the same slots as long as nothing changes.
 func (r *round) reserveForRound(request *Request) {
-	if request.Class == TargetMissed || request.Gang {
+	if request.Class == TargetMissed || request.Gang || r.Policy.NoReservation {
 		return
 	}
 	for range request.Tasks {
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -46,7 +46,7 @@
 // waitsForDataRack reports whether a request goes nowhere but to the rack of its data for now:
 // it has not waited for long, and a worker there can run it.
 func (r *round) waitsForDataRack(request *Request) bool {
-	if request.DataRack == "" || request.WaitingFor >= request.DataRackWait {
+	if request.DataRack == "" || request.WaitingFor >= request.DataRackWait || r.Policy.NoDataRack {
 		return false
 	}
 	return slices.ContainsFunc(r.Slots, func(slot Slot) bool {
@@ -101,7 +101,7 @@
 			if rack != "" && slot.Rack != rack || !r.accepts(slot, request, free[i], added[i]) {
 				continue
 			}
-			if score := score(slot, request, free[i]); best < 0 || score > bestScore {
+			if score := r.score(slot, request, free[i]); best < 0 || score > bestScore {
 				best, bestScore = i, score
 			}
 		}
@@ -133,11 +133,13 @@
 // its attempts have ended and how slow it is.
 func (r *round) trusts(slot *Slot, running int) bool {
 	switch {
-	case running > 0 && slot.FailureRate > r.meanFailureRate+failureRateMargin:
+	case running > 0 && slot.FailureRate > r.meanFailureRate+failureRateMargin && !r.Policy.NoFailureRate:
 		return false
+	case r.Policy.NoSlowdown:
+		return true
 	case slot.CurrentDurationFactor > maxDurationFactor:
 		return false
-	case slot.CurrentDurationFactor > 0 && running >= probationTasks:
+	case slot.CurrentDurationFactor > 0 && running >= probationTasks && !r.Policy.NoProbation:
 		return false
 	}
 	return true
@@ -145,9 +147,15 @@
 
 // score prefers workers with many free cores whose attempts succeed and are fast, in the
 // rack of the request's data, and not to be avoided.
-func score(slot *Slot, request *Request, free types.Resources) float64 {
-	score := float64(free.Cores) * (1 - slot.FailureRate) / max(slot.DurationFactor, minDurationFactor)
-	if request.DataRack != "" && slot.Rack != request.DataRack {
+func (r *round) score(slot *Slot, request *Request, free types.Resources) float64 {
+	score := float64(free.Cores)
+	if !r.Policy.NoFailureRate {
+		score *= 1 - slot.FailureRate
+	}
+	if !r.Policy.NoWorkerSpeed {
+		score /= max(slot.DurationFactor, minDurationFactor)
+	}
+	if request.DataRack != "" && slot.Rack != request.DataRack && !r.Policy.NoDataRack {
 		score /= otherRackPenalty
 	}
 	if request.AvoidWorkers[slot.Shard] {
--- a/internal/repotest/layers_test.go
+++ b/internal/repotest/layers_test.go
@@ -9,7 +9,7 @@
 
 // layers are all packages, lowest layer first, as docs/ARCHITECTURE.md shows them.
 var layers = [][]string{
-	{"internal/types", "internal/apierror"},
+	{"internal/types", "internal/apierror", "internal/policy"},
 	{"internal/wire", "internal/config", "internal/trace", "internal/wal", "internal/supervisor",
 		"internal/commandline"},
 	{"internal/wal/waltest", "internal/goldentest", "internal/httpfault"},
@@ -25,7 +25,7 @@
 	{"sim/worker"},
 	{"sim/checker", "sim/deployment", "sim/world"},
 	{"sim", "sim/fleet"},
-	{"sim/capacity"},
+	{"sim/capacity", "sim/experiment"},
 	{"cmd/coppersim"},
 }
 
--- a/sim/deployment/deployment.go
+++ b/sim/deployment/deployment.go
@@ -21,6 +21,10 @@
 	WorkerRules *worker.Rules // nil where workers poll
 	Streams     []Stream
 	Queues      []config.Queue
+	// WorkerSizes and WorkerSlowdowns are taken in turn by the workers: the size beside
+	// Cores, and how many times as long tasks take there. Where they are nil, every third
+	// worker is larger and none is slow.
+	WorkerSizes, WorkerSlowdowns []float64
 }
 
 // Size is how many of each there are.
@@ -98,8 +102,14 @@
 // every third is larger, and every third has a second label.
 func (d Deployment) sizeInvoked(spec *history.WorkerSpec, i int) {
 	const memoryPerCore = 2048 // MB
-	factor := []float64{1, 1, 1.5}[i%3]
-	cores := float64(d.Cores) * factor
+	sizes := d.WorkerSizes
+	if sizes == nil {
+		sizes = []float64{1, 1, 1.5}
+	}
+	cores := float64(d.Cores) * sizes[i%len(sizes)]
+	if len(d.WorkerSlowdowns) > 0 {
+		spec.Slowdown = d.WorkerSlowdowns[i%len(d.WorkerSlowdowns)]
+	}
 	spec.Kinds = []types.ServiceKind{invokedService}
 	spec.Capacity = types.Resources{
 		Cores:    types.MilliCores(cores),
--- /dev/null
+++ b/sim/experiment/compare.go
@@ -0,0 +1,120 @@
+package experiment
+
+import (
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// confidence of the intervals.
+const confidence = 0.95
+
+// Difference is a mean of paired differences and half of its confidence interval.
+type Difference struct {
+	Mean      float64 `json:"mean"`
+	HalfWidth float64 `json:"half_width"` // infinite for a single pair
+	Pairs     int     `json:"pairs"`
+}
+
+// IsClear reports whether the interval does not contain 0.
+func (d Difference) IsClear() bool { return math.Abs(d.Mean) > d.HalfWidth }
+
+// Comparison is what one policy gives and costs beside the first of the plan.
+type Comparison struct {
+	Policy     string
+	Deployment string // empty for all together
+	Mean       Measure
+	Worth      Difference
+	Windows    Difference
+	Renewals   Difference
+	Wasted     Difference
+}
+
+// Compare compares the results of each policy with those of the first, paired by deployment,
+// day and seed: first over all deployments, then for each.
+func (p *Plan) Compare(results []Result) []Comparison {
+	var list []Comparison
+	for _, name := range append([]string{""}, p.Deployments...) {
+		base := selectResults(results, p.Policies[0].Name, name)
+		for _, policyPlan := range p.Policies {
+			list = append(list, compare(base, selectResults(results, policyPlan.Name, name), policyPlan.Name, name))
+		}
+	}
+	return list
+}
+
+// selectResults returns the results of a policy on a deployment, or on all for an empty name,
+// in the order of the plan.
+func selectResults(results []Result, policyName, deploymentName string) []Result {
+	var list []Result
+	for _, r := range results {
+		if r.Policy == policyName && (deploymentName == "" || r.Deployment == deploymentName) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// compare compares results with those of the base, which are in the same order.
+func compare(base, results []Result, policyName, deploymentName string) Comparison {
+	difference := func(value func(Measure) float64) Difference {
+		var differences []float64
+		for i := range results {
+			differences = append(differences, value(results[i].Measure)-value(base[i].Measure))
+		}
+		return meanDifference(differences)
+	}
+	return Comparison{
+		Policy:     policyName,
+		Deployment: deploymentName,
+		Mean:       meanMeasure(results),
+		Worth:      difference(func(m Measure) float64 { return m.Worth }),
+		Windows:    difference(func(m Measure) float64 { return m.Windows }),
+		Renewals:   difference(func(m Measure) float64 { return float64(m.Renewals) }),
+		Wasted:     difference(func(m Measure) float64 { return m.WastedSeconds }),
+	}
+}
+
+// meanDifference returns the mean of paired differences, with its interval by Student's t.
+func meanDifference(differences []float64) Difference {
+	d := Difference{Mean: stat.Mean(differences, nil), HalfWidth: math.Inf(1), Pairs: len(differences)}
+	if n := float64(len(differences)); n > 1 {
+		t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(1 - (1-confidence)/2)
+		d.HalfWidth = t * stat.StdDev(differences, nil) / math.Sqrt(n)
+	}
+	return d
+}
+
+// addLosses adds losses to those of a list, times a factor.
+func addLosses(sum, added []Loss, factor float64) []Loss {
+	total := losses{}
+	for _, loss := range sum {
+		total[loss.Cause] += loss.Part
+	}
+	for _, loss := range added {
+		total[loss.Cause] += factor * loss.Part
+	}
+	return total.sorted(1)
+}
+
+// meanMeasure returns the means of the figures of results, without a timeline.
+func meanMeasure(results []Result) Measure {
+	var mean Measure
+	n := float64(max(1, len(results)))
+	for _, r := range results {
+		m := r.Measure
+		mean.Worth += m.Worth / n
+		mean.Day += m.Day / n
+		mean.Windows += m.Windows / n
+		mean.Class += m.Class / n
+		mean.WastedSeconds += m.WastedSeconds / n
+		mean.AttemptsPerJob += m.AttemptsPerJob / n
+		mean.Losses = addLosses(mean.Losses, m.Losses, 1/n)
+		mean.Renewals += m.Renewals
+		mean.Rejections += m.Rejections
+		mean.Unresolved += m.Unresolved
+		mean.BrokenRules += m.BrokenRules
+	}
+	return mean
+}
--- /dev/null
+++ b/sim/experiment/plot.go
@@ -0,0 +1,114 @@
+package experiment
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// maxPlottedPolicies bounds the lines of one plot.
+const maxPlottedPolicies = 6
+
+// Plot writes two kinds of SVG files into a folder: for each day the worth over time, and the
+// difference of each policy to the first.
+func (p *Plan) Plot(dir string, results []Result) error {
+	for _, day := range p.Days {
+		if err := p.plotDay(dir, day, results); err != nil {
+			return err
+		}
+	}
+	return p.plotDifferences(dir, p.Compare(results)[:len(p.Policies)])
+}
+
+// plotDay plots the mean worth of the jobs by the time of their submission.
+func (p *Plan) plotDay(dir string, day Day, results []Result) error {
+	chart := plot.New()
+	chart.Title.Text = "worth over time, day " + day.Name
+	chart.X.Label.Text, chart.Y.Label.Text = "seconds", "earned of what was owed"
+	chart.Y.Min, chart.Y.Max = 0, 1
+	var lines []any
+	for _, policyPlan := range p.Policies[:min(len(p.Policies), maxPlottedPolicies)] {
+		if points := meanTimeline(results, policyPlan.Name, day.Name); len(points) > 0 {
+			lines = append(lines, policyPlan.Name, points)
+		}
+	}
+	if err := plotutil.AddLines(chart, lines...); err != nil {
+		return fmt.Errorf("plot day %s: %w", day.Name, err)
+	}
+	return save(chart, filepath.Join(dir, "day-"+day.Name+".svg"))
+}
+
+// meanTimeline returns the mean of the timelines of a policy on a day.
+func meanTimeline(results []Result, policyName, dayName string) plotter.XYs {
+	var points plotter.XYs
+	var counts []float64
+	for _, r := range results {
+		if r.Policy != policyName || r.Day != dayName {
+			continue
+		}
+		for i, value := range r.Measure.Timeline {
+			if i == len(points) {
+				points = append(points, plotter.XY{X: float64(i) * windowLength.Seconds()})
+				counts = append(counts, 0)
+			}
+			points[i].Y += value
+			counts[i]++
+		}
+	}
+	for i := range points {
+		points[i].Y /= counts[i]
+	}
+	return points
+}
+
+// plotDifferences plots the difference in worth of each policy with its interval.
+func (p *Plan) plotDifferences(dir string, comparisons []Comparison) error {
+	chart := plot.New()
+	chart.Title.Text = "difference in worth to " + p.Policies[0].Name
+	chart.X.Label.Text = "worth"
+	var names []string
+	errorPoints := struct {
+		plotter.XYs
+		plotter.XErrors
+	}{}
+	for i, c := range comparisons[1:] {
+		names = append(names, c.Policy)
+		errorPoints.XYs = append(errorPoints.XYs, plotter.XY{X: c.Worth.Mean, Y: float64(i)})
+		halfWidth := c.Worth.HalfWidth
+		if c.Worth.Pairs < 2 {
+			halfWidth = 0
+		}
+		errorPoints.XErrors = append(errorPoints.XErrors, struct{ Low, High float64 }{halfWidth, halfWidth})
+	}
+	if len(names) == 0 {
+		return nil
+	}
+	points, err := plotter.NewScatter(errorPoints.XYs)
+	if err != nil {
+		return fmt.Errorf("plot the differences: %w", err)
+	}
+	bars, err := plotter.NewXErrorBars(errorPoints)
+	if err != nil {
+		return fmt.Errorf("plot the intervals: %w", err)
+	}
+	chart.Add(plotter.NewGrid(), points, bars)
+	chart.NominalY(names...)
+	return save(chart, filepath.Join(dir, "differences.svg"))
+}
+
+func save(chart *plot.Plot, path string) error {
+	if err := chart.Save(plotWidth, plotHeight, path); err != nil {
+		return fmt.Errorf("save the plot: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/sim/experiment/report.go
@@ -0,0 +1,73 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+)
+
+// WriteTable writes comparisons as a table for people. A difference whose interval does not
+// contain 0 is marked with a star.
+func WriteTable(out io.Writer, comparisons []Comparison) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	deploymentName := ""
+	fmt.Fprintln(table, "all deployments\tworth\tdifference\tworst windows\tdifference\t"+
+		"wasted core-s\tdifference\trenewals\tbroken\t")
+	for _, c := range comparisons {
+		if c.Deployment != deploymentName {
+			deploymentName = c.Deployment
+			fmt.Fprintf(table, "\t\t\t\t\t\t\t\t\t\n%s\t\t\t\t\t\t\t\t\t\n", c.Deployment)
+		}
+		fmt.Fprintf(table, "%s\t%.3f\t%s\t%.3f\t%s\t%.0f\t%s\t%d\t%d\t\n", c.Policy,
+			c.Mean.Worth, c.Worth.text("%+.3f ± %.3f"),
+			c.Mean.Windows, c.Windows.text("%+.3f ± %.3f"),
+			c.Mean.WastedSeconds, c.Wasted.text("%+.0f ± %.0f"),
+			c.Mean.Renewals, c.Mean.BrokenRules)
+	}
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("write the table: %w", err)
+	}
+	return nil
+}
+
+// WriteLosses writes, for each day, what each cause has taken of the worth owed under the
+// first policy.
+func (p *Plan) WriteLosses(out io.Writer, results []Result) {
+	for _, day := range p.Days {
+		var ofDay []Result
+		for _, r := range results {
+			if r.Day == day.Name && r.Policy == p.Policies[0].Name {
+				ofDay = append(ofDay, r)
+			}
+		}
+		mean := meanMeasure(ofDay)
+		fmt.Fprintf(out, "\nday %s: %.3f of what was owed was earned; lost to", day.Name, mean.Day)
+		for _, loss := range mean.Losses {
+			fmt.Fprintf(out, "  %s %.3f", loss.Cause, loss.Part)
+		}
+		fmt.Fprintln(out)
+	}
+}
+
+// text formats a difference.
+func (d Difference) text(format string) string {
+	mark := " "
+	if d.IsClear() {
+		mark = "*"
+	}
+	return fmt.Sprintf(format, d.Mean, d.HalfWidth) + mark
+}
+
+// WriteJSON writes the results of all runs to a file.
+func WriteJSON(path string, results []Result) error {
+	encoded, err := json.MarshalIndent(results, "", " ")
+	if err == nil {
+		err = os.WriteFile(path, append(encoded, '\n'), 0o644)
+	}
+	if err != nil {
+		return fmt.Errorf("write the results: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/sim/experiment/run.go
@@ -0,0 +1,108 @@
+package experiment
+
+import (
+	"runtime"
+	"sync"
+	"time"
+
+	"coppercourse/internal/settings"
+	"coppercourse/internal/wire"
+	"coppercourse/sim"
+)
+
+const (
+	settleTime        = 60 * time.Second // after the last submission
+	unresolvedTimeout = 5 * time.Second
+	shortLease        = 800 * time.Millisecond // of a policy without long leases
+)
+
+// Result is what one run measured.
+type Result struct {
+	Policy     string  `json:"policy"`
+	Deployment string  `json:"deployment"`
+	Day        string  `json:"day"`
+	Seed       int64   `json:"seed"`
+	Measure    Measure `json:"measure"`
+}
+
+// task is one run to make, and where its result goes.
+type task struct {
+	policy     PolicyPlan
+	deployment string
+	day        Day
+	seed       int64
+	result     *Result
+}
+
+// Execute plays a checked plan, as many runs at a time as there are processors. It calls
+// progress after each run with how many are done.
+func (p *Plan) Execute(progress func(done, total int)) []Result {
+	results, tasks := p.tasks()
+	queue := make(chan task)
+	var workers sync.WaitGroup
+	var mu sync.Mutex
+	done := 0
+	for range runtime.GOMAXPROCS(0) {
+		workers.Go(func() {
+			for t := range queue {
+				*t.result = p.play(t)
+				mu.Lock()
+				done++
+				progress(done, len(tasks))
+				mu.Unlock()
+			}
+		})
+	}
+	for _, t := range tasks {
+		queue <- t
+	}
+	close(queue)
+	workers.Wait()
+	return results
+}
+
+// tasks lists all runs of a plan, with a place for the result of each.
+func (p *Plan) tasks() ([]Result, []task) {
+	results := make([]Result, len(p.Policies)*len(p.Deployments)*len(p.Days)*p.Seeds)
+	var tasks []task
+	for _, day := range p.Days {
+		for _, name := range p.Deployments {
+			for i := range p.Seeds {
+				for _, policyPlan := range p.Policies {
+					tasks = append(tasks, task{policyPlan, name, day, p.FirstSeed + int64(i), &results[len(tasks)]})
+				}
+			}
+		}
+	}
+	return results, tasks
+}
+
+// play makes one run. The jobs and the faults depend on deployment, day and seed alone.
+func (p *Plan) play(t task) Result {
+	d, _ := findDeployment(t.deployment) // the plan was checked
+	run := sim.NewOn(simPlan(t), d)
+	run.Policy = t.policy.policy
+	renewals := 0
+	run.TamperCall = func(call *wire.WorkerCall) {
+		if call.Kind == wire.RenewLease {
+			renewals++
+		}
+	}
+	workload := sim.DrawWorkload(d, t.seed, p.traffic(), p.load())
+	run.ExecuteWorkload(workload, t.day.faults(), sim.TrafficStart+p.traffic()+settleTime)
+	result := Result{Policy: t.policy.Name, Deployment: t.deployment, Day: t.day.Name, Seed: t.seed}
+	result.Measure = measure(&run.History, d.Queues)
+	result.Measure.Renewals = renewals
+	result.Measure.BrokenRules = len(run.Verdict().Violations)
+	return result
+}
+
+// simPlan returns the simulator's plan of a run.
+func simPlan(t task) sim.Plan {
+	plan := sim.Plan{Seed: t.seed, Quick: true, UnresolvedTimeout: unresolvedTimeout}
+	if t.policy.policy.NoLongLease {
+		plan.Timeouts = settings.QuickTimeouts.Dispatch()
+		plan.Timeouts.AgentLease, plan.Timeouts.LostAfter = shortLease, shortLease*5/4
+	}
+	return plan
+}
--- /dev/null
+++ b/sim/experiment/worth.go
@@ -0,0 +1,265 @@
+package experiment
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"coppercourse/internal/config"
+	"coppercourse/internal/state"
+	"coppercourse/internal/types"
+	"coppercourse/internal/wire"
+	"coppercourse/sim/history"
+	"coppercourse/sim/worker"
+)
+
+// How a job's worth is counted. A job that is done within its latency target earns all, one
+// that is done within lateFactor times the target earns lateWorth of it.
+const (
+	lateFactor  = 3
+	lateWorth   = 0.2
+	baseWorth   = 0.3 // part of the mean job's worth that does not depend on its work
+	maxJobWorth = 4   // bound of a job's worth, in those of its queue's mean job
+
+	windowLength = 2 * time.Second // of submissions that are judged together
+	worstWindows = 2               // how many count
+
+	dayWeight, windowWeight, classWeight = 0.4, 0.4, 0.2
+)
+
+// Measure is what one run gave and what it cost.
+type Measure struct {
+	Worth   float64 `json:"worth"`   // the three parts below, weighted
+	Day     float64 `json:"day"`     // earned of what was owed, over all jobs
+	Windows float64 `json:"windows"` // the same over the worst windows
+	Class   float64 `json:"class"`   // the same of the worst queue
+
+	Renewals       int     `json:"renewals"`         // calls that look at a worker
+	WastedSeconds  float64 `json:"wasted_seconds"`   // core-seconds of attempts that came to nothing
+	AttemptsPerJob float64 `json:"attempts_per_job"` // that workers started
+	Rejections     int     `json:"rejections"`       // answers that a submission was not accepted
+	Unresolved     int     `json:"unresolved"`       // answers that it may have been
+	BrokenRules    int     `json:"broken_rules"`
+
+	Timeline []float64 `json:"timeline"` // earned of what was owed, by window
+	Losses   []Loss    `json:"losses"`   // they add up to 1 - Day
+}
+
+// jobRecord is what a history says of one job.
+type jobRecord struct {
+	spec        *state.Spec
+	submittedAt int64
+	acceptedAt  int64                 // 0 if it was not
+	runs        map[int]*taskRun      // by task number
+	open        map[types.TaskID]bool // tasks that have not ended well
+	endedAt     int64                 // when the last one did, once open is empty
+}
+
+// measure measures the jobs of a history. queues are those of the deployment.
+func measure(h *history.History, queues []config.Queue) Measure {
+	var m Measure
+	jobs, started := map[types.JobID]*jobRecord{}, map[types.AttemptID]history.Event{}
+	racks, attempts := map[types.Shard]types.Rack{}, 0
+	for _, event := range h.Events {
+		switch event.Kind {
+		case history.JobSubmitted:
+			jobs[event.Job] = newJobRecord(event)
+		case history.JobAccepted:
+			jobs[event.Job].acceptedAt = event.At
+		case history.WorkerStaying:
+			racks[event.Shard] = event.Worker.Rack
+		case history.AttemptStarted:
+			attempts++
+			started[event.Attempt] = event
+		case history.AttemptEnded:
+			job := jobs[event.Attempt.Job]
+			if job == nil {
+				continue
+			}
+			job.attemptEnded(started[event.Attempt], event)
+			m.WastedSeconds += wasted(job, started[event.Attempt], event)
+		case history.SubmissionRejected:
+			m.Rejections++
+		case history.SubmissionUnresolved:
+			m.Unresolved++
+		}
+	}
+	m.AttemptsPerJob = float64(attempts) / float64(max(1, len(jobs)))
+	m.addWorth(jobs, queues, racks)
+	return m
+}
+
+func newJobRecord(event history.Event) *jobRecord {
+	job := &jobRecord{
+		spec:        event.Spec,
+		submittedAt: event.At,
+		runs:        map[int]*taskRun{},
+		open:        map[types.TaskID]bool{},
+	}
+	for step := range event.Spec.Steps {
+		for i := range tasksToEnd(&event.Spec.Steps[step]) {
+			job.open[types.TaskID{Job: event.Job, TaskNumber: types.TaskNumber(0, step, i)}] = true
+		}
+	}
+	return job
+}
+
+// tasksToEnd returns how many tasks of a step must end well: one end of a joint step stands
+// for all.
+func tasksToEnd(step *state.Step) int {
+	if step.Joint {
+		return 1
+	}
+	return step.Tasks
+}
+
+// attemptEnded records the end of an attempt.
+func (j *jobRecord) attemptEnded(start, event history.Event) {
+	task := event.Attempt.TaskID
+	if step := j.spec.StepOf(task.TaskNumber); step >= 0 && j.spec.Steps[step].Joint {
+		task.TaskNumber = types.TaskNumber(0, step, 0)
+	}
+	j.recordRun(start, event, task.TaskNumber)
+	if event.EndReason != wire.EndSucceeded || len(j.open) == 0 {
+		return
+	}
+	delete(j.open, task)
+	if len(j.open) == 0 {
+		j.endedAt = event.At
+	}
+}
+
+// wasted returns the core-seconds of an attempt that came to nothing.
+func wasted(job *jobRecord, start, end history.Event) float64 {
+	isOwnEnd := end.EndReason == wire.EndSucceeded || end.EndReason == wire.EndFailed
+	step := job.spec.StepOf(end.Attempt.TaskNumber)
+	if isOwnEnd || start.Kind == "" || step < 0 || job.spec.Steps[step].AlwaysRestart {
+		return 0
+	}
+	cores := float64(job.spec.Steps[step].Resources.Cores) / float64(types.Core)
+	return cores * time.Duration(end.At-start.At).Seconds()
+}
+
+// tally is what was earned of what was owed.
+type tally struct{ earned, owed float64 }
+
+func (t *tally) ratio() float64 {
+	if t.owed == 0 {
+		return 1
+	}
+	return t.earned / t.owed
+}
+
+// addWorth adds the worth of the jobs to a measure.
+func (m *Measure) addWorth(
+	jobs map[types.JobID]*jobRecord, queues []config.Queue, racks map[types.Shard]types.Rack,
+) {
+	lost := losses{}
+	meanWork := meanWorkByQueue(jobs)
+	var day tally
+	windows, classes := map[int]*tally{}, map[types.QueueName]*tally{}
+	for _, job := range jobs {
+		i := slices.IndexFunc(queues, func(q config.Queue) bool { return q.Name == job.spec.Queue })
+		if i < 0 || !job.isOwed() {
+			continue
+		}
+		owed := min(maxJobWorth, baseWorth+(1-baseWorth)*job.work()/meanWork[job.spec.Queue])
+		earned := owed * job.earned(queues[i])
+		lost.add(job, owed-earned, racks)
+		window := int(time.Duration(job.submittedAt) / windowLength)
+		for _, t := range []*tally{&day, tallyOf(windows, window), tallyOf(classes, job.spec.Queue)} {
+			t.earned, t.owed = t.earned+earned, t.owed+owed
+		}
+	}
+	m.Losses = lost.sorted(day.owed)
+	m.Day, m.Class = day.ratio(), 1
+	for _, class := range classes {
+		m.Class = min(m.Class, class.ratio())
+	}
+	for _, window := range slices.Sorted(maps.Keys(windows)) {
+		m.Timeline = append(m.Timeline, windows[window].ratio())
+	}
+	m.Windows = meanOfLowest(m.Timeline, worstWindows)
+	m.Worth = dayWeight*m.Day + windowWeight*m.Windows + classWeight*m.Class
+}
+
+func tallyOf[K comparable](tallies map[K]*tally, key K) *tally {
+	if tallies[key] == nil {
+		tallies[key] = &tally{}
+	}
+	return tallies[key]
+}
+
+// meanOfLowest returns the mean of the lowest values.
+func meanOfLowest(values []float64, count int) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	sorted = sorted[:min(count, len(sorted))]
+	sum := 0.0
+	for _, value := range sorted {
+		sum += value
+	}
+	return sum / float64(max(1, len(sorted)))
+}
+
+func meanWorkByQueue(jobs map[types.JobID]*jobRecord) map[types.QueueName]float64 {
+	sum, count := map[types.QueueName]float64{}, map[types.QueueName]float64{}
+	for _, job := range jobs {
+		if job.isOwed() {
+			sum[job.spec.Queue] += job.work()
+			count[job.spec.Queue]++
+		}
+	}
+	for queue := range sum {
+		sum[queue] /= count[queue]
+	}
+	return sum
+}
+
+// isOwed reports whether anything is owed for a job: one that always fails or that runs until
+// it is cancelled is not judged.
+func (j *jobRecord) isOwed() bool {
+	return !slices.ContainsFunc(j.spec.Steps, func(step state.Step) bool {
+		return step.AlwaysRestart || workOf(&step).FailureRate >= 1
+	})
+}
+
+// work returns the core-seconds of a job.
+func (j *jobRecord) work() float64 {
+	work := 0.0
+	for i := range j.spec.Steps {
+		step := &j.spec.Steps[i]
+		cores := float64(step.Resources.Cores) / float64(types.Core)
+		work += float64(step.Tasks) * cores * float64(workOf(step).DurationMS) / 1000
+	}
+	return work
+}
+
+// earned returns which part of its worth a job has earned.
+func (j *jobRecord) earned(queue config.Queue) float64 {
+	if len(j.open) > 0 {
+		return 0
+	}
+	chain := j.spec.CriticalPath(-1, func(step int) time.Duration {
+		work := workOf(&j.spec.Steps[step])
+		return time.Duration(float64(work.DurationMS) * (1 + work.Variation) * float64(time.Millisecond))
+	})
+	target := time.Duration(queue.TargetFactor*float64(chain)) +
+		time.Duration(queue.TargetMarginMillis)*time.Millisecond
+	switch took := time.Duration(j.endedAt - j.submittedAt); {
+	case took <= target:
+		return 1
+	case took <= lateFactor*target:
+		return lateWorth
+	}
+	return 0
+}
+
+// workOf returns the input of a step's tasks; one that can't be read has no duration.
+func workOf(step *state.Step) worker.Work {
+	var work worker.Work
+	if json.Unmarshal(step.Work, &work) != nil {
+		return worker.Work{}
+	}
+	return work
+}
--- a/sim/submissions.go
+++ b/sim/submissions.go
@@ -90,9 +90,11 @@
 // submitNew submits a job for the first time, at the gateway of a zone drawn at random.
 func (c *Clients) submitNew(id types.JobID, spec state.Spec) {
 	c.world.Record(history.Event{Kind: history.JobSubmitted, Job: id, Spec: &spec})
-	c.submit(id, wire.EncodeBody(spec), c.readyGateway(c.world.Random.Intn(callerZones)))
+	c.submit(id, encodeSpec(spec), c.readyGateway(c.world.Random.Intn(callerZones)))
 }
 
+func encodeSpec(spec state.Spec) json.RawMessage { return wire.EncodeBody(spec) }
+
 // submit submits an encoded job. Once it is accepted, its caller watches it and may cancel it.
 func (c *Clients) submit(id types.JobID, body json.RawMessage, to types.Addr) {
 	o := newOperation(wire.VerbSubmitJob, string(id), body, c.MaxRetries)
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -9,6 +9,7 @@
 	"coppercourse/internal/controller"
 	"coppercourse/internal/dispatch/protocol"
 	"coppercourse/internal/gateway"
+	"coppercourse/internal/policy"
 	"coppercourse/internal/raft"
 	"coppercourse/internal/types"
 	"coppercourse/internal/wire"
@@ -57,6 +58,7 @@
 	StepCosts       *Costs        // nil means that steps take no time
 	LoopBugs        LoopBugs
 	Metering        bool // count what every daemon spends; also of those that run
+	Policy          policy.Policy
 }
 
 // Hooks see, and planted bugs change, what passes between nodes. Any may be nil.
@@ -115,6 +117,7 @@
 			RaftTimeouts:      w.RaftTimeouts,
 			DispatchTimeouts:  w.Timeouts,
 			SnapshotThreshold: snapshotThreshold,
+			Policy:            w.Policy,
 		}
 		options.RaftTimeouts.AuthorityLease = w.Timeouts.AgentLease
 		if w.Environment != nil {
@@ -129,7 +132,9 @@
 // AddGateway adds a gateway, which is not running yet.
 func (w *World) AddGateway(addr types.Addr, zone types.Zone) *Node {
 	return w.addNode(addr, GatewayRole, zone, func(n *Node) wire.Machine {
-		options := gateway.Options{Addr: addr, Zone: zone, Seeds: w.Seeds, StaleAfter: w.TableStaleAfter}
+		options := gateway.Options{
+			Addr: addr, Zone: zone, Seeds: w.Seeds, StaleAfter: w.TableStaleAfter, Policy: w.Policy,
+		}
 		return gateway.New(n.ClockReading(), w.newRandom(), options)
 	})
 }
@@ -137,7 +142,9 @@
 // AddAgent adds the agent of a worker, which is not running yet.
 func (w *World) AddAgent(addr types.Addr, zone types.Zone, spec history.WorkerSpec) *Node {
 	return w.addNode(addr, AgentRole, zone, func(n *Node) wire.Machine {
-		options := agent.Options{Addr: addr, Zone: zone, Shard: spec.Shard, Seeds: w.Seeds, Timeouts: w.Timeouts}
+		options := agent.Options{
+			Addr: addr, Zone: zone, Shard: spec.Shard, Seeds: w.Seeds, Timeouts: w.Timeouts, Policy: w.Policy,
+		}
 		return agent.New(n.ClockReading(), w.newRandom(), options)
 	})
 }
