controller, gateway: reports of ends that are acknowledged are not passed on; reach before forward

The controller that is cut off receives all reports of ends and no log, so it kept each for 10 s, and passed it on every 0.4 s through two gateways; these repeated it to the leader every second for 15 s. Second: the gateway on the machine that is cut off forwarded changes to a leader that it had only been told of, so that they were in doubt.

Change: an agent says when a report has all its ends that are not acknowledged. A controller drops what such a report, 0.2 s later or more, no longer has: it is in the leader's log. Forwards and the gateways' repeats back off. A gateway forwards changes only to a leader that it has heard itself, and calls itself ready only with one.

--- a/internal/controller/report_buffer.go
+++ b/internal/controller/report_buffer.go
@@ -15,6 +15,11 @@
 	// unknownAttemptRetention is how long a report is kept of an attempt that this
 	// controller's log does not have yet.
 	unknownAttemptRetention = 10 * time.Second
+	// minAcknowledgedAge is how old an end must be at least to be taken for acknowledged
+	// because its agent no longer reports it.
+	minAcknowledgedAge = 200 * time.Millisecond
+	// maxForwardBackoff bounds how often the interval between two forwards of a report doubles.
+	maxForwardBackoff = 5
 )
 
 // reportBuffer keeps the ends that agents have reported until the log has them. Every
@@ -39,6 +44,10 @@
 	if !ok || len(b.reports) >= maxBufferedReports {
 		return
 	}
+	if update.Complete {
+		b.dropAcknowledged(now, message.From, update)
+	}
+	update.Complete = false // of what is kept
 	update.Ends = slices.DeleteFunc(update.Ends, func(end state.AttemptEnd) bool {
 		return !end.Outcome.ReportedByWorker() || !mustKeep(now, s, end, now)
 	})
@@ -53,6 +62,23 @@
 	}
 }
 
+// dropAcknowledged drops the ends that an agent reported before and that its complete report
+// lacks: the leader has acknowledged them, though this controller may be cut off from it and
+// its log may not have them. The agent goes on reporting any other.
+func (b *reportBuffer) dropAcknowledged(now types.MonoTime, agent types.Addr, complete protocol.StatusReport) {
+	for i := range b.reports {
+		report := &b.reports[i]
+		isOfAgent := report.from == agent && report.update.Instance == complete.Instance
+		if !isOfAgent || now.Sub(report.receivedAt) < minAcknowledgedAge {
+			continue
+		}
+		report.update.Ends = slices.DeleteFunc(report.update.Ends, func(end state.AttemptEnd) bool {
+			return !slices.Contains(complete.Ends, end)
+		})
+	}
+	b.reports = slices.DeleteFunc(b.reports, func(report bufferedReport) bool { return len(report.update.Ends) == 0 })
+}
+
 // prune drops the reports of which nothing must be kept any longer.
 func (b *reportBuffer) prune(now types.MonoTime, s *state.State) {
 	b.reports = slices.DeleteFunc(b.reports, func(report bufferedReport) bool {
@@ -62,13 +88,13 @@
 	})
 }
 
-// takeDue returns the reports that were not forwarded for an interval, and counts them as
-// forwarded now.
+// takeDue returns the reports that were not forwarded for an interval, which doubles with
+// each forward, and counts them as forwarded now.
 func (b *reportBuffer) takeDue(now types.MonoTime, interval time.Duration) []*bufferedReport {
 	var due []*bufferedReport
 	for i := range b.reports {
 		report := &b.reports[i]
-		if now.Sub(report.forwardedAt) >= interval {
+		if now.Sub(report.forwardedAt) >= interval<<min(report.forwards, maxForwardBackoff) {
 			report.forwardedAt = now
 			due = append(due, report)
 		}
--- a/internal/controller/report_buffer_test.go
+++ b/internal/controller/report_buffer_test.go
@@ -77,3 +77,60 @@
 	is.Equal(message.Message.From, types.Addr("w0")) // as its agent sent it
 	is.Equal(message.Message.Kind, wire.StatusReport)
 }
+
+// An end that its agent no longer reports has been acknowledged by a leader. A report that is
+// forwarded, or of another instance, says nothing of the agent's other ends.
+func TestAcknowledgedEndsAreDropped(t *testing.T) {
+	const now = types.MonoTime(time.Hour)
+	first := state.AttemptEnd{ID: attemptID("j", 0, 1), Outcome: state.OutcomeOK}
+	second := state.AttemptEnd{ID: attemptID("j", 1, 1), Outcome: state.OutcomeOK}
+	later := protocol.StatusReport{Shard: "k0", Instance: "i", Ends: []state.AttemptEnd{second}, Complete: true}
+	for _, c := range []struct {
+		name   string
+		change func(*protocol.StatusReport)
+		after  time.Duration
+		kept   bool
+	}{
+		{"later complete report", func(*protocol.StatusReport) {}, minAcknowledgedAge, false},
+		{"it may have been overtaken", func(*protocol.StatusReport) {}, minAcknowledgedAge - 1, true},
+		{"part of a report", func(r *protocol.StatusReport) { r.Complete = false }, time.Second, true},
+		{"another instance", func(r *protocol.StatusReport) { r.Instance = "other" }, time.Second, true},
+		{"still reported", func(r *protocol.StatusReport) {
+			r.Ends = []state.AttemptEnd{first, second}
+		}, time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLeaderRig(rand.New(rand.NewSource(1)))
+			var b reportBuffer
+			b.add(now, l.log.state(), report(first))
+			update := later
+			c.change(&update)
+			message := wire.NewMessage("w0", "h1", wire.StatusReport, update).Message
+			b.add(now.Add(c.after), l.log.state(), message)
+			ends := 0
+			for _, kept := range b.reports {
+				ends += len(kept.update.Ends)
+				is.True(!kept.update.Complete) // forwarded, it is a part
+			}
+			is.Equal(ends == 2, c.kept)
+		})
+	}
+}
+
+// The forwards of a report become rarer, so that a controller that is cut off loads no link.
+func TestForwardsBackOff(t *testing.T) {
+	is := is.New(t)
+	const now, interval = types.MonoTime(time.Hour), 400 * time.Millisecond
+	l := newLeaderRig(rand.New(rand.NewSource(1)))
+	var b reportBuffer
+	b.add(now, l.log.state(), report(state.AttemptEnd{ID: attemptID("j", 0, 1), Outcome: state.OutcomeOK}))
+	forwards := 0
+	for at := now; at < now.Add(unknownAttemptRetention); at = at.Add(20 * time.Millisecond) {
+		for _, due := range b.takeDue(at, interval) {
+			due.forwards++
+			forwards++
+		}
+	}
+	is.Equal(forwards, 4) // after 0.4, 1.2, 2.8 and 6.0 s
+}
--- a/internal/dispatch/executor/reports.go
+++ b/internal/dispatch/executor/reports.go
@@ -10,6 +10,7 @@
 const (
 	// maxEndsPerStatus bounds the ends in one StatusReport.
 	maxEndsPerStatus = 500
+
 	// checkpointHeartbeats is in how many heartbeats a new checkpoint is reported, so
 	// that one of them arrives.
 	checkpointHeartbeats = 4
@@ -80,7 +81,12 @@
 		return
 	}
 	ex.reports.statusAt = ex.now
-	status := protocol.StatusReport{Shard: ex.shard, Instance: ex.association.instance, Ends: ends}
+	status := protocol.StatusReport{
+		Shard:    ex.shard,
+		Instance: ex.association.instance,
+		Ends:     ends,
+		Complete: len(ends) < maxEndsPerStatus,
+	}
 	ex.send(ex.leader, wire.StatusReport, status)
 }
 
--- a/internal/dispatch/protocol/decode.go
+++ b/internal/dispatch/protocol/decode.go
@@ -110,6 +110,8 @@
 			return true, wire.DecodeString(d, &r.Instance)
 		case "ends":
 			return true, wire.DecodeList(d, &r.Ends, func(e *state.AttemptEnd) error { return decodeEnd(d, e) })
+		case "complete":
+			return true, wire.DecodeBool(d, &r.Complete)
 		}
 		return false, nil
 	})
--- a/internal/dispatch/protocol/messages.go
+++ b/internal/dispatch/protocol/messages.go
@@ -171,6 +171,8 @@
 	Shard    types.Shard        `json:"shard"`
 	Instance types.ID           `json:"id"`
 	Ends     []state.AttemptEnd `json:"ends"`
+	// Complete is set by an agent that reports all its ends that are not acknowledged.
+	Complete bool `json:"complete,omitempty"`
 }
 
 // StatusAck replies to StatusReport once ends are committed to the log, with their
--- a/internal/gateway/end_reports.go
+++ b/internal/gateway/end_reports.go
@@ -12,7 +12,7 @@
 // Bounds of the reports that are kept.
 const (
 	reportLifetime = 15 * time.Second // after which a report is dropped
-	reportInterval = time.Second      // between two sends of one report
+	reportInterval = time.Second      // between the first two sends of one report; it doubles with each
 	maxReports     = 1024
 )
 
@@ -26,13 +26,14 @@
 	message    wire.Message
 	receivedAt types.MonoTime
 	sentAt     types.MonoTime // types.DistantPast until it is sent
+	sends      int
 }
 
 // add keeps a report unless the same is there or there are too many.
 func (b *endReportBuffer) add(now types.MonoTime, message wire.Message) {
 	same := func(r endReport) bool { return bytes.Equal(r.message.Body, message.Body) }
 	if len(b.reports) < maxReports && !slices.ContainsFunc(b.reports, same) {
-		b.reports = append(b.reports, endReport{message, now, types.DistantPast})
+		b.reports = append(b.reports, endReport{message: message, receivedAt: now, sentAt: types.DistantPast})
 	}
 }
 
@@ -46,8 +47,9 @@
 		return nil
 	}
 	for i := range b.reports {
-		if r := &b.reports[i]; now.Sub(r.sentAt) >= reportInterval {
+		if r := &b.reports[i]; now.Sub(r.sentAt) >= reportInterval<<max(0, r.sends-1) {
 			r.sentAt = now
+			r.sends++
 			messages = append(messages, wire.OutboundMessage{To: leader, Message: r.message})
 		}
 	}
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coppercourse/internal/apierror"
+	"coppercourse/internal/membership"
 	"coppercourse/internal/types"
 	"coppercourse/internal/wire"
 )
@@ -16,6 +17,9 @@
 	// each by the hint of a controller that does not lead. After that the request is
 	// forwarded again by ForwardTimeout only.
 	maxHintedForwards = 6
+	// rejectedRetryInterval is the time between two forwards of a request that controllers
+	// reject because they don't lead.
+	rejectedRetryInterval = 60 * time.Millisecond
 	// leaderlessWait is how long a change that no controller can have accepted waits for a
 	// leader. Elections are shorter; in a longer loss its client has time to come back.
 	leaderlessWait = 700 * time.Millisecond
@@ -29,7 +33,9 @@
 		switch {
 		case now.Sub(p.receivedAt) >= g.patience(p):
 			g.giveUp(p)
-		case p.target == "" || now.Sub(p.sentAt) >= ForwardTimeout:
+		case p.target == "" && (leader != previous || now.Sub(p.sentAt) >= rejectedRetryInterval):
+			g.forward(p, "")
+		case now.Sub(p.sentAt) >= ForwardTimeout:
 			g.forward(p, "")
 		case leader != "" && leader != previous && p.target == previous:
 			g.forward(p, leader)
@@ -45,11 +51,18 @@
 	return p.timeout
 }
 
-// leaderAnswers reports whether there is a leader that answers, as far as the gateway knows.
+// leaderAnswers reports whether there is a leader that this gateway has heard itself, and that
+// answers. Of one that it has only been told of it may be cut off.
 func (g *Gateway) leaderAnswers() bool {
-	leader := g.core.Leader()
-	isSilent := g.leader.isSilent(g.core.Now().Mono, leader)
-	return g.policy.NoSilenceDetection || leader != "" && !isSilent
+	if g.policy.NoSilenceDetection {
+		return true
+	}
+	leader, now := g.core.Leader(), g.core.Now().Mono
+	if leader == "" || g.leader.isSilent(now, leader) {
+		return false
+	}
+	heardAt := max(g.core.Members().HeardDirectly(leader), g.leader.lastHeard(leader))
+	return now.Sub(heardAt) <= membership.HealthyWithin
 }
 
 // giveUp rejects a request that has timed out. The error says whether a controller may have
@@ -107,7 +120,7 @@
 // handleForwardReply handles a controller's reply to a request. Replies to requests that are
 // answered already are dropped.
 func (g *Gateway) handleForwardReply(from types.Addr, reply wire.ForwardedReply) {
-	g.leader.heard(from)
+	g.leader.heard(g.core.Now().Mono, from)
 	p := g.requests.pending[reply.ID]
 	switch {
 	case p == nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,10 +78,11 @@
 	return g
 }
 
-// Ready reports whether callers may be sent here: a leader is known and the table is
+// Ready reports whether callers may be sent here: a leader answers and the table is
 // confirmed.
 func (g *Gateway) Ready() bool {
-	return !g.core.Draining() && g.core.Leader() != "" && g.configWatcher.Fresh(g.core.Now().Mono)
+	isFresh := g.configWatcher.Fresh(g.core.Now().Mono)
+	return !g.core.Draining() && g.core.Leader() != "" && g.leaderAnswers() && isFresh
 }
 
 // Table returns the table as the gateway has it, and whether requests may be decided by it.
@@ -125,7 +126,7 @@
 }
 
 func (g *Gateway) handleConfigWatchReply(message wire.Message) {
-	g.leader.heard(message.From)
+	g.leader.heard(g.core.Now().Mono, message.From)
 	if g.configWatcher.HandleResponse(message) {
 		g.core.Record(trace.TableSubject(g.configWatcher.Table.Version), "table in force")
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -225,3 +225,27 @@
 	h.advance(40 * time.Millisecond)
 	is.Equal(len(h.sent), forwarded+1) // a answers again
 }
+
+// A leader that the gateway was only told of may be out of its reach: changes are not
+// forwarded to it before the gateway has heard it, so that none is in doubt.
+func TestChangesWaitForALeaderThatWasHeard(t *testing.T) {
+	is := is.New(t)
+	h := newIdleHarness(1)
+	h.step(wire.Event{})
+	told := membership.Peer{MemberInfo: membership.MemberInfo{
+		Addr: "c", Role: membership.RoleController, Term: 2, Leads: true,
+	}}
+	gossip := wire.NewMessage("b", "g", wire.Hello, map[string]any{
+		"me":    membership.MemberInfo{Addr: "b", Role: membership.RoleController, Term: 1},
+		"mates": []membership.Peer{told},
+	})
+	h.step(wire.Event{Message: &gossip.Message})
+	is.Equal(h.gateway.Leader(), types.Addr("c"))
+	h.step(wire.Event{Request: &wire.Request{Token: 1, Verb: wire.VerbSubmitJob, Arg: "j"}})
+	is.Equal(len(h.sent), 0)
+	is.True(!h.gateway.Ready())
+	announcement := wire.NewMessage("c", "g", wire.Hello, map[string]any{"me": told.MemberInfo})
+	h.step(wire.Event{Message: &announcement.Message})
+	h.step(wire.Event{})
+	is.Equal(len(h.sent), 1)
+}
--- a/internal/gateway/leader_tracker.go
+++ b/internal/gateway/leader_tracker.go
@@ -27,6 +27,9 @@
 
 	awaited      types.Addr     // the controller to which a request was forwarded last
 	awaitedSince types.MonoTime // since when it has sent nothing; 0 for not at all
+
+	heardFrom types.Addr     // the controller that replied last
+	heardAt   types.MonoTime // when it did
 }
 
 // forwarded records that a request was forwarded to a controller.
@@ -37,12 +40,22 @@
 }
 
 // heard records that a controller has sent a reply.
-func (l *leaderTracker) heard(from types.Addr) {
+func (l *leaderTracker) heard(now types.MonoTime, from types.Addr) {
+	l.heardFrom, l.heardAt = from, now
 	if l.awaited == from {
 		l.awaitedSince = 0
 	}
 }
 
+// lastHeard returns when a controller replied last, if it is the one that did, or
+// types.DistantPast.
+func (l *leaderTracker) lastHeard(controller types.Addr) types.MonoTime {
+	if l.heardFrom != controller {
+		return types.DistantPast
+	}
+	return l.heardAt
+}
+
 // isSilent reports whether a controller leaves requests unanswered, so that what is forwarded
 // to it now might be accepted or not.
 func (l *leaderTracker) isSilent(now types.MonoTime, controller types.Addr) bool {
--- a/internal/gateway/leader_tracker_test.go
+++ b/internal/gateway/leader_tracker_test.go
@@ -58,8 +58,8 @@
 	is.True(!l.isSilent(at(2*time.Second), "b")) // another leader is not to blame
 	l.forwarded(at(2*time.Second), "a")
 	is.True(l.isSilent(at(2*time.Second), "a")) // still since the first request
-	l.heard("b")
+	l.heard(at(2*time.Second), "b")
 	is.True(l.isSilent(at(2*time.Second), "a"))
-	l.heard("a")
+	l.heard(at(2*time.Second), "a")
 	is.True(!l.isSilent(at(time.Minute), "a")) // nothing is awaited
 }
--- a/internal/membership/queries.go
+++ b/internal/membership/queries.go
@@ -77,6 +77,15 @@
 	return leader
 }
 
+// HeardDirectly returns when this daemon itself last received a hello of another, or
+// types.DistantPast.
+func (ml *MemberList) HeardDirectly(addr types.Addr) types.MonoTime {
+	if e := ml.table.entries[addr]; e != nil {
+		return e.heardDirectlyAt
+	}
+	return types.DistantPast
+}
+
 // ZonePartitioned reports whether a shard's agent fell silent together with every daemon
 // known in its zone, as when a network partition cuts the zone off. The loss of one machine
 // leaves others of its zone to be heard.
