settings: leases up to 2.5 s; the time to replace a voter is tied to elections

Change: dead_ms has to be longer than an election takes, and no longer than loss_ms. One is about voters, the other about agents: a new leader's wait counts from the last authority of any earlier leader that its voters may have heard, whoever votes by then. So the lease is bounded by cancels and holds alone: 2.5 s where a cancel holds after 4 s, 2.0 s after 3 s.

Tests: TestDefaultBoundsGiveQuickTimeouts compares with the lease that the default bound on cancels gives; TestAnySensibleBoundsGiveValidTimeouts now draws catchUpS from 1 s on.

--- a/internal/settings/bounds.go
+++ b/internal/settings/bounds.go
@@ -40,19 +40,19 @@
 	return milliseconds(b.GraceMS), milliseconds(b.NoticeMS)
 }
 
-// minDerivedLeaseMS is the lease that is derived from bounds at the least, however soon a
-// silent voter has to be replaced.
-const minDerivedLeaseMS = 800
+// minLostMS is after how long a worker counts as lost at the least, however short its lease.
+const minLostMS = 1000
 
 // QuickTimeouts are the longest timeouts that are derived from bounds. All but the leases are
 // shorter than the defaults: where the surroundings give bounds, a lost leader costs more
 // than frequent heartbeats do. An agent's lease is long enough that what runs survives the
-// loss of a leader: its detection, the election, and the first heartbeats to the next one.
+// loss of a leader: its detection, the election, and the first heartbeats to the next one;
+// and, where the bounds allow it, that of all controllers for a second.
 var QuickTimeouts = Timeouts{
 	HeartbeatMS:     100,
 	UnhealthyMS:     400,
-	LostMS:          lostAfterMS(1800),
-	LeaseMS:         1800,
+	LostMS:          lostAfterMS(maxLeaseMS),
+	LeaseMS:         maxLeaseMS,
 	WorkerLeaseMS:   600,
 	RetryMS:         100,
 	RaftHeartbeatMS: 40,
@@ -66,11 +66,9 @@
 // a bound requires that.
 func DeriveTimeouts(b Bounds) Timeouts {
 	t := QuickTimeouts
-	t.ReplaceAfterMS = within(t.ReplaceAfterMS, b.CatchUpMS, 3, 8)
 	t.LeaseMS = min(
 		within(t.LeaseMS, b.MaxLeaseMS, 8, 10),
-		within(t.LeaseMS, b.CancelMS, 2, 3),
-		max(minDerivedLeaseMS, longestLeaseMS(t.ReplaceAfterMS)))
+		within(t.LeaseMS, b.CancelMS, 2, 3))
 	t.WorkerLeaseMS = min(t.WorkerLeaseMS, t.LeaseMS*3/4)
 	t.StaleAfterMS = within(t.StaleAfterMS, b.ApplyTableMS, 3, 4)
 	t.ElectionMS = min(
@@ -87,17 +85,15 @@
 		t.HeartbeatMS,
 		within(t.RetryMS, b.GangWaitMS, 1, 5))
 	t.LostMS = lostAfterMS(t.LeaseMS)
-	t.ReplaceAfterMS = max(t.LostMS+1, t.ReplaceAfterMS)
+	t.ReplaceAfterMS = max(
+		t.StallMS+2*t.ElectionMS+1,
+		within(t.ReplaceAfterMS, b.CatchUpMS, 3, 8))
 	return t
 }
 
 // lostAfterMS returns after how long a worker counts as lost whose agent has a lease of so
 // many milliseconds: the lease has ended by then, also on a clock that is a little slow.
-func lostAfterMS(leaseMS int) int { return (5*max(leaseMS, minDerivedLeaseMS) + 3) / 4 }
-
-// longestLeaseMS returns the longest lease whose worker counts as lost before a silent voter
-// is replaced.
-func longestLeaseMS(replaceAfterMS int) int { return (replaceAfterMS - 1) * 4 / 5 }
+func lostAfterMS(leaseMS int) int { return max(minLostMS, (5*leaseMS+3)/4) }
 
 // within returns a timeout, or the given fraction of a bound if that is less. A bound of 0 is
 // no bound.
--- a/internal/settings/validate_timeouts.go
+++ b/internal/settings/validate_timeouts.go
@@ -34,7 +34,8 @@
 		{2*t.ElectionMS < t.LeaseMS, "pace.election_ms",
 			"must be less than half of grant_ms, or every change of leader costs the running work"},
 		{t.StallMS >= t.ElectionMS, "pace.stall_ms", "must be at least election_ms"},
-		{t.ReplaceAfterMS > t.LostMS, "pace.dead_ms", "must be more than loss_ms"},
+		{t.ReplaceAfterMS > t.StallMS+2*t.ElectionMS, "pace.dead_ms",
+			"must be more than stall_ms and two election_ms: a voter is not replaced while a leader may be elected"},
 		{t.RetryMS <= t.UnhealthyMS, "pace.again_ms", "must be at most ill_ms"},
 	} {
 		errs.Check(rule.holds, rule.field, rule.reason)
