--- a/sim/experiment/losses.go
+++ b/sim/experiment/losses.go
@@ -19,11 +19,11 @@
 const (
 	CauseNotAccepted  Cause = "not accepted"
 	CauseNotFinished  Cause = "not finished"
-	CauseHandingIn    Cause = "handing in"     // from the first submission to the acceptance
-	CauseWaiting      Cause = "waiting"        // for the end of a task to be noticed, and for room
-	CauseLostAttempts Cause = "lost attempts"  // attempts of the task that came to nothing
-	CauseSlowWorker   Cause = "slow worker"    // longer on its worker than usual
-	CauseRemoteData   Cause = "remote data" // the same, away from its data
+	CauseHandingIn    Cause = "handing in"    // from the first submission to the acceptance
+	CauseWaiting      Cause = "waiting"       // for the end of a task to be noticed, and for room
+	CauseLostAttempts Cause = "lost attempts" // attempts of the task that came to nothing
+	CauseSlowWorker   Cause = "slow worker"   // longer on its worker than usual
+	CauseRemoteData   Cause = "remote data"   // the same, away from its data
 )
 
 // taskRun is the attempts of one task.
@@ -40,7 +40,7 @@
 func (l losses) add(job *jobRecord, lost float64, racks map[types.Shard]types.Rack) {
 	switch {
 	case lost <= 0:
-	case job.acceptedAt == 0:
+	case !job.accepted:
 		l[CauseNotAccepted] += lost
 	case len(job.open) > 0:
 		l[CauseNotFinished] += lost
--- a/sim/experiment/worth.go
+++ b/sim/experiment/worth.go
@@ -50,7 +50,8 @@
 type jobRecord struct {
 	spec        *state.Spec
 	submittedAt int64
-	acceptedAt  int64                 // 0 if it was not
+	accepted    bool
+	acceptedAt  int64
 	runs        map[int]*taskRun      // by task number
 	open        map[types.TaskID]bool // tasks that have not ended well
 	endedAt     int64                 // when the last one did, once open is empty
@@ -66,7 +67,7 @@
 		case history.JobSubmitted:
 			jobs[event.Job] = newJobRecord(event)
 		case history.JobAccepted:
-			jobs[event.Job].acceptedAt = event.At
+			jobs[event.Job].accept(event.At)
 		case history.WorkerStaying:
 			racks[event.Shard] = event.Worker.Rack
 		case history.AttemptStarted:
@@ -105,6 +106,13 @@
 	return job
 }
 
+// accept records that the job's caller was answered that it is accepted.
+func (j *jobRecord) accept(at int64) {
+	if !j.accepted {
+		j.accepted, j.acceptedAt = true, at
+	}
+}
+
 // tasksToEnd returns how many tasks of a step must end well: one end of a joint step stands
 // for all.
 func tasksToEnd(step *state.Step) int {
