--- /dev/null
+++ b/cmd/coppersim/losses_command.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"coppercourse/internal/commandline"
+	"coppercourse/sim/experiment"
+)
+
+// lossReporter is the losses command: what scored days have lost, by cause.
+type lossReporter struct{ paths []string }
+
+func addLosses(app *kingpin.Application, commands commandline.Commands) {
+	l := &lossReporter{}
+	command := app.Command("losses", "Print what the scored days of journal entries have lost, by cause.")
+	command.Arg("entry", "Files of journal/.").Required().ExistingFilesVar(&l.paths)
+	commands["losses"] = l.run
+}
+
+func (l *lossReporter) run() error {
+	var all []experiment.DayReport
+	for _, path := range l.paths {
+		days, err := experiment.ReadDayReports(path)
+		if err != nil {
+			return err
+		}
+		all = append(all, days...)
+	}
+	return experiment.WriteDayLosses(os.Stdout, all)
+}
--- a/cmd/coppersim/main.go
+++ b/cmd/coppersim/main.go
@@ -24,5 +24,6 @@
 	addWorker(app, commands)
 	addCapacity(app, commands)
 	addExperiment(app, commands)
+	addLosses(app, commands)
 	return commands
 }
--- /dev/null
+++ b/sim/experiment/day_report_test.go
@@ -0,0 +1,48 @@
+package experiment
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const journalEntry = `{"days": [{"name": "d", "G": 0.55,
+	"parts": [["whole day", 0.4, 0.9], ["worst windows", 0.6, 0.5]],
+	"prices": [["probes", 100, 0.1], ["none", 0, 0], ["machines", 5, 0.01]]}]}`
+
+// What a day has lost adds up to what is missing of its worth.
+func TestDayLossesAddUp(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "entry.json")
+	is.NoErr(os.WriteFile(path, []byte(journalEntry), 0o600))
+	days, err := ReadDayReports(path)
+	is.NoErr(err)
+	is.Equal(len(days), 1)
+	sum := 0.0
+	losses := days[0].losses()
+	for _, loss := range losses {
+		sum += loss.lost
+	}
+	is.True(isClose(sum, 1-days[0].Worth))
+	is.Equal(losses[0].cause, "missed of worst windows")
+	is.Equal(len(losses), 4)
+	var table bytes.Buffer
+	is.NoErr(WriteDayLosses(&table, days))
+	is.True(strings.Contains(table.String(), "0.4500"))
+}
+
+func TestUnreadableDays(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{`{`, `{"days": [{"parts": [["a", 1]]}]}`, `{"days": [{"prices": [[1, 2, 3]]}]}`} {
+		path := filepath.Join(t.TempDir(), "entry.json")
+		is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+		_, err := ReadDayReports(path)
+		is.True(err != nil)
+	}
+	_, err := ReadDayReports("nowhere.json")
+	is.True(err != nil)
+}
