--- a/internal/controller/job_ranking.go
+++ b/internal/controller/job_ranking.go
@@ -62,9 +62,7 @@
 func (r *jobRanking) recordJob(v *leaderView, j *state.Job) {
 	work := 0.0
 	for i := range j.Spec.Steps {
-		step := &j.Spec.Steps[i]
-		cores := float64(step.Resources.Cores)
-		work += float64(step.Tasks) * v.expectedDuration(j, i).Seconds() * cores / float64(types.Core)
+		work += float64(j.Spec.Steps[i].Tasks) * taskWork(v, j, i)
 	}
 	if len(j.Spec.Steps) > 0 && !j.Spec.Steps[0].AlwaysRestart {
 		updateMean(r.meanTaskSeconds, j.Queue, v.expectedDuration(j, 0).Seconds())
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -187,14 +187,10 @@
 func (p *planner) request(v *leaderView, j *state.Job, queue config.Queue, ready *state.ReadyIndex,
 	stage state.ReadyStage) placement.Request {
 	step := &j.Spec.Steps[stage.Stage.Step()]
-	limit := timeLimit(v.state, j, stage.Stage)
-	if step.AlwaysRestart {
-		limit = unlimitedDuration
-	}
 	rank := p.ranking.rank(v, j, queue, ready, stage)
 	request := stageRequest(j, stage.Stage)
 	request.Tasks = stage.Tasks
-	request.TimeLimit = limit
+	request.TimeLimit = placementTimeLimit(v.state, j, stage.Stage)
 	request.Gang = step.Gang
 	request.PreferOneRack = step.PreferOneRack
 	request.AvoidWorkers = stage.AvoidWorkers
@@ -206,6 +202,14 @@
 	return request
 }
 
+// placementTimeLimit returns how long an attempt of a stage may occupy its worker.
+func placementTimeLimit(s *state.State, j *state.Job, stage types.Stage) time.Duration {
+	if j.Spec.Steps[stage.Step()].AlwaysRestart {
+		return unlimitedDuration
+	}
+	return timeLimit(s, j, stage)
+}
+
 // stageRequest returns a request without tasks that asks of a worker what the job's
 // specification says of any task of a stage, be it placed for the first time or hedged.
 func stageRequest(j *state.Job, stage types.Stage) placement.Request {
--- a/internal/controller/stragglers.go
+++ b/internal/controller/stragglers.go
@@ -68,7 +68,7 @@
 		}
 		request := stageRequest(j, attempt.Stage)
 		request.Tasks = []int{attempt.ID.TaskNumber}
-		request.TimeLimit = timeLimit(v.state, j, attempt.Stage)
+		request.TimeLimit = placementTimeLimit(v.state, j, attempt.Stage)
 		request.AvoidWorkers = map[types.Shard]bool{attempt.Shard: true}
 		requests = append(requests, request)
 	}
--- a/internal/controller/stragglers_test.go
+++ b/internal/controller/stragglers_test.go
@@ -140,3 +140,13 @@
 		})
 	}
 }
+
+// A hedge has the time limit of a first attempt: none, for a step that is always restarted.
+func TestHedgesHaveTheTimeLimitOfFirstAttempts(t *testing.T) {
+	is := is.New(t)
+	l, attempt := stragglerRig(t, func(step *state.Step) { step.AllowHedge, step.AlwaysRestart = true, true })
+	attempt.StragglerEnd = l.now.Add(time.Hour)
+	requests := hedgeRequests(l.view(l.now), []*scheduler.OutstandingAttempt{attempt})
+	is.Equal(len(requests), 1)
+	is.Equal(requests[0].TimeLimit, unlimitedDuration)
+}
--- a/internal/dispatch/executor/link_calls.go
+++ b/internal/dispatch/executor/link_calls.go
@@ -154,7 +154,7 @@
 	case ex.link.ends.acknowledged < ex.link.ends.highest():
 		wait = 0 // the worker replies at once with what is not acknowledged
 	case ex.Policy.NoLongPoll:
-		calls.nextAt, wait = ex.now.Add(wait), 0
+		wait = 0
 	case ex.attempts.allEnded() && len(ex.link.ends.open) == 0 && !ex.Policy.NoIdlePoll:
 		wait = idlePollWait // neither a lease nor an attempt's record waits for the reply
 	case ex.attempts.anyWithoutProgress():
--- a/internal/dispatch/executor/link_replies.go
+++ b/internal/dispatch/executor/link_replies.go
@@ -117,6 +117,9 @@
 			ex.resolveUnlisted(call, listed)
 		}
 	}
+	if ex.Policy.NoLongPoll {
+		link.calls.nextAt = ex.now.Add(ex.longPollWait())
+	}
 	ex.dropAcknowledgedEnds(call.AckedEnds)
 	ex.worker.runningTasksKnown = ex.worker.runningTasksKnown || isComplete
 	if len(link.ends.open) > 0 {
--- a/internal/dispatch/scheduler/association.go
+++ b/internal/dispatch/scheduler/association.go
@@ -41,13 +41,13 @@
 		return sc.register(from, heartbeat)
 	case worker.Instance == heartbeat.Instance:
 		return worker
-	case sc.workers.replaced[heartbeat.Instance]:
+	case sc.workers.wasReplaced(heartbeat.Instance):
 		header := protocol.Header{Term: sc.term, To: heartbeat.Instance}
 		suicide := wire.NewMessage(sc.addr, from, wire.ReplaceInstance, protocol.ReplaceInstance{Header: header})
 		sc.messages = append(sc.messages, suicide)
 		return nil
 	case sc.mayReplace(worker, from, heartbeat):
-		sc.workers.replaced[worker.Instance] = true
+		sc.workers.noteReplaced(sc.now, worker.Instance)
 		if worker.State != protocol.WorkerMustDie {
 			sc.attempts.setPhaseOnShard(worker.Shard, unconfirmed)
 		}
--- a/internal/dispatch/scheduler/attempt_index.go
+++ b/internal/dispatch/scheduler/attempt_index.go
@@ -15,6 +15,7 @@
 	reserved    types.Resources       // of all together
 	unconfirmed int
 	unsure      int
+	revision    uint64 // a number that no other list had before
 }
 
 // attemptIndex holds all attempts that possibly run, by shard and by phase, so that an
@@ -25,11 +26,11 @@
 	byShard      map[types.Shard]*shardAttempts // those with any
 	unconfirmed  int
 	unsureShards map[types.Shard]bool // those with unsure attempts
-	// sentInOrder are those whose order was sent, in order of time. Some of them may
-	// have ended or changed their phase since.
-	sentInOrder []*OutstandingAttempt
-	// revisions counts, for each shard, how often its list has changed.
-	revisions map[types.Shard]uint64
+	// sentInOrder are those whose order was sent, in order of time: RunTask stamps each with
+	// the time of its step, which never goes back, and nothing else puts an attempt into this
+	// phase. Some of them may have ended or changed their phase since.
+	sentInOrder  []*OutstandingAttempt
+	lastRevision uint64 // of any shard's list
 	// unknownToLog are those that an agent reported and the log did not have as assigned.
 	unknownToLog map[types.AttemptID]*OutstandingAttempt
 }
@@ -39,7 +40,6 @@
 		byID:         map[types.AttemptID]*OutstandingAttempt{},
 		byShard:      map[types.Shard]*shardAttempts{},
 		unsureShards: map[types.Shard]bool{},
-		revisions:    map[types.Shard]uint64{},
 		unknownToLog: map[types.AttemptID]*OutstandingAttempt{},
 	}
 }
@@ -56,7 +56,7 @@
 	onShard.list = slices.Insert(onShard.list, i, attempt)
 	onShard.reserved = onShard.reserved.Add(attempt.Resources)
 	a.byID[attempt.ID] = attempt
-	a.revisions[attempt.Shard]++
+	a.revise(onShard)
 	if attempt.Stage == StageUnknown {
 		a.unknownToLog[attempt.ID] = attempt
 	}
@@ -70,9 +70,9 @@
 	}
 	a.adjustCounts(attempt, -1)
 	delete(a.byID, id)
-	a.revisions[attempt.Shard]++
 	delete(a.unknownToLog, id)
 	onShard := a.byShard[attempt.Shard]
+	a.revise(onShard)
 	i, _ := slices.BinarySearchFunc(onShard.list, attempt, compareOutstanding)
 	onShard.list = slices.Delete(onShard.list, i, i+1)
 	onShard.reserved = onShard.reserved.Sub(attempt.Resources)
@@ -81,6 +81,21 @@
 	}
 }
 
+// revise gives a shard's list the next revision.
+func (a *attemptIndex) revise(onShard *shardAttempts) {
+	a.lastRevision++
+	onShard.revision = a.lastRevision
+}
+
+// revision returns a number that changes whenever the list of a shard does; 0 for an empty
+// list.
+func (a *attemptIndex) revision(shard types.Shard) uint64 {
+	if onShard := a.byShard[shard]; onShard != nil {
+		return onShard.revision
+	}
+	return 0
+}
+
 func (a *attemptIndex) setPhase(attempt *OutstandingAttempt, phase attemptPhase) {
 	a.adjustCounts(attempt, -1)
 	attempt.phase = phase
--- a/internal/dispatch/scheduler/attempt_index_test.go
+++ b/internal/dispatch/scheduler/attempt_index_test.go
@@ -90,3 +90,22 @@
 		is.True(slices.IsSortedFunc(index.onShard(shard), compareOutstanding))
 	}
 }
+
+// A shard without attempts is not kept, and its revision when it has some again is a new one.
+func TestRevisionsOfShardsThatComeAndGo(t *testing.T) {
+	is := is.New(t)
+	index := newAttemptIndex()
+	attempt := func(number int) *OutstandingAttempt {
+		id := types.AttemptID{TaskID: types.TaskID{Job: "j", TaskNumber: number}, Attempt: 1}
+		return &OutstandingAttempt{ID: id, Shard: "s"}
+	}
+	seen := map[uint64]bool{index.revision("s"): true}
+	for number := range 3 {
+		index.add(attempt(number))
+		is.True(!seen[index.revision("s")])
+		seen[index.revision("s")] = true
+		index.remove(attempt(number).ID)
+		is.Equal(index.revision("s"), uint64(0)) // nothing runs there, as at first
+	}
+	is.Equal(len(index.byShard), 0)
+}
--- a/internal/dispatch/scheduler/health_check_test.go
+++ b/internal/dispatch/scheduler/health_check_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -127,7 +128,7 @@
 			heartbeat := protocol.Heartbeat{Shard: "s", Instance: "i2", PreviousInstance: test.previous, SentAt: 1}
 			sc.onHeartbeat(test.from, heartbeat)
 			is.Equal(sc.Worker("s").Instance, test.want)
-			is.Equal(sc.workers.replaced["i"], test.want == "i2")
+			is.Equal(sc.workers.wasReplaced("i"), test.want == "i2")
 			is.Equal(len(sc.Workers()), 1)
 		})
 	}
@@ -138,7 +139,7 @@
 func TestReplacedInstanceIsSentReplaceInstance(t *testing.T) {
 	is := is.New(t)
 	sc, worker := newTestScheduler()
-	sc.workers.replaced["i0"] = true
+	sc.workers.replaced["i0"] = testStart
 	sc.onHeartbeat("b", protocol.Heartbeat{Shard: "s", Instance: "i0", SentAt: 5})
 	messages, _ := sc.TakeOutput()
 	is.Equal(len(messages), 1)
@@ -149,3 +150,20 @@
 	is.Equal(sc.Worker("s"), worker)
 	is.Equal(worker.Addr, types.Addr("a"))
 }
+
+// Replaced instances are forgotten after a while: what they ran has ended long before.
+func TestReplacedInstancesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	sc, worker := newTestScheduler()
+	for i := range 20 {
+		worker.State = protocol.WorkerMustDie
+		sentAt := types.MonoTime(2 + i)
+		heartbeat := protocol.Heartbeat{Shard: "s", Instance: types.ID(fmt.Sprint("n", i)), SentAt: sentAt}
+		at := testStart.Add(time.Duration(i) * replacedRetention / 4)
+		sc.HandleMessage(at, time.Minute, wire.NewMessage("a", "h", wire.Heartbeat, heartbeat).Message)
+		worker = sc.Worker("s")
+		is.Equal(worker.Instance, heartbeat.Instance)
+	}
+	is.True(len(sc.workers.replaced) <= 6)
+	is.True(len(sc.workers.replaced) >= 4)
+}
--- a/internal/dispatch/scheduler/outstanding_attempt.go
+++ b/internal/dispatch/scheduler/outstanding_attempt.go
@@ -74,7 +74,7 @@
 	if onShard := sc.attempts.byShard[shard]; onShard != nil {
 		list = onShard.list
 	}
-	return list, sc.attempts.revisions[shard]
+	return list, sc.attempts.revision(shard)
 }
 
 // ShardOf returns the shard on which an attempt possibly runs, or nothing.
--- a/internal/dispatch/scheduler/remote_worker.go
+++ b/internal/dispatch/scheduler/remote_worker.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"time"
 
 	"coppercourse/internal/dispatch/protocol"
 	"coppercourse/internal/types"
@@ -62,12 +64,29 @@
 // workerTable holds the workers, one a shard, and remembers replaced instances.
 type workerTable struct {
 	byShard  map[types.Shard]*RemoteWorker
-	sorted   []*RemoteWorker // the same, by shard
-	replaced map[types.ID]bool
+	sorted   []*RemoteWorker             // the same, by shard
+	replaced map[types.ID]types.MonoTime // and when
 }
 
 func newWorkerTable() workerTable {
-	return workerTable{byShard: map[types.Shard]*RemoteWorker{}, replaced: map[types.ID]bool{}}
+	return workerTable{byShard: map[types.Shard]*RemoteWorker{}, replaced: map[types.ID]types.MonoTime{}}
+}
+
+// replacedRetention is how long a replaced instance is remembered. Its leases have ended long
+// before; if it still comes after that it counts as one that is new.
+const replacedRetention = time.Hour
+
+// noteReplaced remembers that an instance is replaced, and forgets old ones.
+func (w *workerTable) noteReplaced(now types.MonoTime, instance types.ID) {
+	w.replaced[instance] = now
+	maps.DeleteFunc(w.replaced, func(_ types.ID, at types.MonoTime) bool {
+		return now.Sub(at) > replacedRetention
+	})
+}
+
+func (w *workerTable) wasReplaced(instance types.ID) bool {
+	_, ok := w.replaced[instance]
+	return ok
 }
 
 // put makes a worker its shard's and returns the one before, or nil.
--- a/internal/dispatch/scheduler/run_task.go
+++ b/internal/dispatch/scheduler/run_task.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"coppercourse/internal/dispatch/protocol"
@@ -58,21 +59,24 @@
 // each is sent at most every half RetryInterval. Those in overTimeLimit are past the time
 // that their queue allows. Attempts unknown to the scheduler are skipped.
 func (sc *Scheduler) KillTasks(attempts, overTimeLimit []types.AttemptID) {
-	byShard := map[types.Shard][]types.AttemptID{}
-	for _, id := range append(attempts, overTimeLimit...) {
+	byShard, overByShard := map[types.Shard][]types.AttemptID{}, map[types.Shard][]types.AttemptID{}
+	for i, id := range slices.Concat(attempts, overTimeLimit) {
 		attempt := sc.attempts.byID[id]
 		if attempt == nil || attempt.killSentAt != 0 && sc.now.Sub(attempt.killSentAt) < sc.timeouts.RetryInterval/2 {
 			continue
 		}
 		attempt.killSentAt = sc.now
 		byShard[attempt.Shard] = append(byShard[attempt.Shard], id)
+		if i >= len(attempts) {
+			overByShard[attempt.Shard] = append(overByShard[attempt.Shard], id)
+		}
 	}
 	for _, shard := range sortedShards(byShard) {
 		if worker := sc.Worker(shard); worker != nil && worker.isAssociated() {
 			sc.send(worker, wire.KillTask, protocol.KillTask{
 				Header:        sc.header(worker),
 				Attempts:      byShard[shard],
-				OverTimeLimit: overTimeLimit,
+				OverTimeLimit: overByShard[shard],
 			})
 		}
 	}
--- a/internal/dispatch/scheduler/scheduler.go
+++ b/internal/dispatch/scheduler/scheduler.go
@@ -97,7 +97,7 @@
 		workerSets:  newWorkerSetHistory(),
 		attempts:    newAttemptIndex(),
 		baselines:   baselines{},
-		stages:      stageDurations{byStage: map[types.StageID]*stageSamples{}},
+		stages:      newStageDurations(),
 		lastSweepAt: now.Add(-sweepInterval),
 	}
 	for _, attempt := range config.Outstanding {
--- a/internal/dispatch/scheduler/stage_durations.go
+++ b/internal/dispatch/scheduler/stage_durations.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -65,9 +66,20 @@
 // reported lately.
 type stageDurations struct {
 	byStage  map[types.StageID]*stageSamples
+	latest   map[jobStep]types.StageID // of which something was reported last
 	prunedAt types.MonoTime
 }
 
+// jobStep is a step of a job, in whichever of its occurrences.
+type jobStep struct {
+	job  types.JobID
+	step int
+}
+
+func newStageDurations() stageDurations {
+	return stageDurations{byStage: map[types.StageID]*stageSamples{}, latest: map[jobStep]types.StageID{}}
+}
+
 // record takes the duration of an attempt and returns its stage's samples.
 func (sd *stageDurations) record(
 	now types.MonoTime, attempt *OutstandingAttempt, duration time.Duration,
@@ -79,6 +91,7 @@
 		sd.byStage[stage] = samples
 	}
 	samples.updatedAt = now
+	sd.latest[jobStep{stage.Job, stage.Stage.Step()}] = stage
 	samples.put(durationSample{attempt.ID, attempt.Shard, duration})
 	return samples
 }
@@ -94,14 +107,18 @@
 			delete(sd.byStage, stage)
 		}
 	}
+	maps.DeleteFunc(sd.latest, func(_ jobStep, stage types.StageID) bool { return sd.byStage[stage] == nil })
 }
 
 // StageDuration returns how long the tasks of a job's step take, as far as is known: the
-// median of those that have ended or have been estimated. It returns false if there is
-// none.
+// median of those that have ended or have been estimated, of the occurrence that was reported
+// last. It returns false if there is none.
 func (sc *Scheduler) StageDuration(job types.JobID, step int) (time.Duration, bool) {
-	firstTask := types.TaskID{Job: job, TaskNumber: types.TaskNumber(0, step, 0)}
-	samples := sc.stages.byStage[firstTask.StageID()]
+	stage, ok := sc.stages.latest[jobStep{job, step}]
+	if !ok {
+		return 0, false
+	}
+	samples := sc.stages.byStage[stage]
 	if samples == nil {
 		return 0, false
 	}
--- a/internal/dispatch/scheduler/stage_durations_test.go
+++ b/internal/dispatch/scheduler/stage_durations_test.go
@@ -37,3 +37,26 @@
 	sc.stages.prune(testStart.Add(stageRetention + pruneInterval + 1))
 	is.Equal(len(sc.stages.byStage), 0)
 }
+
+// Of a job that runs several times, what its latest occurrence has shown counts.
+func TestStageDurationOfLaterOccurrences(t *testing.T) {
+	is := is.New(t)
+	sc, _ := newTestScheduler()
+	record := func(occurrence int, duration time.Duration) {
+		number := types.TaskNumber(occurrence, 1, 0)
+		id := types.AttemptID{TaskID: types.TaskID{Job: "j", TaskNumber: number}, Attempt: 1}
+		attempt := &OutstandingAttempt{ID: id, Shard: "other", Stage: types.StageOf(number)}
+		sc.recordDuration(attempt, duration, true)
+	}
+	record(0, time.Second)
+	record(1, 3*time.Second)
+	got, ok := sc.StageDuration("j", 1)
+	is.True(ok)
+	is.Equal(got, 3*time.Second)
+	_, ok = sc.StageDuration("j", 0)
+	is.True(!ok)
+	sc.stages.prune(testStart.Add(time.Hour))
+	_, ok = sc.StageDuration("j", 1)
+	is.True(!ok)
+	is.Equal(len(sc.stages.latest), 0)
+}
