executor: spacing of renewals by the geometric mean of durations, from the commit on

Change: the geometric mean, a sixteenth of it, and no minimum: once its ends are committed the next renewal follows, where attempts are short.

--- a/internal/dispatch/executor/link_calls.go
+++ b/internal/dispatch/executor/link_calls.go
@@ -20,12 +20,6 @@
 	// firstProgressWait is how long a renewal waits at the worker at most while something runs
 	// there of which no progress is known: from that it shows whether the worker is slow.
 	firstProgressWait = 300 * time.Millisecond
-	// minEndInterval is the least time between the report of an end and the next renewal.
-	// The end may be committed by then, so that this renewal acknowledges it.
-	minEndInterval = 60 * time.Millisecond
-	// endIntervalDivisor is what part of the usual duration of the worker's attempts an end
-	// may go unnoticed, so that one renewal reports several ends.
-	endIntervalDivisor = 12
 )
 
 // openCall is a call that has no reply yet.
--- a/internal/dispatch/executor/link_ends.go
+++ b/internal/dispatch/executor/link_ends.go
@@ -1,12 +1,19 @@
 package executor
 
 import (
+	"math"
 	"time"
 
 	"coppercourse/internal/types"
 )
 
 const (
+	// commitTime is how long a newly reported end may take to be committed; the
+	// next renewal waits for that, to acknowledge it.
+	commitTime = 60 * time.Millisecond
+	// endSpacingDivisor is what part of the usual duration of the worker's attempts an end may
+	// go unnoticed.
+	endSpacingDivisor = 16
 	// durationGain is the reciprocal of an attempt's weight in the usual duration.
 	durationGain = 16
 	// maxEndBackoff bounds how often the time between renewals doubles while the ends that
@@ -26,26 +33,36 @@
 	open         map[uint64]*openEnd // by number
 	acknowledged uint64              // all up to this one are committed, and are acknowledged
 
-	usualDuration time.Duration  // moving average of how long the worker's attempts ran
-	reportedAt    types.MonoTime // when the latest reply arrived that lists ends
-	repeats       int            // replies in a row that list ends, none of them new
+	// usualLog is the moving average of the logarithm of how many seconds the worker's
+	// attempts ran: of a mixture the short ones count for more. durations is how many are
+	// in it, durationGain at most.
+	usualLog   float64
+	durations  int
+	reportedAt types.MonoTime // when the latest reply arrived that lists a new end
+	repeats    int            // replies in a row that list ends, none of them new
 }
 
 // recordDuration adds an attempt that ran for so long to the usual duration.
 func (e *endTable) recordDuration(ran time.Duration) {
-	if e.usualDuration == 0 {
-		e.usualDuration = ran
-		return
+	e.durations = min(e.durations+1, durationGain)
+	logSeconds := math.Log(max(ran, time.Millisecond).Seconds())
+	e.usualLog += (logSeconds - e.usualLog) / float64(e.durations)
+}
+
+// spacing returns how long after an end was reported the next renewal is due at the earliest:
+// a part of the usual duration, so that one renewal reports several ends where they are long.
+func (e *endTable) spacing() time.Duration {
+	if e.durations == 0 {
+		return 0
 	}
-	e.usualDuration += (ran - e.usualDuration) / durationGain
+	return time.Duration(math.Exp(e.usualLog)*float64(time.Second)) / endSpacingDivisor
 }
 
-// interval returns how long after a reply that lists ends the next renewal is due, given the
-// longest time between two renewals. The worker lists an end again until it is acknowledged,
-// so the renewals back off while none of the ends is new.
-func (e *endTable) interval(longest time.Duration) time.Duration {
-	usual := max(minEndInterval, e.usualDuration/endIntervalDivisor)
-	return min(longest, usual<<min(e.repeats, maxEndBackoff))
+// retryInterval returns how long after a reply the next renewal is due if the ends that it
+// lists are not committed by then, given the longest time between two renewals. The worker
+// lists an end again until it is acknowledged, so the renewals back off while none is new.
+func (e *endTable) retryInterval(longest time.Duration) time.Duration {
+	return min(longest, max(commitTime, e.spacing())<<min(e.repeats, maxEndBackoff))
 }
 
 // highest returns the number of the highest end reported.
@@ -81,9 +98,9 @@
 	link.ends.commit(end)
 	if link.ends.acknowledged == link.ends.highest() {
 		link.ends.repeats = 0
-		link.calls.nextAt = link.ends.reportedAt.Add(link.ends.interval(ex.longPollWait()))
-		if ex.Policy.NoEndSpacing {
-			link.calls.nextAt = ex.now
+		link.calls.nextAt = ex.now
+		if !ex.Policy.NoEndSpacing {
+			link.calls.nextAt = max(ex.now, link.ends.reportedAt.Add(link.ends.spacing()))
 		}
 	}
 }
--- a/internal/dispatch/executor/link_replies.go
+++ b/internal/dispatch/executor/link_replies.go
@@ -123,11 +123,7 @@
 	ex.dropAcknowledgedEnds(call.AckedEnds)
 	ex.worker.runningTasksKnown = ex.worker.runningTasksKnown || isComplete
 	if len(link.ends.open) > 0 {
-		link.ends.reportedAt = ex.now
-		link.calls.nextAt = ex.now.Add(link.ends.interval(ex.longPollWait()))
-		if ex.Policy.NoEndSpacing {
-			link.calls.nextAt = ex.now.Add(minEndInterval)
-		}
+		link.calls.nextAt = ex.now.Add(link.ends.retryInterval(ex.longPollWait()))
 	}
 }
 
@@ -165,7 +161,7 @@
 // may be running elsewhere.
 func (ex *Executor) takeEnd(end wire.EndedAttempt) {
 	ex.link.ends.open[end.Number] = &openEnd{attempt: end.Attempt}
-	ex.link.ends.repeats = 0
+	ex.link.ends.repeats, ex.link.ends.reportedAt = 0, ex.now
 	attempt := ex.attempts.byID[end.Attempt]
 	if attempt == nil {
 		attempt = ex.addFound(protocol.RunningTask{Attempt: end.Attempt})
