--- a/internal/dispatch/executor/link_ends.go
+++ b/internal/dispatch/executor/link_ends.go
@@ -13,7 +13,7 @@
 	commitTime = 60 * time.Millisecond
 	// endSpacingDivisor is what part of the usual duration of the worker's attempts an end may
 	// go unnoticed.
-	endSpacingDivisor = 16
+	endSpacingDivisor = 32
 	// durationGain is the reciprocal of an attempt's weight in the usual duration.
 	durationGain = 16
 	// maxEndBackoff bounds how often the time between renewals doubles while the ends that
