--- a/sim/planted_invoked_test.go
+++ b/sim/planted_invoked_test.go
@@ -228,7 +228,7 @@
 	for _, bug := range plantedInvokedBugs {
 		t.Run(bug.name, func(t *testing.T) {
 			t.Parallel()
-			requireRulesBroken(t, bug.rules, 77, 6, func(seed int64) []string {
+			requireRulesBroken(t, bug.rules, 77, 12, func(seed int64) []string {
 				r := New(bug.plan(seed))
 				bug.plant(r)
 				return rulesBroken(t, r.Execute())
