--- a/internal/dispatch/executor/attempts.go
+++ b/internal/dispatch/executor/attempts.go
@@ -112,13 +112,6 @@
 	return true
 }
 
-// anyWithoutProgress reports whether an attempt runs of whose progress nothing is known.
-func (at *attemptTable) anyWithoutProgress() bool {
-	return slices.ContainsFunc(at.sorted, func(attempt *attemptRecord) bool {
-		return attempt.state == attemptRunning && attempt.progress.percent <= 0
-	})
-}
-
 // runningResources returns the resources of all attempts that run, together.
 func (at *attemptTable) runningResources() types.Resources {
 	var sum types.Resources
--- a/internal/dispatch/executor/link_calls.go
+++ b/internal/dispatch/executor/link_calls.go
@@ -17,9 +17,6 @@
 	renewalOverdueAfter = 100 * time.Millisecond
 	// renewalRetryInterval is the time before the renewal after one that was rejected.
 	renewalRetryInterval = 100 * time.Millisecond
-	// firstProgressWait is how long a renewal waits at the worker at most while something runs
-	// there of which no progress is known: from that it shows whether the worker is slow.
-	firstProgressWait = 300 * time.Millisecond
 )
 
 // openCall is a call that has no reply yet.
@@ -151,8 +148,6 @@
 		wait = 0
 	case ex.attempts.allEnded() && len(ex.link.ends.open) == 0 && !ex.Policy.NoIdlePoll:
 		wait = idlePollWait // neither a lease nor an attempt's record waits for the reply
-	case ex.attempts.anyWithoutProgress():
-		wait = min(wait, firstProgressWait)
 	}
 	calls.renewal = ex.call(wire.WorkerCall{Kind: wire.RenewLease, LongPollWait: wait})
 }
