--- a/internal/dispatch/executor/link_replies.go
+++ b/internal/dispatch/executor/link_replies.go
@@ -161,7 +161,7 @@
 // may be running elsewhere.
 func (ex *Executor) takeEnd(end wire.EndedAttempt) {
 	ex.link.ends.open[end.Number] = &openEnd{attempt: end.Attempt}
-	ex.link.ends.repeats, ex.link.ends.reportedAt = 0, ex.now
+	ex.link.ends.repeats = 0
 	attempt := ex.attempts.byID[end.Attempt]
 	if attempt == nil {
 		attempt = ex.addFound(protocol.RunningTask{Attempt: end.Attempt})
@@ -170,9 +170,6 @@
 	attempt.calls.startUnsure = false
 	attempt.calls.endNumber = end.Number
 	if attempt.state != attemptEnded {
-		if end.Reason == wire.EndSucceeded && attempt.startedAt > 0 {
-			ex.link.ends.recordDuration(ex.now.Sub(attempt.startedAt))
-		}
 		attempt.checkpoint = end.Checkpoint
 		ex.endAttempt(attempt, outcomeOf(end.Reason))
 		return
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -46,10 +46,9 @@
 	NoSilenceDetection bool // gateways forward changes to a leader that doesn't answer
 
 	// Calls to workers.
-	NoLongPoll   bool // renewals don't wait at the worker for an end
-	NoEndSpacing bool // the next renewal follows as soon as an end is committed
-	NoIdlePoll   bool // a worker that runs nothing is asked as often as any other
-	NoLongLease  bool // leases are too short to outlast the loss of a leader
+	NoLongPoll  bool // renewals don't wait at the worker for an end
+	NoIdlePoll  bool // a worker that runs nothing is asked as often as any other
+	NoLongLease bool // leases are too short to outlast the loss of a leader
 }
 
 // Mechanism is one mechanism by its name in experiments.
@@ -83,7 +82,6 @@
 		{"load-shedding", func(p *Policy) *bool { return &p.NoLoadShedding }},
 		{"silence-detection", func(p *Policy) *bool { return &p.NoSilenceDetection }},
 		{"long-poll", func(p *Policy) *bool { return &p.NoLongPoll }},
-		{"end-spacing", func(p *Policy) *bool { return &p.NoEndSpacing }},
 		{"idle-poll", func(p *Policy) *bool { return &p.NoIdlePoll }},
 		{"long-lease", func(p *Policy) *bool { return &p.NoLongLease }},
 	}
