--- a/internal/raft/checker_test.go
+++ b/internal/raft/checker_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coppercourse/internal/types"
+	"coppercourse/internal/wire"
 )
 
 // checkName names a property that is checked, as it is shown with a failure.
@@ -20,6 +21,9 @@
 	checkQuorum    checkName = "QUORUM"     // whatever may still be lost leaves a quorum
 	checkLeader    checkName = "LEADER"     // a leader is there within the bound
 	checkService   checkName = "SERVICE"    // proposals are acknowledged in the end
+	checkAcked     checkName = "ACKED"      // what a member has acknowledged stays in its log
+	checkState     checkName = "STATE"      // a state machine is that of the committed entries
+	checkDisk      checkName = "DISK"       // a log that was synced can be opened
 )
 
 // checker checks what must hold after each step of a world: Raft's own safety properties,
@@ -60,6 +64,10 @@
 	c.readLeaseIsExclusive(w, m)
 	c.leaderIsComplete(w, m)
 	c.logsMatch(w, m)
+	c.acknowledgedEntriesAreKept(w, m)
+	if w.durable {
+		c.stateIsOfCommittedEntries(w, m)
+	}
 }
 
 func (c *checker) oneLeaderPerTerm(w *world, m *machine) {
@@ -99,6 +107,53 @@
 	c.compared[m] = comparedState{m.incarnation, l.commitIndex}
 }
 
+// acknowledgement is the last entry that a member has told a leader it has.
+type acknowledgement struct {
+	leaderTerm types.Term
+	index      types.Index
+	entryTerm  types.Term
+}
+
+// noteReply remembers what a member acknowledges with a message that it sends.
+func (m *machine) noteReply(message wire.Message) {
+	if message.Kind != wire.AppendReply {
+		return
+	}
+	reply, ok := wire.DecodeBody[appendReply](message)
+	if !ok || !reply.Success || reply.SnapshotParts > 0 {
+		return
+	}
+	if reply.Term > m.acked.leaderTerm || reply.MatchIndex > m.acked.index {
+		entryTerm, _ := m.node.log.term(reply.MatchIndex)
+		m.acked = acknowledgement{reply.Term, reply.MatchIndex, entryTerm}
+	}
+}
+
+// acknowledgedEntriesAreKept checks that a member loses nothing that it acknowledged: not in
+// the term of that leader, which counts on it, and later only if the leader of its term has
+// another log. Whoever leads and has the entry may count it at any time.
+func (c *checker) acknowledgedEntriesAreKept(w *world, m *machine) {
+	l := &m.node.log
+	if l.lastIndex() >= m.acked.index {
+		return
+	}
+	lost := m.acked
+	m.acked.index, m.acked.entryTerm = l.lastIndex(), l.lastTerm()
+	if m.node.hardState.Term == lost.leaderTerm {
+		w.fail(checkAcked, "%s has %d entries and has acknowledged %d in term %d",
+			m.addr, l.lastIndex(), lost.index, lost.leaderTerm)
+	}
+	for _, o := range w.machines {
+		if !o.up() || o.node.role != roleLeader || o.node.hardState.Term != m.node.hardState.Term {
+			continue
+		}
+		if term, ok := o.node.log.term(lost.index); ok && term == lost.entryTerm {
+			w.fail(checkAcked, "%s has dropped entry %d of term %d, which it acknowledged and its leader %s has",
+				m.addr, lost.index, lost.entryTerm, o.addr)
+		}
+	}
+}
+
 // readLeaseIsExclusive checks that nobody else may answer reads now, and that a read would
 // miss nothing.
 func (c *checker) readLeaseIsExclusive(w *world, m *machine) {
--- a/internal/raft/detection_test.go
+++ b/internal/raft/detection_test.go
@@ -31,13 +31,15 @@
 		on           scenario
 		searchCaught bool // by TestSearchCatchesPlantedBugs too
 	}{
-		{bugCommitBeforeSync, []checkName{checkCommitted, checkComplete, checkRead, checkMatch}, three, true},
+		{bugCommitBeforeSync, []checkName{checkAcked, checkCommitted, checkComplete, checkRead, checkMatch},
+			three, true},
 		{bugCountedTwice, []checkName{checkCommitted, checkComplete, checkRead, checkMatch}, three, true},
 		{bugRemovedEarly, []checkName{checkCommitted, checkComplete, checkRead, checkQuorum, checkLeader},
 			threePlanned, false},
 		{bugVoteForShorterLog, []checkName{checkCommitted, checkComplete, checkRead, checkMatch}, three, true},
 		{bugLeaseFromReceipt, []checkName{checkRead, checkLease}, three, false},
 		{bugNoReplacement, []checkName{checkQuorum}, three, false},
+		{bugSnapshotDropsEntries, []checkName{checkAcked}, three, true},
 	} {
 		t.Run(string(c.bug), func(t *testing.T) {
 			if c.searchCaught && testing.Short() {
@@ -64,7 +66,7 @@
 		{bugVoteBeforeSync, []checkName{checkOneLeader, checkCommitted, checkComplete}},
 		{bugWipedKeepsVote, []checkName{checkOneLeader, checkCommitted, checkComplete, checkRead}},
 		{bugVoteWhileLeader, []checkName{checkRead, checkLease}},
-		{bugCommitBeforeSync, []checkName{checkCommitted, checkComplete, checkRead}},
+		{bugCommitBeforeSync, []checkName{checkAcked, checkCommitted, checkComplete, checkRead}},
 		{bugCountedTwice, []checkName{checkCommitted, checkComplete, checkRead}},
 		{bugVoteForShorterLog, []checkName{checkCommitted, checkComplete, checkRead}},
 	} {
--- a/internal/raft/doc.go
+++ b/internal/raft/doc.go
@@ -70,7 +70,9 @@
 // The tests run real nodes on simulated machines (world_test.go, machine_test.go,
 // network_test.go): under random faults (random_walk_test.go, adversary_test.go,
 // faults_test.go), in every order of events up to a depth (path_search_test.go), and with
-// losses at each moment of a replacement (replacement_test.go). Raft's properties are
+// losses at each moment of a replacement (replacement_test.go). Random paths that compact
+// (compaction_search_test.go) give each machine a log file of package wal, on a file system
+// that loses power between any two operations, and a state machine. Raft's properties are
 // checked after each step (checker_test.go). Bugs that are planted on purpose
 // (planted_bugs_test.go) show that those checks find what they are for (detection_test.go).
 package raft
--- a/internal/raft/machine_test.go
+++ b/internal/raft/machine_test.go
@@ -30,6 +30,9 @@
 
 	local     localClock
 	disk      simulatedDisk
+	durable   *durableDisk // in a durable world, in place of disk.records
+	state     stateMachine // in a durable world
+	acked     acknowledgement
 	discovery discoveredPeers
 	fault     faultState
 	wiped     wipedState
@@ -53,7 +56,8 @@
 type pendingBatch struct {
 	records  [][]byte
 	number   uint64
-	replaces bool // the whole file
+	replaces bool     // the whole file
+	fallback [][]byte // what may be appended in place of the replacement; nil if nothing may
 }
 
 // discoveredPeers is what the membership service showed last.
@@ -103,9 +107,13 @@
 	m.local.base = types.MonoTime(w.random.Int63n(maxClockBase))
 	m.frozen, m.backlog = false, nil
 	m.stopping, m.pendingProposals = false, nil
+	m.state = stateMachine{}
 	m.discovery.at = -time.Hour
 	m.startedAt, m.fault.recoveredAt = w.now, w.now
-	records := m.disk.records
+	records := m.recordsOnDisk()
+	if w.failure != "" {
+		return
+	}
 	if w.plantedBug == bugWipedKeepsVote && len(records) == 0 {
 		records = m.wiped.records()
 	}
@@ -117,6 +125,11 @@
 		NewID:     types.NewID(w.random),
 	}, records)
 	w.logf("%s starts as %s", m.addr, m.node.self.ID)
+	if w.durable {
+		if missing := m.durable.synced.missingFrom(m.node); missing != "" {
+			w.fail(checkDisk, "%s starts without %s, which it had synced", m.addr, missing)
+		}
+	}
 	m.startTicking()
 	m.step(func() {})
 }
@@ -194,17 +207,47 @@
 	w.injectAfterStep(m)
 	ready := n.Ready()
 	for _, s := range ready.Messages {
+		m.noteReply(s.Message)
 		w.transmit(m.addr, s)
 	}
 	if ready.Records != nil {
-		m.write(pendingBatch{ready.Records, ready.BatchNumber, ready.ReplaceLog})
+		m.write(pendingBatch{ready.Records, ready.BatchNumber, ready.ReplaceLog, ready.FallbackRecords})
 	}
 	m.acknowledge()
+	m.advanceState()
 	w.checker.step(w, m)
 }
 
+// recordsOnDisk is what the process finds when it starts.
+func (m *machine) recordsOnDisk() [][]byte {
+	if !m.w.durable {
+		return m.disk.records
+	}
+	if m.w.plantedBug == bugLeftoverTaken {
+		m.durable.takeLeftover()
+	}
+	records, err := m.durable.open()
+	if err != nil {
+		m.w.fail(checkDisk, "%s: %v", m.addr, err)
+	}
+	return records
+}
+
+// advanceState has the state machine apply what is committed.
+func (m *machine) advanceState() {
+	if !m.w.durable {
+		return
+	}
+	if err := m.state.advance(m.node, m.w.plantedBug); err != nil {
+		m.w.fail(checkState, "%s: %v", m.addr, err)
+	}
+}
+
 // write gives a batch to the disk, which syncs all that it has at a time.
 func (m *machine) write(b pendingBatch) {
+	if m.w.plantedBug == bugVoteLostByRewrite && b.replaces {
+		b.records = withoutHardState(b.records)
+	}
 	m.disk.unsynced = append(m.disk.unsynced, b)
 	if len(m.disk.unsynced) == 1 && !m.w.manual {
 		m.scheduleSync()
@@ -223,6 +266,10 @@
 
 // completeSync syncs all that was written and tells the process so.
 func (m *machine) completeSync() {
+	if m.w.durable {
+		m.syncBatches(len(m.disk.unsynced), true)
+		return
+	}
 	number := uint64(0)
 	for _, b := range m.disk.unsynced {
 		m.disk.store(b)
@@ -252,6 +299,7 @@
 		}
 	}
 	m.disk.records, m.disk.firstStart = nil, false
+	m.acked = acknowledgement{}
 }
 
 // records are those of a member that knows who it was and has forgotten its votes.
--- a/internal/raft/network_test.go
+++ b/internal/raft/network_test.go
@@ -59,11 +59,23 @@
 	}
 	m.runOrBuffer(func() {
 		if m.up() {
-			m.step(func() { m.node.Step(m.clock(), w.injectIntoMessage(m, x.message)) })
+			m.step(func() { m.receive(w.injectIntoMessage(m, x.message)) })
 		}
 	})
 }
 
+// receive hands a message to the node, or to a planted bug in place of its handler.
+func (m *machine) receive(message wire.Message) {
+	if m.w.plantedBug == bugSnapshotDropsEntries && message.Kind == wire.InstallSnapshot {
+		if request, ok := wire.DecodeBody[installSnapshot](message); ok {
+			m.node.now = m.clock()
+			m.node.installSnapshotDroppingEntries(message.From, request)
+			return
+		}
+	}
+	m.node.Step(m.clock(), message)
+}
+
 // connected tells whether neither direction between two machines is cut.
 func (w *world) connected(a, b *machine) bool {
 	return !w.network.cut[link{a.addr, b.addr}] && !w.network.cut[link{b.addr, a.addr}]
--- a/internal/raft/path_search_test.go
+++ b/internal/raft/path_search_test.go
@@ -15,7 +15,11 @@
 // a small log. Each path is played from the beginning.
 
 // faultBudget is how many of each fault one path may still have, and how many proposals.
-type faultBudget struct{ drops, repeats, crashes, wipes, timeouts, writes int }
+// The second line is for durable worlds only (compaction_search_test.go).
+type faultBudget struct {
+	drops, repeats, crashes, wipes, timeouts, writes                   int
+	compactions, powerLosses, clusterCrashes, slowMembers, voteChanges int
+}
 
 // randomPathBudget is what one random path may spend, and randomPathLength how long it is.
 var randomPathBudget = faultBudget{drops: 8, repeats: 8, crashes: 4, wipes: 1, timeouts: 6, writes: 6}
@@ -105,11 +109,19 @@
 // choices are all that can happen next.
 func (p *pathSearch) choices(w *world, left *faultBudget) []pathChoice {
 	choices := networkChoices(w, left)
+	if w.durable {
+		choices = append(choices, w.clusterChoices(left)...)
+	}
 	for _, m := range w.machines {
-		if m.up() {
-			choices = append(choices, machineChoices(m, left)...)
-		} else {
+		switch {
+		case m == w.slow:
+		case !m.up():
 			choices = append(choices, pathChoice{"start " + string(m.addr), m.start, true})
+		default:
+			choices = append(choices, machineChoices(m, left)...)
+			if w.durable {
+				choices = append(choices, durableChoices(m, left)...)
+			}
 		}
 	}
 	return choices
@@ -121,7 +133,7 @@
 	seen := map[link]bool{}
 	for i, x := range w.network.held {
 		l := link{x.from, x.to}
-		if seen[l] {
+		if seen[l] || w.slow != nil && x.to == w.slow.addr {
 			continue
 		}
 		seen[l] = true
@@ -195,6 +207,10 @@
 	m.wiped.cluster = &InitialCluster{ClusterName: m.node.clusterName, Config: m.node.log.snapshot.Config}
 	m.crashNow()
 	m.disk.records, m.disk.firstStart = nil, false
+	m.acked = acknowledgement{}
+	if m.w.durable {
+		m.durable = newDurableDisk(m.w.random.Int63())
+	}
 }
 
 // playPath plays a path and returns how many choices there are at its end.
--- a/internal/raft/planted_bugs_test.go
+++ b/internal/raft/planted_bugs_test.go
@@ -23,6 +23,15 @@
 	bugVoteWhileLeader   plantedBug = "a vote though a leader is heard"
 	bugVoteForShorterLog plantedBug = "a vote for a shorter log"
 	bugNoReplacement     plantedBug = "nobody who is gone is ever replaced"
+
+	// Those of the compaction search.
+	bugSnapshotDropsEntries plantedBug = "a snapshot drops the entries after it"
+	bugReplyBeforeSync      plantedBug = "entries and snapshots acknowledged before they are synced"
+	bugLeftoverTaken        plantedBug = "an unfinished file taken for the newer one"
+	bugPartsJoined          plantedBug = "parts of two snapshots joined"
+	bugVoteLostByRewrite    plantedBug = "a vote forgotten with the rewrite"
+	bugLoadedBehindLog      plantedBug = "a state machine loaded from parts behind its log"
+	bugAppliedTwice         plantedBug = "an index applied twice"
 )
 
 // injectBeforeStep lies to a node before its step.
@@ -61,6 +70,8 @@
 		if n.role == roleLeader {
 			n.commitWithOneVoteTooMany()
 		}
+	case bugReplyBeforeSync:
+		n.outbox.sendEarly(wire.AppendReply)
 	case bugOldTermByCount:
 		if n.role == roleLeader {
 			n.log.commitTo(n.quorumSyncedIndex())
@@ -112,6 +123,10 @@
 // injectIntoMessage alters a message in transit.
 func (w *world) injectIntoMessage(m *machine, message wire.Message) wire.Message {
 	switch {
+	case w.plantedBug == bugPartsJoined && message.Kind == wire.InstallSnapshot:
+		if request, ok := wire.DecodeBody[installSnapshot](message); ok {
+			m.node.log.incoming.joinTo(request)
+		}
 	case w.plantedBug == bugLeaseFromReceipt && message.Kind == wire.AppendReply:
 		if reply, ok := wire.DecodeBody[appendReply](message); ok && reply.Term == m.node.hardState.Term {
 			reply.Round = m.clock().Mono
@@ -125,3 +140,40 @@
 	}
 	return message
 }
+
+// joinTo makes the parts of another snapshot count as the first ones of a request's.
+func (in *incomingSnapshot) joinTo(request installSnapshot) {
+	if len(in.Parts) > 0 {
+		in.Snapshot.Index, in.Snapshot.Term = request.Snapshot.Index, request.Snapshot.Term
+		in.Snapshot.Config, in.Snapshot.PartCount = request.Snapshot.Config, request.Snapshot.PartCount
+		in.leaderTerm = request.Term
+	}
+}
+
+// installSnapshotDroppingEntries is onInstallSnapshot as it once was, without step 6 of the
+// paper's Figure 13: a complete snapshot replaces the log also where that has its last entry.
+func (n *Node) installSnapshotDroppingEntries(from types.Addr, request installSnapshot) {
+	if !n.acceptLeader(from, request.appendEntries) {
+		return
+	}
+	reply := n.newAppendReply(request.Round)
+	reply.Success, reply.MatchIndex = true, request.Snapshot.Index
+	if request.Snapshot.Index > n.log.commitIndex {
+		n.log.incoming.add(request.Term, request.Snapshot, request.PartNumber, request.Part)
+		if len(n.log.incoming.Parts) < request.Snapshot.PartCount {
+			reply.MatchIndex, reply.SnapshotParts = 0, len(n.log.incoming.Parts)
+			n.send(from, wire.AppendReply, reply)
+			return
+		}
+		n.restoreSnapshot()
+	}
+	n.sendAfterBatch(n.disk.writtenBatch, from, wire.AppendReply, reply)
+}
+
+// withoutHardState are the records of a rewritten file but for the term and the vote.
+func withoutHardState(records [][]byte) [][]byte {
+	return slices.DeleteFunc(slices.Clone(records), func(b []byte) bool {
+		var r Record
+		return decodeRecord(b, &r) && r.HardState != nil
+	})
+}
