--- a/sim/linearizability_recorder_test.go
+++ b/sim/linearizability_recorder_test.go
@@ -38,6 +38,7 @@
 	specs       map[types.JobID]state.Spec
 	closed      bool
 	clients     int
+	fillers     int // jobs submitted only to fill the log
 	count       map[string]int
 }
 
--- a/sim/world/disk.go
+++ b/sim/world/disk.go
@@ -23,11 +23,13 @@
 	Full         bool          // it refuses writes
 	StalledUntil int64         // true time until which nothing is synced
 	FalseSync    bool          // a planted bug: reports syncs that never happen
+	LosesRewrite bool          // a planted bug: a loss of power brings the replaced file back
 	Wiped        bool          // at least once
 
 	world       *World
 	usage       *Usage
 	synced      []byte // what would be read after a crash
+	replaced    []byte // what the last rewrite replaced, for LosesRewrite
 	unsynced    []byte // what is being synced; a crash keeps some of it
 	queue       []diskWrite
 	busy        bool
@@ -138,6 +140,7 @@
 		return
 	}
 	if last.rewrite {
+		d.replaced = d.synced
 		d.synced = wal.AppendRecord(data, sealRecord, wal.SyncedByRename)
 	} else {
 		d.synced = append(d.synced, data...)
@@ -162,6 +165,9 @@
 func (d *Disk) losePower() {
 	d.powerLosses++
 	d.busy, d.queue = false, nil
+	if d.LosesRewrite && d.replaced != nil {
+		d.synced, d.replaced = d.replaced, nil
+	}
 	kept := 0
 	if n := len(d.unsynced); n > 0 {
 		kept = d.world.Random.Intn(n + 1)
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -25,8 +25,8 @@
 	WorkerRole     = "worker"
 )
 
-// snapshotThreshold is after how many entries a controller writes a snapshot.
-const snapshotThreshold = 600
+// defaultSnapshotThreshold is after how many entries a controller writes a snapshot.
+const defaultSnapshotThreshold = 600
 
 // World is all nodes of a run.
 type World struct {
@@ -57,8 +57,11 @@
 	TableStaleAfter time.Duration // how long a confirmation of a gateway's table lasts; 0 means the default
 	StepCosts       *Costs        // nil means that steps take no time
 	LoopBugs        LoopBugs
-	Metering        bool // count what every daemon spends; also of those that run
-	Policy          policy.Policy
+	// SnapshotThreshold is after how many entries a controller writes a snapshot at the
+	// earliest.
+	SnapshotThreshold types.Index
+	Metering          bool // count what every daemon spends; also of those that run
+	Policy            policy.Policy
 }
 
 // Hooks see, and planted bugs change, what passes between nodes. Any may be nil.
@@ -82,7 +85,11 @@
 // New returns a world without nodes.
 func New(seed int64) *World {
 	return &World{
-		Options:          Options{Timeouts: protocol.DefaultTimeouts, RaftTimeouts: raft.DefaultTimeouts},
+		Options: Options{
+			Timeouts:          protocol.DefaultTimeouts,
+			RaftTimeouts:      raft.DefaultTimeouts,
+			SnapshotThreshold: defaultSnapshotThreshold,
+		},
 		Random:           rand.New(rand.NewSource(seed)),
 		Network:          newNetwork(),
 		Nodes:            map[types.Addr]*Node{},
@@ -116,7 +123,7 @@
 			},
 			RaftTimeouts:      w.RaftTimeouts,
 			DispatchTimeouts:  w.Timeouts,
-			SnapshotThreshold: snapshotThreshold,
+			SnapshotThreshold: w.SnapshotThreshold,
 			Policy:            w.Policy,
 		}
 		options.RaftTimeouts.AuthorityLease = w.Timeouts.AgentLease
