--- a/internal/controller/job_view.go
+++ b/internal/controller/job_view.go
@@ -23,7 +23,9 @@
 	TasksDone      int             `json:"tasks_done"`
 	TasksRunning   int             `json:"tasks_running"` // attempts assigned and not ended
 	Attempts       int             `json:"legs"`          // assigned since the start
-	TaskDetails    []state.Task    `json:"detail,omitempty"`
+	// TasksUnresolved are those whose last attempt was lost, while its end is waited for.
+	TasksUnresolved int          `json:"tasks_in_doubt,omitempty"`
+	TaskDetails     []state.Task `json:"detail,omitempty"`
 }
 
 // jobView views a job, or returns nil if none has the ID.
@@ -49,7 +51,11 @@
 		view.AcceptedAt = time.Unix(0, int64(j.AcceptedWallTime)).UTC().Format(time.RFC3339Nano)
 	}
 	for i := range j.Tasks {
-		view.TasksRunning += len(j.Tasks[i].Outstanding())
+		task := &j.Tasks[i]
+		view.TasksRunning += len(task.Outstanding())
+		if task.UnresolvedOn != "" && task.Primary == nil && !task.Done {
+			view.TasksUnresolved++
+		}
 	}
 	if len(j.Tasks) <= maxTaskDetails {
 		view.TaskDetails = append([]state.Task(nil), j.Tasks...)
--- a/internal/state/attempt_end.go
+++ b/internal/state/attempt_end.go
@@ -8,6 +8,9 @@
 	"coppercourse/internal/types"
 )
 
+// untilResolved stands for a wait that only the attempt's true end ends, or an operator.
+const untilResolved = 50 * 365 * 24 * time.Hour
+
 // AttemptEnd says how an attempt ended. It may be reported more than once, and after the
 // attempt was counted as lost.
 type AttemptEnd struct {
@@ -139,9 +142,9 @@
 		task.AvoidWorker = shard
 		e.recordFailure()
 	case OutcomeLost:
-		e.recordLoss(e.queue.UnresolvedTimeout())
+		e.recordLoss(e.unresolvedWait(e.queue.UnresolvedTimeout()))
 	case OutcomePartitioned:
-		e.recordLoss(max(e.queue.PartitionTimeout(), e.queue.UnresolvedTimeout()))
+		e.recordLoss(e.unresolvedWait(max(e.queue.PartitionTimeout(), e.queue.UnresolvedTimeout())))
 	case OutcomeWorkerExited, OutcomeLeaseExpired:
 		e.recordLoss(0)
 	case OutcomeStopped, OutcomeNeverRan:
@@ -153,6 +156,15 @@
 	}
 }
 
+// unresolvedWait returns how long the true end of a lost attempt is waited for: as long as
+// the queue says, or until it is known where a task may run once at most.
+func (e *endTransition) unresolvedWait(ofQueue time.Duration) time.Duration {
+	if e.step.AtMostOnce {
+		return untilResolved
+	}
+	return ofQueue
+}
+
 // resolve applies the true end of an attempt that was counted as lost.
 func (e *endTransition) resolve() {
 	task := e.task
--- a/internal/state/attempt_end_test.go
+++ b/internal/state/attempt_end_test.go
@@ -69,6 +69,36 @@
 	}
 }
 
+// A task that may run once at most waits for the true end of a lost attempt, however long
+// that takes; the worker's own word or an operator's ends the wait.
+func TestAtMostOnceWaitsForTheTrueEnd(t *testing.T) {
+	const muchLater = 1_000_000 * sec
+	for _, c := range []struct {
+		name    string
+		lost    Outcome
+		trueEnd Outcome
+		assigns int // after the true end is known
+		want    JobStatus
+	}{
+		{"it succeeded", OutcomeLost, OutcomeOK, 0, JobDone},
+		{"it failed", OutcomeLost, OutcomeFailed, 1, JobOpen},
+		{"it never ran", OutcomePartitioned, OutcomeNeverRan, 1, JobOpen},
+		{"its worker is gone", OutcomePartitioned, OutcomeWorkerExited, 1, JobOpen},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestState(t)
+			job := submitJob(t, s, `{"queue":"q","steps":[{"name":"a","kind":"x","once":true}]}`)
+			assign(s, 2*sec, 0)
+			end(s, 3*sec, 0, 1, c.lost)
+			is.Equal(len(assign(s, muchLater, 0)), 0)
+			end(s, muchLater, 0, 1, c.trueEnd)
+			is.Equal(len(assign(s, 2*muchLater, 0)), c.assigns)
+			is.Equal(job.Status, c.want)
+		})
+	}
+}
+
 // The end of an attempt that was lost with its whole zone is waited for much longer.
 func TestPartitionedAttemptWaitsForItsZone(t *testing.T) {
 	is := is.New(t)
--- a/internal/state/job_spec.go
+++ b/internal/state/job_spec.go
@@ -44,6 +44,9 @@
 	EstimateMillis int        `json:"estimate_ms,omitempty"` // expected duration of a task, 0 if unknown
 	// AllowHedge lets a second attempt run beside a first that is slow.
 	AllowHedge bool `json:"copies,omitempty"`
+	// AtMostOnce keeps a task from being assigned again while the end of a lost attempt is
+	// not known, however long that takes.
+	AtMostOnce bool `json:"once,omitempty"`
 	// KeepsCheckpoint makes an attempt go on from what the last one saved.
 	KeepsCheckpoint bool `json:"keeps,omitempty"`
 	// AlwaysRestart makes a task start again however it ends, until the job is cancelled.
--- a/internal/state/job_spec_check.go
+++ b/internal/state/job_spec_check.go
@@ -19,6 +19,8 @@
 		_, repeated := stepIndex[step.Name]
 		errs.Check(!repeated, path+".name", "two steps are called "+step.Name)
 		stepIndex[step.Name] = i
+		errs.Check(!step.AtMostOnce || !step.AllowHedge, path+".once", "a step with copies may run more than once")
+		errs.Check(!step.AtMostOnce || !step.AlwaysRestart, path+".once", "a step that lasts is always started again")
 	}
 	taskCount := s.tasksPerOccurrence()
 	if s.Schedule != nil {
--- a/internal/state/job_spec_decode.go
+++ b/internal/state/job_spec_decode.go
@@ -83,6 +83,7 @@
 		"one_rack":    config.Bool(r, &step.PreferOneRack),
 		"estimate_ms": config.Int(r, &step.EstimateMillis, 0, dayMillis),
 		"copies":      config.Bool(r, &step.AllowHedge),
+		"once":        config.Bool(r, &step.AtMostOnce),
 		"keeps":       config.Bool(r, &step.KeepsCheckpoint),
 		"lasts":       config.Bool(r, &step.AlwaysRestart),
 		"joint":       config.Bool(r, &step.Joint),
--- a/internal/state/job_spec_decode_test.go
+++ b/internal/state/job_spec_decode_test.go
@@ -42,6 +42,9 @@
 		step(`,"after":["z"]`):                               "steps[0].after[0]",
 		step(`,"after":["a"]`):                               "steps[0].after",
 		step(`,"gang":"yes"`):                                "steps[0].gang",
+		step(`,"once":1`):                                    "steps[0].once",
+		step(`,"once":true,"copies":true`):                   "steps[0].once",
+		step(`,"once":true,"lasts":true`):                    "steps[0].once",
 		step(`},{"name":"a","kind":"x"`):                     "steps[1].name",
 		step(`,"work":"` + strings.Repeat("x", 20000) + `"`): "steps[0].work",
 	} {
--- a/sim/checker/rerun.go
+++ b/sim/checker/rerun.go
@@ -5,14 +5,19 @@
 
 	"coppercourse/internal/config"
 	"coppercourse/internal/state"
+	"coppercourse/internal/types"
 )
 
 // checkReruns judges that no task runs twice at once, none again after it succeeded, and
 // none more often than its queue allows.
 func (c *checker) checkReruns(job *jobHistory, unresolvedTimeout int64) {
 	for task, executions := range job.executions {
+		wait := unresolvedTimeout
+		if job.spec.Steps[types.StageOf(task).Step()].AtMostOnce {
+			wait = math.MaxInt64
+		}
 		for i, e := range executions {
-			failures := c.checkEarlier(e, executions[:i], unresolvedTimeout)
+			failures := c.checkEarlier(e, executions[:i], wait)
 			allowed := maxFailures(c.queuesInForce(job.spec.Queue, e.startedAt, e.startedAt))
 			if failures >= allowed {
 				c.violate("tries", e.startedAt, "task %d of %s starts after %d failures, %d allowed",
