--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -14,12 +14,14 @@
 		return false
 	}
 	switch {
+	case a.isForwardedSubmission(r) && a.forwarded.isRefused(r.caller):
+		a.refuse(r, a.errOverloaded())
 	case a.mustShed(r):
-		a.rejectOverloaded(r.caller)
+		a.rejectOverloaded(r)
 	case verbHandlers[r.verb] == nil:
 		a.outbox.replyError(r.caller, apierror.New(apierror.NoSuchPath, "", "no such verb"))
 	case a.requests.full():
-		a.outbox.replyError(r.caller, apierror.New(apierror.TooBusy, "", "too many changes wait for the log").
+		a.refuse(r, apierror.New(apierror.TooBusy, "", "too many changes wait for the log").
 			WithRetryAfter(logBusyRetryAfter))
 	default:
 		return true
@@ -54,18 +56,38 @@
 }
 
 // rejectOverloaded rejects a request, unexamined, because the event loop is behind.
-func (a *api) rejectOverloaded(from caller) {
+func (a *api) rejectOverloaded(r request) {
 	a.counters.Shed++
-	a.outbox.replyError(from, apierror.New(apierror.TooBusy, "",
-		"the controller is behind with its work; the request was not taken").WithRetryAfter(a.overload.retryAfter()))
+	a.refuse(r, a.errOverloaded())
+}
+
+func (a *api) errOverloaded() *apierror.Error {
+	return apierror.New(apierror.TooBusy, "", "the controller is behind with its work; the request was not taken").
+		WithRetryAfter(a.overload.retryAfter())
+}
+
+// isForwardedSubmission reports whether a request is a job that a gateway forwarded.
+func (a *api) isForwardedSubmission(r request) bool {
+	return r.verb == wire.VerbSubmitJob && r.caller.token == 0
+}
+
+// refuse rejects a request that was not taken. A forwarded submission is refused for good
+// where that can be promised: this controller leads, its state holds all that any leader
+// before it can have accepted, and the job is not in it. An entry of an earlier term that
+// is not in its log by now is never committed (Leader Completeness).
+func (a *api) refuse(r request, err *apierror.Error) {
+	leads := a.leader.active() && a.raft.HoldsReadLease() && !a.log.isLagging()
+	unknown := a.log.state().Find(types.JobID(r.arg)) == nil
+	final := a.isForwardedSubmission(r) && leads && unknown && a.forwarded.refuse(r.now.Mono, r.caller)
+	a.outbox.reply(r.caller, wire.ForwardedReply{Error: err, Final: final})
 }
 
 // rejectExpired rejects all forwarded requests that have waited too long for a step.
-func (a *api) rejectExpired(messages []wire.Message) {
+func (a *api) rejectExpired(now types.Now, messages []wire.Message) {
 	for _, message := range messages {
-		if r, ok := wire.DecodeBody[wire.ForwardedRequest](message); ok {
+		if r, ok := forwardedRequest(now, message); ok {
 			a.counters.Requests++
-			a.rejectOverloaded(caller{gateway: message.From, requestID: r.ID})
+			a.rejectOverloaded(r)
 		}
 	}
 }
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -59,37 +59,46 @@
 	log      *commandLog
 	leader   *leader
 	requests *requestTable
-	overload *overload
-	outbox   *outbox
-	trace    *trace.Ring
-	status   statusReporter
-	counters *Counters
+	// forwarded remembers the submissions that gateways have forwarded to this process.
+	forwarded *forwardedSubmissions
+	overload  *overload
+	outbox    *outbox
+	trace     *trace.Ring
+	status    statusReporter
+	counters  *Counters
 }
 
 func newAPI(c *Controller) *api {
 	return &api{
-		self:     c.options.Addr,
-		raft:     c.raft,
-		members:  c.members,
-		log:      c.log,
-		leader:   c.leader,
-		requests: c.requests,
-		overload: c.overload,
-		outbox:   c.outbox,
-		trace:    c.Trace,
-		status:   c,
-		counters: &c.Counters,
+		self:      c.options.Addr,
+		raft:      c.raft,
+		members:   c.members,
+		log:       c.log,
+		leader:    c.leader,
+		requests:  c.requests,
+		forwarded: newForwardedSubmissions(),
+		overload:  c.overload,
+		outbox:    c.outbox,
+		trace:     c.Trace,
+		status:    c,
+		counters:  &c.Counters,
 	}
 }
 
 // handleForwarded handles a request that a gateway forwarded.
 func (a *api) handleForwarded(now types.Now, message wire.Message) {
-	if r, ok := wire.DecodeBody[wire.ForwardedRequest](message); ok {
-		from := caller{gateway: message.From, requestID: r.ID}
-		a.handle(request{caller: from, now: now, verb: r.Verb, arg: r.Arg, body: r.Body})
+	if r, ok := forwardedRequest(now, message); ok {
+		a.handle(r)
 	}
 }
 
+// forwardedRequest decodes a request that a gateway forwarded.
+func forwardedRequest(now types.Now, message wire.Message) (request, bool) {
+	r, ok := wire.DecodeBody[wire.ForwardedRequest](message)
+	from := caller{gateway: message.From, requestID: r.ID}
+	return request{caller: from, now: now, verb: r.Verb, arg: r.Arg, body: r.Body}, ok
+}
+
 // handleClient handles a request of a client of this daemon.
 func (a *api) handleClient(now types.Now, r wire.Request) {
 	a.handle(request{caller: caller{token: r.Token}, now: now, verb: r.Verb, arg: r.Arg, body: r.Body})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -124,7 +124,7 @@
 	case e.Shutdown:
 		c.beginShutdown()
 	default:
-		c.api.rejectExpired(e.ExpiredForwards)
+		c.api.rejectExpired(c.now, e.ExpiredForwards)
 		c.tick()
 	}
 }
--- a/internal/controller/job_requests.go
+++ b/internal/controller/job_requests.go
@@ -29,9 +29,12 @@
 	}
 	command := state.Command{Job: &state.Submission{ID: id, Spec: spec}}
 	if err != nil {
-		a.outbox.replyError(r.caller, a.withRetryAfter(r.now, err, command))
+		a.refuse(r, a.withRetryAfter(r.now, err, command))
 		return
 	}
+	if a.isForwardedSubmission(r) {
+		a.forwarded.noteTaken(r.now.Mono, r.caller)
+	}
 	a.trace.Add(r.now.Wall, trace.JobSubject(id), "received by leader", "from", r.caller.gateway)
 	a.propose(r.caller, command)
 }
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -98,6 +98,7 @@
 	p.unresolved = p.maybeAccepted()
 	p.target, p.sentAt = to, g.core.Now().Mono
 	p.forwards++
+	p.unanswered[to]++
 	if to == g.core.Leader() {
 		g.leader.forwarded(p.sentAt, to)
 	}
@@ -122,15 +123,18 @@
 func (g *Gateway) handleForwardReply(from types.Addr, reply wire.ForwardedReply) {
 	g.leader.heard(g.core.Now().Mono, from)
 	p := g.requests.pending[reply.ID]
+	if p == nil {
+		return
+	}
+	p.noteAnswered(from, reply.Final)
 	switch {
-	case p == nil:
 	case reply.NotLeader:
 		g.handleNotLeader(p, from, reply.Leader)
 	case reply.Error == nil:
 		g.respond(p, wire.Response{StatusCode: reply.StatusCode, Body: reply.Body})
 	case reply.Error.Kind == apierror.OutcomeUnknown:
-		p.target, p.unresolved = "", true
-	case saysNotAccepted(reply.Error.Kind) && mutatingVerbs[p.Verb] && (p.unresolved || from != p.target):
+		p.target, p.unresolved, p.maybeTaken = "", true, true
+	case saysNotAccepted(reply.Error.Kind) && mutatingVerbs[p.Verb] && !p.provesNotAccepted(from, reply.Final):
 		g.reject(p, g.errOutcomeUnknown(
 			"one controller refused the request, another may have taken it; send the same again"))
 	default:
@@ -138,6 +142,16 @@
 	}
 }
 
+// provesNotAccepted reports whether the rejection by a controller proves that no controller
+// has accepted the request: it is the only one that was asked, or its answer covers all
+// copies that it was sent and the others have answered theirs.
+func (p *pendingRequest) provesNotAccepted(from types.Addr, final bool) bool {
+	if final && !p.maybeTaken && len(p.unanswered) == 0 {
+		return true
+	}
+	return !p.unresolved && from == p.target
+}
+
 // handleNotLeader handles the reply of a controller that does not lead, and so has not
 // accepted the request; it may know the leader.
 func (g *Gateway) handleNotLeader(p *pendingRequest, from, leader types.Addr) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -81,6 +81,7 @@
 // it.
 func TestRejectionAfterTimeoutIsOutcomeUnknown(t *testing.T) {
 	full := wire.ForwardedReply{Error: apierror.New(apierror.QueueFull, "", "full")}
+	fullForAll := wire.ForwardedReply{Error: full.Error, Final: true}
 	for _, c := range []struct {
 		name string
 		play func(*is.I, *harness)
@@ -103,6 +104,26 @@
 			is.Equal(h.sent[1].To, types.Addr("b"))
 			h.reply("b", 1, full)
 		}, apierror.QueueFull},
+		{"the leader rejects for all copies, the other does not lead", func(is *is.I, h *harness) {
+			h.advance(ForwardTimeout + 40*time.Millisecond)
+			h.reply(h.sent[1].To, 1, wire.ForwardedReply{NotLeader: true, Leader: "a"})
+			is.Equal(len(h.sent), 3)
+			h.reply("a", 2, fullForAll)
+		}, apierror.QueueFull},
+		{"the leader rejects for one copy, the other does not lead", func(_ *is.I, h *harness) {
+			h.advance(ForwardTimeout + 40*time.Millisecond)
+			h.reply(h.sent[1].To, 1, wire.ForwardedReply{NotLeader: true, Leader: "a"})
+			h.reply("a", 2, full)
+		}, apierror.OutcomeUnknown},
+		{"the leader rejects for all copies, the other is silent", func(_ *is.I, h *harness) {
+			h.advance(ForwardTimeout + 40*time.Millisecond)
+			h.reply("a", 0, fullForAll)
+		}, apierror.OutcomeUnknown},
+		{"one may have accepted it, the leader rejects for all copies", func(_ *is.I, h *harness) {
+			h.reply("a", 0, wire.ForwardedReply{Error: apierror.New(apierror.OutcomeUnknown, "", "")})
+			h.advance(ForwardTimeout + 40*time.Millisecond)
+			h.reply(h.sent[len(h.sent)-1].To, len(h.sent)-1, fullForAll)
+		}, apierror.OutcomeUnknown},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -35,6 +35,18 @@
 	// unresolved says that a controller that was asked before target has not answered, and
 	// may have accepted the request.
 	unresolved bool
+	// unanswered counts the copies that each controller was sent and has not answered.
+	unanswered map[types.Addr]int
+	// maybeTaken says that a controller has answered that it may have accepted the request.
+	maybeTaken bool
+}
+
+// noteAnswered notes that a controller has answered one copy, or that its answer holds for
+// all copies that it was sent.
+func (p *pendingRequest) noteAnswered(from types.Addr, all bool) {
+	if p.unanswered[from]--; all || p.unanswered[from] <= 0 {
+		delete(p.unanswered, from)
+	}
 }
 
 // maybeAccepted reports whether a controller that has not answered may have accepted the
@@ -60,7 +72,13 @@
 
 func (rt *requestTable) add(now types.MonoTime, request wire.Request) *pendingRequest {
 	rt.lastID++
-	p := &pendingRequest{Request: request, id: rt.lastID, receivedAt: now, timeout: RequestTimeout}
+	p := &pendingRequest{
+		Request:    request,
+		id:         rt.lastID,
+		receivedAt: now,
+		timeout:    RequestTimeout,
+		unanswered: map[types.Addr]int{},
+	}
 	if request.Timeout > 0 {
 		p.timeout = min(RequestTimeout, max(request.Timeout-responseMargin, request.Timeout/2))
 	}
--- a/internal/wire/forward.go
+++ b/internal/wire/forward.go
@@ -24,4 +24,7 @@
 	Error      *apierror.Error `json:"fault,omitempty"`
 	Leader     types.Addr      `json:"lead,omitempty"`
 	NotLeader  bool            `json:"away,omitempty"` // the sender does not lead; Leader may
+	// Final is set with an Error that holds for all copies of the request that were or will be
+	// sent to the sender: none was accepted, and none will be.
+	Final bool `json:"final,omitempty"`
 }
