--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -89,6 +89,7 @@
 			})
 		}
 	}
+	n.countVotes()
 }
 
 // onRequestVote answers a candidate (section 3.4 of the thesis). While this member may not
@@ -170,8 +171,7 @@
 	return false
 }
 
-// onVoteReply counts a vote of this campaign. A quorum of pre-votes begins the election, a
-// quorum of votes the term as leader (sections 9.6 and 3.4 of the thesis).
+// onVoteReply counts a vote of this campaign (sections 9.6 and 3.4 of the thesis).
 func (n *Node) onVoteReply(_ types.Addr, reply voteReply) {
 	if reply.ClusterName != n.clusterName {
 		return
@@ -187,6 +187,13 @@
 	n.election.votes[reply.VoterID] = true
 	silent := time.Duration(reply.SilentMS) * time.Millisecond
 	n.leaderContact.priorHeardAt = max(n.leaderContact.priorHeardAt, n.now.Mono.Add(-silent))
+	n.countVotes()
+}
+
+// countVotes begins the election with a quorum of pre-votes, and the term as leader with a
+// quorum of votes. The only voter of a cluster has both with its own; its entries are
+// committed once they are on its disk, and so after its vote.
+func (n *Node) countVotes() {
 	switch {
 	case n.election.votesGranted(n.log.config) < n.log.config.quorum():
 	case n.election.preVote:
--- /dev/null
+++ b/internal/raft/single_founder_test.go
@@ -0,0 +1,29 @@
+package raft
+
+import (
+	"testing"
+	"time"
+)
+
+// TestASingleFounderLeads: a cluster of one needs no reply to be elected, and goes on after a
+// loss of power.
+func TestASingleFounderLeads(t *testing.T) {
+	w := newWorld(1, 1, 1)
+	m := w.machines[0]
+	m.start()
+	leads := func() bool { return w.leader() == m }
+	if !w.waitUntil(startTime, leads) {
+		t.Fatal("no leader:\n" + w.report())
+	}
+	w.propose()
+	committed := func() bool { return w.checker.acknowledged > 0 }
+	if !w.waitUntil(time.Second, committed) {
+		t.Fatal("nothing committed:\n" + w.report())
+	}
+	m.crashNow()
+	m.incarnation++
+	m.start()
+	if !w.waitUntil(startTime, leads) || w.failure != "" {
+		t.Fatal("no leader after a loss of power:\n" + w.report())
+	}
+}
--- a/sim/final_refusal_test.go
+++ b/sim/final_refusal_test.go
@@ -54,7 +54,9 @@
 		}
 		return r
 	})
-	without := collectBySeed(t, 50, count, func(_ *testing.T, seed int64) *Run { return refusalDay(seed, withoutFinal) })
+	without := collectBySeed(t, 50, count, func(_ *testing.T, seed int64) *Run {
+		return refusalDay(seed, withoutFinal)
+	})
 	t.Logf("outcome unknown: %.3f of the refusals, %.3f if they held for one copy each",
 		unknownPart(with), unknownPart(without))
 	if unknownPart(with) > unknownPart(without) {
