--- a/internal/wal/file.go
+++ b/internal/wal/file.go
@@ -47,7 +47,8 @@
 // All records that are returned are on disk. Some of them an earlier process may have
 // written and not synced, so that they were read from the cache of the operating system.
 //
-// The error is a DiskError. Damage is no error; Contents tells of it.
+// The error is a DiskError. Damage is no error; Contents tells of it, also beside an error of
+// a later step, as the next call finds no damaged log any more.
 func Open(storage Storage, dir string) (*File, Contents, error) {
 	if err := storage.MakeDir(dir); err != nil {
 		return nil, Contents{}, diskError("data folder", err)
@@ -71,7 +72,7 @@
 	}
 	file, err := openAt(storage, dir, validLength)
 	if err != nil {
-		return nil, Contents{}, err
+		return nil, Contents{DamagedPath: contents.DamagedPath}, err
 	}
 	return file, contents, nil
 }
--- a/internal/wal/storage_faults_test.go
+++ b/internal/wal/storage_faults_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand"
+	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -313,3 +314,24 @@
 	is.NoErr(log.Append([][]byte{[]byte(`{"n":3}`)}))
 	is.Equal(len(rereadLog(t, storage)), 3)
 }
+
+// TestDamageIsToldThoughTheNextStepFails: a damaged log is moved aside, then the new one
+// can't be opened. Contents names where the damaged one is all the same, since later calls
+// find nothing of it.
+func TestDamageIsToldThoughTheNextStepFails(t *testing.T) {
+	is := is.New(t)
+	storage := waltest.New(1)
+	file, _, err := wal.Open(storage, dir)
+	is.NoErr(err)
+	is.NoErr(file.Append([][]byte{[]byte(`{"a":1}`)}))
+	is.NoErr(file.Close())
+	path := filepath.Join(dir, "lore.log")
+	handle, err := storage.OpenFile(path)
+	is.NoErr(err)
+	_, err = handle.WriteAt([]byte{0xff}, 18) // within the body of the first record
+	is.NoErr(err)
+	storage.Fail = waltest.FailWith(errors.New("refused"), waltest.Create)
+	_, contents, err := wal.Open(storage, dir)
+	is.True(err != nil)
+	is.True(contents.DamagedPath != "")
+}
