--- a/internal/configwatch/publisher.go
+++ b/internal/configwatch/publisher.go
@@ -13,7 +13,7 @@
 	// longPollHold is how long a response is held back at most while there is no other
 	// version.
 	longPollHold = 400 * time.Millisecond
-	// maxWatchers bounds the requests that are held.
+	// maxWatchers bounds the watchers whose requests are held.
 	maxWatchers = 500
 )
 
@@ -37,12 +37,16 @@
 // HandleRequest takes a watcher's request. Responses has its response.
 func (p *Publisher) HandleRequest(now types.MonoTime, message wire.Message) {
 	request, ok := wire.DecodeBody[watchRequest](message)
-	if !ok || len(p.pending) >= maxWatchers {
+	if !ok {
 		return
 	}
 	deadline := now.Add(request.hold())
-	if earlier, ok := p.pending[message.From]; ok { // asking again does not put the response off
+	earlier, known := p.pending[message.From]
+	switch {
+	case known: // asking again does not put the response off
 		deadline = min(deadline, earlier.deadline)
+	case len(p.pending) >= maxWatchers:
+		return
 	}
 	p.pending[message.From] = pendingWatch{request, deadline}
 }
--- a/internal/configwatch/watcher_test.go
+++ b/internal/configwatch/watcher_test.go
@@ -1,6 +1,7 @@
 package configwatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"coppercourse/internal/config"
 	"coppercourse/internal/types"
+	"coppercourse/internal/wire"
 )
 
 // exchange has a watcher and a publisher exchange messages from one time to another, if
@@ -114,3 +116,22 @@
 		})
 	}
 }
+
+// A publisher that holds as many requests as it may takes no new watcher, and goes on to
+// serve those that it knows.
+func TestAFullPublisherServesTheWatchersItKnows(t *testing.T) {
+	is := is.New(t)
+	publisher := NewPublisher("controller:1")
+	ask := func(from types.Addr, version types.Version) {
+		body := watchRequest{Version: version, HasTable: true, Nonce: Nonce(version)}
+		publisher.HandleRequest(0, wire.NewMessage(from, "controller:1", wire.ConfigWatch, body).Message)
+	}
+	for i := range maxWatchers {
+		ask(types.Addr(fmt.Sprint("gateway:", i)), 7)
+	}
+	ask("gateway:0", 6) // it has started anew with an older table
+	ask("gateway:new", 6)
+	responses := publisher.Responses(0, config.Table{Version: 7})
+	is.Equal(len(responses), 1)
+	is.Equal(responses[0].To, types.Addr("gateway:0"))
+}
