--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -59,7 +59,10 @@
 func (r *round) reservedRequest() (*Request, *QueueUsage) {
 	for i := range r.Requests {
 		request := &r.Requests[i]
-		if usage := r.Usage[request.Queue]; usage != nil && request.StageID == r.Reservation.StageID {
+		if request.StageID != r.Reservation.StageID || len(request.Tasks) == 0 {
+			continue
+		}
+		if usage := r.Usage[request.Queue]; usage != nil {
 			return request, usage
 		}
 	}
--- a/internal/placement/reservation_test.go
+++ b/internal/placement/reservation_test.go
@@ -122,3 +122,20 @@
 		})
 	}
 }
+
+// TestReservationOfARequestWithoutTasksLapses: all tasks of the stage were placed or cancelled
+// since.
+func TestReservationOfARequestWithoutTasksLapses(t *testing.T) {
+	is := is.New(t)
+	request := newRequest("j", "a", 0, 1)
+	slots := newSlots(1, 4)
+	output := Place(Input{
+		Requests:    []Request{request},
+		Slots:       slots,
+		TotalCores:  4 * types.Core,
+		Reservation: &Reservation{StageID: request.StageID, Workers: []ReservedWorker{{Shard: "k0", Tasks: 1}}},
+		Usage:       map[types.QueueName]*QueueUsage{"a": newUsage(1, 0, 500)},
+	})
+	is.Equal(len(output.Assignments), 0)
+	is.True(output.Reservation == nil)
+}
