--- a/internal/server/endpoint_server.go
+++ b/internal/server/endpoint_server.go
@@ -5,7 +5,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/netutil"
@@ -33,11 +35,30 @@
 	done     chan struct{} // closed once run has returned
 
 	// Owned by run. Once done is closed, close may use them.
-	limits   config.Limits   // of the current server
-	current  *http.Server    // gets the new connections
-	feed     *connectionFeed // what the current server accepts from
-	replaced []*http.Server  // serve the connections that they were given
-	serving  sync.WaitGroup  // the goroutines of all servers
+	limits   config.Limits    // of the current server
+	current  *limitedServer   // gets the new connections
+	feed     *connectionFeed  // what the current server accepts from
+	replaced []*limitedServer // serve the connections that they were given
+	serving  sync.WaitGroup   // the goroutines of all servers
+}
+
+// limitedServer is an HTTP server with one set of limits, and how many connections it has.
+type limitedServer struct {
+	*http.Server
+	connections atomic.Int64
+}
+
+func newLimitedServer(handler http.Handler, limits config.Limits) *limitedServer {
+	server := &limitedServer{Server: newHTTPServer(handler, limits)}
+	server.ConnState = server.countConnection
+	return server
+}
+
+// countConnection counts a connection from when it is passed to the server until it is closed.
+func (s *limitedServer) countConnection(_ net.Conn, state http.ConnState) {
+	if state == http.StateClosed || state == http.StateHijacked {
+		s.connections.Add(-1)
+	}
 }
 
 func newEndpointServer(listener net.Listener, h *Handlers, endpoint Endpoint) *endpointServer {
@@ -76,6 +97,7 @@
 	if limits := s.latestLimits(); limits != s.limits {
 		s.replaceServer(limits)
 	}
+	s.current.connections.Add(1)
 	s.feed.connections <- conn
 }
 
@@ -94,7 +116,8 @@
 	if s.current != nil {
 		s.replaced = append(s.replaced, s.current)
 	}
-	server := newHTTPServer(s.handler, limits)
+	s.replaced = slices.DeleteFunc(s.replaced, (*limitedServer).closeIfUnused)
+	server := newLimitedServer(s.handler, limits)
 	feed := newConnectionFeed(s.listener.Addr())
 	s.limits = limits
 	s.current = server
@@ -102,6 +125,16 @@
 	s.serving.Go(func() { server.Serve(feed) }) // the error is ErrServerClosed
 }
 
+// closeIfUnused closes a server that has no connections and gets none any more, and reports
+// whether it did.
+func (s *limitedServer) closeIfUnused() bool {
+	if s.connections.Load() > 0 {
+		return false
+	}
+	s.Close()
+	return true
+}
+
 // close closes the listener, waits for run and shuts down all servers. Connections that
 // are still in use after closeTimeout are closed.
 func (s *endpointServer) close() {
