--- a/cmd/coppercourse/calendar_commands.go
+++ b/cmd/coppercourse/calendar_commands.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/url"
 	"os"
 	"time"
 
@@ -43,13 +44,13 @@
 }
 
 func (cp *calendarPut) run() error {
+	if (cp.workerName == "") == (cp.rackName == "") {
+		return errors.New("say either --worker or --rack")
+	}
 	text, err := readCalendar(cp.file)
 	if err != nil {
 		return err
 	}
-	if (cp.workerName == "") == (cp.rackName == "") {
-		return errors.New("say either --worker or --rack")
-	}
 	body, err := json.Marshal(config.Calendar{
 		Shard: types.Shard(cp.workerName),
 		Rack:  types.Rack(cp.rackName),
@@ -58,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	return cp.client.print(http.MethodPut, "/v1/calendars/"+cp.name, body)
+	return cp.client.print(http.MethodPut, "/v1/calendars/"+url.PathEscape(cp.name), body)
 }
 
 func addCalendarCheck(group *kingpin.CmdClause, commands commandline.Commands) {
@@ -77,7 +78,7 @@
 	command := group.Command("drop", "Remove a maintenance calendar.")
 	name := command.Arg("name", "Name of the calendar.").Required().String()
 	commands["calendar drop"] = func() error {
-		return client.print(http.MethodDelete, "/v1/calendars/"+*name, nil)
+		return client.print(http.MethodDelete, "/v1/calendars/"+url.PathEscape(*name), nil)
 	}
 }
 
--- a/cmd/coppercourse/drain_commands.go
+++ b/cmd/coppercourse/drain_commands.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -37,14 +38,14 @@
 	name := command.Arg("name", "Name of the "+target.kind+".").Required().String()
 	within := command.Flag("within", "Stop attempts that run for longer, to retry them elsewhere; 0s lets them end.").
 		PlaceHolder("DURATION").Default("0s").Duration()
-	commands["drain "+target.kind] = func() error { return startDrain(client, target.path+*name, *within) }
+	commands["drain "+target.kind] = func() error { return startDrain(client, target.path+url.PathEscape(*name), *within) }
 }
 
 func addUndrain(group *kingpin.CmdClause, target drainTarget, client *gatewayClient, commands commandline.Commands) {
 	command := group.Command(target.kind, "Let tasks start on a "+target.kind+" again.")
 	name := command.Arg("name", "Name of the "+target.kind+".").Required().String()
 	commands["undrain "+target.kind] = func() error {
-		return client.print(http.MethodDelete, target.path+*name, nil)
+		return client.print(http.MethodDelete, target.path+url.PathEscape(*name), nil)
 	}
 }
 
--- a/cmd/coppercourse/gone_command.go
+++ b/cmd/coppercourse/gone_command.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -13,6 +14,6 @@
 	gone := app.Command("gone", "Declare a lost worker gone for good: its tasks are retried elsewhere at once.")
 	worker := gone.Arg("worker", "Name of the worker.").Required().String()
 	commands["gone"] = func() error {
-		return client.print(http.MethodPost, "/v1/workers/"+*worker+"/gone", nil)
+		return client.print(http.MethodPost, "/v1/workers/"+url.PathEscape(*worker)+"/gone", nil)
 	}
 }
--- a/cmd/coppercourse/job_commands.go
+++ b/cmd/coppercourse/job_commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -18,12 +19,12 @@
 
 	show := job.Command("show", "Print a job's state and tasks.")
 	showID := show.Arg("id", "Id of the job.").Required().String()
-	commands["job show"] = func() error { return client.print(http.MethodGet, "/v1/jobs/"+*showID, nil) }
+	commands["job show"] = func() error { return client.print(http.MethodGet, "/v1/jobs/"+url.PathEscape(*showID), nil) }
 
 	cancel := job.Command("cancel", "Cancel a job: what runs is stopped, nothing more starts.")
 	cancelID := cancel.Arg("id", "Id of the job.").Required().String()
 	commands["job cancel"] = func() error {
-		return client.print(http.MethodPost, "/v1/jobs/"+*cancelID+"/cancel", nil)
+		return client.print(http.MethodPost, "/v1/jobs/"+url.PathEscape(*cancelID)+"/cancel", nil)
 	}
 }
 
@@ -36,7 +37,7 @@
 		if err != nil {
 			return err
 		}
-		return client.print(http.MethodPut, "/v1/jobs/"+*id, body)
+		return client.print(http.MethodPut, "/v1/jobs/"+url.PathEscape(*id), body)
 	}
 }
 
--- a/cmd/coppercourse/table_commands.go
+++ b/cmd/coppercourse/table_commands.go
@@ -64,9 +64,12 @@
 	if errs.Err() != nil {
 		return nil, errs.Err()
 	}
-	if base < 0 {
+	if base == fileBase {
 		return document, nil
 	}
+	if base < 0 {
+		return nil, apierror.New(apierror.BadSetting, "base", "want an edition, a whole number from 0 on")
+	}
 	table.Version = types.Version(base)
 	return json.Marshal(table)
 }
--- a/cmd/coppercourse/trace_command.go
+++ b/cmd/coppercourse/trace_command.go
@@ -92,15 +92,13 @@
 	return append(peers, membership.Peer{MemberInfo: self}), nil
 }
 
-// fetchTrace returns a daemon's trace points of a subject. A daemon that does not answer
-// is reported and left out.
+// fetchTrace returns a daemon's trace points of a subject. Where there are none to be had, it
+// says so and returns none.
 func (c *gatewayClient) fetchTrace(peer membership.Peer, subject string) []tracePoint {
 	daemon := fmt.Sprintf("%s %s", peer.Role, peer.Addr)
-	path := "/v1/trace?subject=" + url.QueryEscape(subject)
-	body, err := c.fetch(string(peer.Addr), http.MethodGet, path, nil)
-	var list []trace.Point
-	if err != nil || json.Unmarshal(body, &list) != nil {
-		fmt.Printf("%-26s no response, last heard from %d ms ago\n", daemon, peer.AgeMS)
+	list, err := c.requestTrace(string(peer.Addr), subject)
+	if err != nil {
+		fmt.Printf("%-26s %v, last heard from %d ms ago\n", daemon, err, peer.AgeMS)
 		return nil
 	}
 	var points []tracePoint
@@ -109,3 +107,16 @@
 	}
 	return points
 }
+
+// requestTrace asks a daemon for its trace points of a subject.
+func (c *gatewayClient) requestTrace(addr, subject string) ([]trace.Point, error) {
+	body, err := c.fetch(addr, http.MethodGet, "/v1/trace?subject="+url.QueryEscape(subject), nil)
+	if err != nil {
+		return nil, fmt.Errorf("no response: %w", err)
+	}
+	var list []trace.Point
+	if err := json.Unmarshal(body, &list); err != nil {
+		return nil, fmt.Errorf("its response can't be read: %w", err)
+	}
+	return list, nil
+}
