--- a/cmd/coppercourse/agent_daemon.go
+++ b/cmd/coppercourse/agent_daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/go-logr/logr"
 
@@ -46,9 +47,10 @@
 	return platform.NewWorkerClient()
 }
 
-// agentObserver logs an agent's state. An agent is always ready: only its worker calls it.
+// agentObserver publishes whether an agent is ready, and logs its state.
 type agentObserver struct {
 	machine *agent.Agent
+	ready   atomic.Bool
 	states  stateLogger[agentState]
 }
 
@@ -57,10 +59,10 @@
 }
 
 // AfterStep implements server.Observer.
-func (*agentObserver) AfterStep() {}
+func (ao *agentObserver) AfterStep() { ao.ready.Store(ao.machine.Ready()) }
 
 // Ready implements server.Observer.
-func (*agentObserver) Ready() bool { return true }
+func (ao *agentObserver) Ready() bool { return ao.ready.Load() }
 
 // Status implements server.Observer.
 func (ao *agentObserver) Status() any {
--- a/cmd/coppercourse/drain_commands.go
+++ b/cmd/coppercourse/drain_commands.go
@@ -38,7 +38,9 @@
 	name := command.Arg("name", "Name of the "+target.kind+".").Required().String()
 	within := command.Flag("within", "Stop attempts that run for longer, to retry them elsewhere; 0s lets them end.").
 		PlaceHolder("DURATION").Default("0s").Duration()
-	commands["drain "+target.kind] = func() error { return startDrain(client, target.path+url.PathEscape(*name), *within) }
+	commands["drain "+target.kind] = func() error {
+		return startDrain(client, target.path+url.PathEscape(*name), *within)
+	}
 }
 
 func addUndrain(group *kingpin.CmdClause, target drainTarget, client *gatewayClient, commands commandline.Commands) {
--- a/cmd/coppercourse/job_commands.go
+++ b/cmd/coppercourse/job_commands.go
@@ -19,7 +19,9 @@
 
 	show := job.Command("show", "Print a job's state and tasks.")
 	showID := show.Arg("id", "Id of the job.").Required().String()
-	commands["job show"] = func() error { return client.print(http.MethodGet, "/v1/jobs/"+url.PathEscape(*showID), nil) }
+	commands["job show"] = func() error {
+		return client.print(http.MethodGet, "/v1/jobs/"+url.PathEscape(*showID), nil)
+	}
 
 	cancel := job.Command("cancel", "Cancel a job: what runs is stopped, nothing more starts.")
 	cancelID := cancel.Arg("id", "Id of the job.").Required().String()
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -110,6 +110,10 @@
 
 func (a *Agent) handleWorkerReply(reply wire.WorkerReply) {
 	a.executor.HandleWorkerReply(a.core.Now().Mono, reply)
+	for _, end := range a.executor.TakeReportedEnds() {
+		a.core.Record(trace.JobSubject(end.Attempt.Job), "attempt end reported by worker",
+			"attempt", end.Attempt, "outcome", end.Reason)
+	}
 }
 
 func (a *Agent) passToExecutor(message wire.Message) {
--- a/internal/dispatch/executor/link_ends.go
+++ b/internal/dispatch/executor/link_ends.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coppercourse/internal/types"
+	"coppercourse/internal/wire"
 )
 
 const (
@@ -27,6 +28,7 @@
 	open         map[uint64]*openEnd // by number
 	acknowledged uint64              // all up to this one are committed, and are acknowledged
 	repeats      int                 // replies in a row that list ends, none of them new
+	reported     []wire.EndedAttempt // for the first time, since TakeReportedEnds
 }
 
 // retryInterval returns how long after a reply the next renewal is due if the ends that it
--- a/internal/dispatch/executor/link_replies.go
+++ b/internal/dispatch/executor/link_replies.go
@@ -161,6 +161,7 @@
 // may be running elsewhere.
 func (ex *Executor) takeEnd(end wire.EndedAttempt) {
 	ex.link.ends.open[end.Number] = &openEnd{attempt: end.Attempt}
+	ex.link.ends.reported = append(ex.link.ends.reported, end)
 	ex.link.ends.repeats = 0
 	attempt := ex.attempts.byID[end.Attempt]
 	if attempt == nil {
@@ -179,6 +180,17 @@
 	}
 }
 
+// TakeReportedEnds returns the ends that a called worker has reported for the first time since
+// this was last called.
+func (ex *Executor) TakeReportedEnds() []wire.EndedAttempt {
+	if ex.link == nil {
+		return nil
+	}
+	reported := ex.link.ends.reported
+	ex.link.ends.reported = nil
+	return reported
+}
+
 // takeRunning takes the attempts that the worker says run. One that has ended here, or
 // that nobody sent since the worker reported all that it runs, is stopped.
 func (ex *Executor) takeRunning(running []wire.RunningAttempt, listed map[types.AttemptID]bool) {
--- a/sim/daemon_faults.go
+++ b/sim/daemon_faults.go
@@ -88,7 +88,9 @@
 // unless they are being shut down.
 func killControllers(r *Run, _ time.Duration) func() {
 	for _, n := range r.controllers {
-		n.Kill()
+		if n.Machine != nil {
+			n.Kill()
+		}
 	}
 	return func() {
 		for _, n := range r.controllers {
--- a/sim/invoked_worker_faults.go
+++ b/sim/invoked_worker_faults.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"coppercourse/internal/types"
 	"coppercourse/sim/world"
 )
 
@@ -165,9 +164,5 @@
 
 // drainWorker drains a worker. It is recorded as affecting nobody.
 func drainWorker(r *Run, duration time.Duration) func() {
-	end := drainFault(anyInvokedShard)(r, duration)
-	if end != nil {
-		r.affected = []types.Addr{}
-	}
-	return end
+	return drainFault(anyInvokedShard)(r, duration)
 }
--- a/sim/operator_faults.go
+++ b/sim/operator_faults.go
@@ -34,6 +34,7 @@
 			return nil
 		}
 		r.drained[target] = true
+		r.affected = []types.Addr{} // a drain is planned work and excuses nothing
 		return r.drain(target)
 	}
 }
--- a/sim/partition_sides.go
+++ b/sim/partition_sides.go
@@ -81,7 +81,7 @@
 
 // pollingWorkerFromAll draws a worker that polls, and returns it and all others.
 func pollingWorkerFromAll(r *Run) (a, b []types.Addr) {
-	return separatedFromAll(r, r.anyPollingWorker().Node)
+	return separatedFromAll(r, pickOne(r.Random, r.PollingWorkers).Node)
 }
 
 // invokedWorkerFromAll draws a worker that is invoked, and returns it and all others.
--- a/sim/polling_worker_faults.go
+++ b/sim/polling_worker_faults.go
@@ -12,13 +12,19 @@
 // removedBootDelay is the time from a worker's removal until another boots in its place.
 const removedBootDelay = 2 * time.Second
 
-// anyPollingWorker draws a worker, which may be down.
-func (r *Run) anyPollingWorker() *world.PollingNode { return pickOne(r.Random, r.PollingWorkers) }
-
-// anyPollingMachine draws a machine, and returns the worker and the agent there.
+// anyPollingMachine draws a machine, whose worker may be down, and returns the worker and the
+// agent there. Both are marked as affected by the fault.
 func (r *Run) anyPollingMachine() (worker *world.PollingNode, agent *world.Node) {
 	i := r.Random.Intn(len(r.PollingWorkers))
-	return r.PollingWorkers[i], r.agents[i]
+	worker, agent = r.PollingWorkers[i], r.agents[i]
+	r.markAffected(worker.Node.Addr, agent.Addr)
+	return worker, agent
+}
+
+// anyPollingWorker draws a worker, which may be down, and marks its machine as affected.
+func (r *Run) anyPollingWorker() *world.PollingNode {
+	worker, _ := r.anyPollingMachine()
+	return worker
 }
 
 // killPollingWorker kills a worker until the fault ends.
