--- a/sim/experiment/run.go
+++ b/sim/experiment/run.go
@@ -88,7 +88,7 @@
 			renewals++
 		}
 	}
-	workload := sim.DrawWorkload(d, t.seed, p.traffic(), p.load())
+	workload := sim.DrawWorkload(d, t.seed, p.traffic(), p.load(), t.day.faults())
 	run.ExecuteWorkload(workload, t.day.faults(), sim.TrafficStart+p.traffic()+settleTime)
 	result := Result{Policy: t.policy.Name, Deployment: t.deployment, Day: t.day.Name, Seed: t.seed}
 	result.Measure = measure(&run.History, d.Queues)
--- a/sim/experiment/run_test.go
+++ b/sim/experiment/run_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -76,13 +77,33 @@
 	is := is.New(t)
 	d := deployment.Drawn(3)
 	draw := func(seed int64) string {
-		encoded, err := json.Marshal(sim.DrawWorkload(d, seed, defaultTraffic, 1))
+		encoded, err := json.Marshal(sim.DrawWorkload(d, seed, defaultTraffic, 1, nil))
 		is.NoErr(err)
 		return string(encoded)
 	}
 	is.Equal(draw(1), draw(1))
 	is.True(draw(1) != draw(2))
-	is.True(len(sim.DrawWorkload(d, 1, defaultTraffic, 2)) > 3*len(sim.DrawWorkload(d, 1, defaultTraffic, 1))/2)
+	doubled, usual := sim.DrawWorkload(d, 1, defaultTraffic, 2, nil), sim.DrawWorkload(d, 1, defaultTraffic, 1, nil)
+	is.True(len(doubled) > 3*len(usual)/2)
+}
+
+// More jobs come while a burst lasts, and not before.
+func TestBurstsAreDrawn(t *testing.T) {
+	is := is.New(t)
+	d := deployment.Drawn(3)
+	burst := []sim.TimedFault{{Name: "burst", At: 8 * time.Second, For: 4 * time.Second}}
+	usual, more := sim.DrawWorkload(d, 1, defaultTraffic, 1, nil), sim.DrawWorkload(d, 1, defaultTraffic, 1, burst)
+	submittedBetween := func(list []sim.Submission, from, to time.Duration) (count int) {
+		for _, s := range list {
+			if s.At >= sim.TrafficStart+from && s.At < sim.TrafficStart+to {
+				count++
+			}
+		}
+		return count
+	}
+	is.Equal(submittedBetween(more, 0, 8*time.Second), submittedBetween(usual, 0, 8*time.Second))
+	in := submittedBetween(more, 8*time.Second, 12*time.Second)
+	is.True(in > 2*submittedBetween(usual, 8*time.Second, 12*time.Second))
 }
 
 func TestMeanDifference(t *testing.T) {
--- a/sim/fault_tables.go
+++ b/sim/fault_tables.go
@@ -73,7 +73,7 @@
 	"freeze-leader-race": faultWithChanges("freeze-leader", 2),
 	"kill-leader-meet":   faultWithChanges("kill-leader", 1),
 	"turn-seeds":         changeSeeds,
-	"burst":              burst,
+	burstFault:           burst,
 
 	"kill-after-ack":     faultAfterAcknowledgement(history.TableAcknowledged, powerFault(leaderOnly)),
 	"kill-after-accept":  faultAfterAcknowledgement(history.JobAccepted, powerFault(leaderOnly)),
--- a/sim/workload.go
+++ b/sim/workload.go
@@ -31,14 +31,32 @@
 // TrafficStart is when the first job of a workload is submitted.
 const TrafficStart = trafficTime
 
+// burstFault is the name of the fault that has more jobs come.
+const burstFault = "burst"
+
+// rateFactor returns how many times as many jobs come at a time of the traffic, with the
+// bursts among some faults.
+func rateFactor(at time.Duration, faults []TimedFault) float64 {
+	for _, f := range faults {
+		if f.Name == burstFault && at >= f.At && at < f.At+f.For {
+			return burstFactor
+		}
+	}
+	return 1
+}
+
 // DrawWorkload draws the jobs of a deployment's streams that last for a time, with load as
-// many as the deployment says. The jobs run once each and are not cancelled.
-func DrawWorkload(d deployment.Deployment, seed int64, lasts time.Duration, load float64) []Submission {
+// many as the deployment says, and more in the bursts among some faults. The jobs run once
+// each and are not cancelled.
+func DrawWorkload(
+	d deployment.Deployment, seed int64, lasts time.Duration, load float64, faults []TimedFault,
+) []Submission {
 	var list []Submission
 	for i, stream := range d.Streams {
 		random := rand.New(rand.NewSource(seed*int64(len(d.Streams)) + int64(i)))
 		for at := time.Duration(0); ; {
-			at += time.Duration((minIntervalPart + random.Float64()) * float64(stream.MeanInterval) / load)
+			interval := (minIntervalPart + random.Float64()) * float64(stream.MeanInterval)
+			at += time.Duration(interval / (load * rateFactor(at, faults)))
 			if at >= lasts {
 				break
 			}
