--- a/internal/placement/reservation_test.go
+++ b/internal/placement/reservation_test.go
@@ -23,6 +23,8 @@
 	slots       []Slot
 	ends        map[types.Shard][]int // the rounds in which running tasks end, one for each core
 	reservation *Reservation
+	waitsSince  int // the round since which the large request waits, as the leader knows
+	newLeaderIn int // the round in which another leader takes over; 0 for none
 }
 
 // advance ends the tasks that end by a round.
@@ -47,7 +49,7 @@
 func (b *busyCluster) place(round int, large Request, placed bool) []Assignment {
 	var requests []Request
 	if !placed && round >= requestRound {
-		large.WaitingFor = time.Duration(round-requestRound) * roundTime
+		large.WaitingFor = time.Duration(round-b.waitsSince) * roundTime
 		requests = append(requests, large)
 	}
 	for i := range 6 {
@@ -66,9 +68,12 @@
 // run runs rounds until 20 after the large request was placed. It returns the round of
 // that, or -1, and how many small tasks were started.
 func (b *busyCluster) run(large Request, reserving bool) (placedIn, small int) {
-	placedIn = -1
+	placedIn, b.waitsSince = -1, requestRound
 	for round := range 400 {
 		b.advance(round)
+		if round > 0 && round == b.newLeaderIn { // it knows of no waits and of no reservation
+			b.waitsSince, b.reservation = round, nil
+		}
 		assignments := b.place(round, large, placedIn >= 0)
 		if !reserving {
 			b.reservation = nil
@@ -123,6 +128,23 @@
 	}
 }
 
+// TestReservationIsMadeAnewByANewLeader: whenever the leader changes, the large request starts
+// as soon after that as after its arrival.
+func TestReservationIsMadeAnewByANewLeader(t *testing.T) {
+	for _, newLeaderIn := range []int{requestRound + 1, requestRound + 20, requestRound + 32, requestRound + 38} {
+		t.Run(fmt.Sprint("round ", newLeaderIn), func(t *testing.T) {
+			is := is.New(t)
+			request := newRequest("large", "a", 1, 10)
+			request.TimeLimit = time.Second
+			cluster := busyCluster{slots: newSlots(4, 10), ends: map[types.Shard][]int{}, newLeaderIn: newLeaderIn}
+			placedIn, _ := cluster.run(request, true)
+			t.Logf("placed %d rounds after the change", placedIn-newLeaderIn)
+			is.True(placedIn > 0)
+			is.True(placedIn-newLeaderIn <= int(ReserveAfter/roundTime)+2*taskRounds)
+		})
+	}
+}
+
 // TestReservationOfARequestWithoutTasksLapses: all tasks of the stage were placed or cancelled
 // since.
 func TestReservationOfARequestWithoutTasksLapses(t *testing.T) {
