--- a/sim/answer_recorder_test.go
+++ b/sim/answer_recorder_test.go
@@ -327,7 +327,7 @@
 		if ok {
 			ar.run.Record(history.Event{Kind: history.JobAccepted, Job: id})
 			ar.jobs = append(ar.jobs, id)
-			ar.run.Clients.watchJob(id)
+			ar.run.Clients.WatchJob(id)
 			return
 		}
 		ar.run.Record(history.Event{Kind: history.SubmissionUnresolved, Job: id})
--- a/sim/clients.go
+++ b/sim/clients/clients.go
@@ -1,6 +1,8 @@
-// Stand-ins for callers and operators: how they choose a gateway, and when they retry.
-
-package sim
+// Package clients has stand-ins for callers and operators of a simulated world: how they
+// choose a gateway and when they retry (clients.go), the jobs that they submit, watch and
+// cancel (submissions.go, job_requests.go), and the changes that operators make (operators.go,
+// versioning_operators.go).
+package clients
 
 import (
 	"encoding/json"
@@ -15,77 +17,81 @@
 )
 
 const (
-	answerTimeout     = 4 * time.Second        // after which a client gives a request up
+	// AnswerTimeout is after how long a client gives a request up.
+	AnswerTimeout     = 4 * time.Second
 	timeoutRetryDelay = 100 * time.Millisecond // from then until it retries
 
-	defaultCancelRate = 0.04
-	defaultMaxRetries = 30
+	// DefaultCancelRate is CancelRate in a simulated run.
+	DefaultCancelRate = 0.04
+	// DefaultMaxRetries is MaxRetries in a simulated run.
+	DefaultMaxRetries = 30
 )
 
-// Clients are all callers and operators of a world.
-type Clients struct {
+// Group is all callers and operators of a world.
+type Group struct {
 	CancelRate      float64               // part of the flows' jobs that their callers cancel
 	RacingOperators bool                  // operators change the table again and again
 	Refusals        map[apierror.Kind]int // how often submissions were answered with each error
 	ImpatientRate   float64               // part of the submissions retried before Retry-After
 	BurstFactor     int                   // factor by which jobs come more often; 0 means 1
 	MaxRetries      int                   // of the submission of a job
+	Open            bool                  // new jobs and changes of the table are submitted
+
+	Deployment deployment.Deployment
+	Address    types.Addr // of all clients
+	Gateways   []types.Addr
 
 	world        *world.World
-	deployment   deployment.Deployment
-	address      types.Addr // of all clients
-	gateways     []types.Addr
-	open         bool // new jobs and changes of the table are submitted
-	lastJob      int  // number of the last job or queue that was named
+	lastJob      int // number of the last job or queue that was named
 	cancelDelays map[types.JobID]time.Duration
 }
 
-// newClients returns the clients of a deployment. They retry no submission, cancel no
+// New returns the clients of a deployment. They retry no submission, cancel no
 // job, and change no table.
-func newClients(w *world.World, d deployment.Deployment, gateways []types.Addr) *Clients {
-	return &Clients{
+func New(w *world.World, d deployment.Deployment, gateways []types.Addr) *Group {
+	return &Group{
 		Refusals:     map[apierror.Kind]int{},
 		world:        w,
-		deployment:   d,
-		address:      "caller",
-		gateways:     gateways,
-		open:         true,
+		Deployment:   d,
+		Address:      "caller",
+		Gateways:     gateways,
+		Open:         true,
 		cancelDelays: map[types.JobID]time.Duration{},
 	}
 }
 
-// readyGateway returns the gateway of a zone, or the next one that is ready.
-func (c *Clients) readyGateway(zone int) types.Addr {
-	for i := range c.gateways {
-		a := c.gateways[(zone+i)%len(c.gateways)]
-		if g, ok := c.world.Nodes[a].Machine.(*gateway.Gateway); ok && g.Ready() {
+// ReadyGateway returns the gateway of a zone, or the next one that is ready.
+func (g *Group) ReadyGateway(zone int) types.Addr {
+	for i := range g.Gateways {
+		a := g.Gateways[(zone+i)%len(g.Gateways)]
+		if machine, ok := g.world.Nodes[a].Machine.(*gateway.Gateway); ok && machine.Ready() {
 			return a
 		}
 	}
-	return c.gateways[zone%len(c.gateways)]
+	return g.Gateways[zone%len(g.Gateways)]
 }
 
-// anyGateway draws a gateway, ready or not.
-func (c *Clients) anyGateway() types.Addr { return pickOne(c.world.Random, c.gateways) }
+// AnyGateway draws a gateway, ready or not.
+func (g *Group) AnyGateway() types.Addr { return g.Gateways[g.world.Random.Intn(len(g.Gateways))] }
 
 // alternateGateway draws between the i-th gateway and the one after it.
-func (c *Clients) alternateGateway(i int) types.Addr {
-	return c.gateways[(i+c.world.Random.Intn(2))%len(c.gateways)]
+func (g *Group) alternateGateway(i int) types.Addr {
+	return g.Gateways[(i+g.world.Random.Intn(2))%len(g.Gateways)]
 }
 
 // request sends a request once. It calls onAnswer, or onTimeout if no answer came in time.
-func (c *Clients) request(
+func (g *Group) request(
 	to types.Addr, verb wire.Verb, argument string, body json.RawMessage,
 	onAnswer func(wire.Response), onTimeout func(),
 ) {
 	done := false
-	c.world.Request(c.address, to, verb, argument, body, func(answer wire.Response) {
+	g.world.Request(g.Address, to, verb, argument, body, func(answer wire.Response) {
 		if !done {
 			done = true
 			onAnswer(answer)
 		}
 	})
-	c.world.After(answerTimeout, func() {
+	g.world.After(AnswerTimeout, func() {
 		if !done {
 			done = true
 			onTimeout()
@@ -128,13 +134,13 @@
 }
 
 // perform sends an operation to a gateway, and retries it at any.
-func (c *Clients) perform(o operation, to types.Addr) { c.attempt(o, to, 0) }
+func (g *Group) perform(o operation, to types.Addr) { g.attempt(o, to, 0) }
 
 // attempt sends an operation to a gateway after so many retries.
-func (c *Clients) attempt(o operation, to types.Addr, retries int) {
+func (g *Group) attempt(o operation, to types.Addr, retries int) {
 	retry := func(delay time.Duration) {
 		if retries < o.maxRetries {
-			c.world.After(delay, func() { c.attempt(o, c.anyGateway(), retries+1) })
+			g.world.After(delay, func() { g.attempt(o, g.AnyGateway(), retries+1) })
 		}
 	}
 	onAnswer := func(answer wire.Response) {
@@ -151,5 +157,5 @@
 		o.onTimeout()
 		retry(timeoutRetryDelay)
 	}
-	c.request(to, o.verb, o.argument, o.body, onAnswer, onTimeout)
+	g.request(to, o.verb, o.argument, o.body, onAnswer, onTimeout)
 }
--- a/sim/job_requests.go
+++ b/sim/clients/job_requests.go
@@ -1,7 +1,7 @@
 // What callers ask about a job that was accepted: its status now and then, and that it be
 // cancelled.
 
-package sim
+package clients
 
 import (
 	"encoding/json"
@@ -22,41 +22,41 @@
 	maxCancelRetries = 10
 )
 
-// watchJob asks for a job's status now and then until it has ended.
-func (c *Clients) watchJob(id types.JobID) {
-	spread := time.Duration(c.world.Random.Int63n(int64(watchIntervalSpread)))
-	c.world.After(minWatchInterval+spread, func() {
-		watchAgain := func() { c.watchJob(id) }
+// WatchJob asks for a job's status now and then until it has ended.
+func (g *Group) WatchJob(id types.JobID) {
+	spread := time.Duration(g.world.Random.Int63n(int64(watchIntervalSpread)))
+	g.world.After(minWatchInterval+spread, func() {
+		watchAgain := func() { g.WatchJob(id) }
 		onAnswer := func(answer wire.Response) {
 			if answer.Error != nil && answer.Error.Kind == apierror.NoSuchJob {
-				c.world.Record(history.Event{Kind: history.JobNotFound, Job: id})
+				g.world.Record(history.Event{Kind: history.JobNotFound, Job: id})
 				return
 			}
-			if answer.Error != nil || !c.recordObservation(id, answer) {
+			if answer.Error != nil || !g.RecordObservation(id, answer) {
 				watchAgain()
 			}
 		}
-		c.request(c.anyGateway(), wire.VerbGetJob, string(id), nil, onAnswer, watchAgain)
+		g.request(g.AnyGateway(), wire.VerbGetJob, string(id), nil, onAnswer, watchAgain)
 	})
 }
 
-// recordObservation records the status of a job that an answer shows, and returns whether
+// RecordObservation records the status of a job that an answer shows, and returns whether
 // the job has ended.
-func (c *Clients) recordObservation(id types.JobID, answer wire.Response) (ended bool) {
+func (g *Group) RecordObservation(id types.JobID, answer wire.Response) (ended bool) {
 	var v controller.JobView
 	if json.Unmarshal(answer.Body, &v) != nil {
 		return false
 	}
-	c.world.Record(history.Event{Kind: history.JobObserved, Job: id, Status: v.State, Text: v.Reason})
+	g.world.Record(history.Event{Kind: history.JobObserved, Job: id, Status: v.State, Text: v.Reason})
 	return v.State == state.JobDone || v.State == state.JobFailed || v.State == state.JobCancelled
 }
 
-// cancelJob cancels a job.
-func (c *Clients) cancelJob(id types.JobID) {
-	c.world.Record(history.Event{Kind: history.CancelSubmitted, Job: id})
+// CancelJob cancels a job.
+func (g *Group) CancelJob(id types.JobID) {
+	g.world.Record(history.Event{Kind: history.CancelSubmitted, Job: id})
 	o := newOperation(wire.VerbCancelJob, string(id), nil, maxCancelRetries)
 	o.onAccepted = func(wire.Response) {
-		c.world.Record(history.Event{Kind: history.CancelAccepted, Job: id})
+		g.world.Record(history.Event{Kind: history.CancelAccepted, Job: id})
 	}
-	c.perform(o, c.anyGateway())
+	g.perform(o, g.AnyGateway())
 }
--- a/sim/control_faults_test.go
+++ b/sim/control_faults_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"coppercourse/internal/types"
+	"coppercourse/sim/clients"
 	"coppercourse/sim/history"
 	"coppercourse/sim/world"
 )
@@ -112,7 +113,7 @@
 				r.putFirstTableAt(3 * time.Second)
 				r.After(5*time.Second, func() {
 					r.startTraffic()
-					r.Clients.startVersioningOperators()
+					r.Clients.StartVersioningOperators()
 				})
 				r.After(6*time.Second, func() { r.injectFault(name, 6*time.Second) })
 				r.RunUntil(6 * time.Second)
@@ -155,7 +156,7 @@
 	r.putFirstTableAt(3 * time.Second)
 	r.After(5*time.Second, func() {
 		r.injectFault("lose-acks", 20*time.Second)
-		r.Clients.putChanges(1)
+		r.Clients.PutChanges(1)
 	})
 	r.RunUntil(40 * time.Second)
 	sent := map[types.Version]int64{}
@@ -165,7 +166,7 @@
 			sent[h.Table.Accepted().Version] = h.At
 		case history.TableAcknowledged:
 			n.all++
-			if h.At-sent[h.Table.Version] > int64(answerTimeout) {
+			if h.At-sent[h.Table.Version] > int64(clients.AnswerTimeout) {
 				n.late++
 			}
 		case history.TableRefused:
--- a/sim/control_plane_test.go
+++ b/sim/control_plane_test.go
@@ -32,14 +32,14 @@
 	r = New(Plan{Seed: seed, Deployment: "kingston"})
 	ok := false
 	r.After(4*time.Second, func() {
-		r.Clients.putTable(r.Clients.deployment.Table(), "g1", func(acknowledged bool) { ok = acknowledged })
+		r.Clients.PutTable(r.Clients.Deployment.Table(), "g1", func(acknowledged bool) { ok = acknowledged })
 	})
 	return r, func() bool { return ok }
 }
 
 // readVersion returns the version of the table that any gateway answers with now.
 func (r *Run) readVersion(within time.Duration) (e types.Version, ok bool) {
-	r.Clients.readTable(func(t config.Table) { e, ok = t.Version, true })
+	r.Clients.ReadTable(func(t config.Table) { e, ok = t.Version, true })
 	r.RunUntil(time.Duration(r.Now()) + within)
 	return e, ok
 }
@@ -382,7 +382,7 @@
 	r, _ := newControlRun(t, 61)
 	r.RunUntil(9 * time.Second)
 	ask := func(verb wire.Verb, id, body string) (a wire.Response) {
-		r.Request(r.Clients.address, "g2", verb, id, []byte(body), func(b wire.Response) { a = b })
+		r.Request(r.Clients.Address, "g2", verb, id, []byte(body), func(b wire.Response) { a = b })
 		r.RunUntil(time.Duration(r.Now()) + 300*time.Millisecond)
 		return a
 	}
@@ -457,7 +457,7 @@
 			s.Steps[0].DelayMillis, s.Steps[0].NotBefore = 0, notBefore.UTC().Format(time.RFC3339Nano)
 		}
 		r.Record(history.Event{Kind: history.JobSubmitted, Job: types.JobID(at), Spec: &s})
-		r.Clients.submit(types.JobID(at), wire.EncodeBody(s), "g1")
+		r.Clients.Submit(types.JobID(at), wire.EncodeBody(s), "g1")
 	}
 	r.RunUntil(16 * time.Second)
 	r.Network.HealPartitions()
--- a/sim/coverage_test.go
+++ b/sim/coverage_test.go
@@ -274,8 +274,8 @@
 				deployment := deployments[seed%int64(len(deployments))]
 				r := New(briefPlan(700+10*int64(i)+seed, deployment, 6, c.faults...))
 				if c.moreLongJobs {
-					r.Clients.deployment.Streams[1].MeanInterval /= 4
-					r.Clients.deployment.Streams[1].CancelRate = 0.4
+					r.Clients.Deployment.Streams[1].MeanInterval /= 4
+					r.Clients.Deployment.Streams[1].CancelRate = 0.4
 				}
 				if c.neverRetry {
 					r.Clients.MaxRetries = 0
--- a/sim/disruption_test.go
+++ b/sim/disruption_test.go
@@ -25,15 +25,15 @@
 func newBusyRun(seed int64, change func(*config.Table), flows ...deployment.Flow) *Run {
 	r := New(Plan{Seed: seed, Deployment: "kingston", UnresolvedTimeout: 30 * time.Second})
 	r.Clients.RacingOperators, r.Clients.CancelRate = false, 0
-	t := r.Clients.deployment.Table()
+	t := r.Clients.Deployment.Table()
 	change(&t)
-	r.After(3*time.Second, func() { r.Clients.putTable(t, "g1", func(bool) {}) })
+	r.After(3*time.Second, func() { r.Clients.PutTable(t, "g1", func(bool) {}) })
 	r.After(6*time.Second, func() {
 		if flows == nil {
-			flows = r.Clients.deployment.Flows
+			flows = r.Clients.Deployment.Flows
 		}
 		for _, f := range flows {
-			r.Clients.startFlow(f)
+			r.Clients.StartFlow(f)
 		}
 	})
 	r.RunUntil(10 * time.Second)
@@ -43,7 +43,7 @@
 // submitJob submits one job through any gateway.
 func (r *Run) submitJob(id string, s state.Spec) {
 	r.Record(history.Event{Kind: history.JobSubmitted, Job: types.JobID(id), Spec: &s})
-	r.Clients.submit(types.JobID(id), wire.EncodeBody(s), r.Clients.anyGateway())
+	r.Clients.Submit(types.JobID(id), wire.EncodeBody(s), r.Clients.AnyGateway())
 }
 
 // firstStart returns when the first attempt of a job started.
@@ -59,7 +59,7 @@
 // settleAndCheck lets all end and judges the history.
 func (r *Run) settleAndCheck(t *testing.T, wait time.Duration) checker.Coverage {
 	t.Helper()
-	r.Clients.open = false
+	r.Clients.Open = false
 	r.RunUntil(time.Duration(r.Now()) + wait)
 	breaks, seen := checker.Check(&r.History, checker.DefaultBounds, r.Now(), 30*time.Second)
 	for i, b := range breaks {
@@ -129,8 +129,8 @@
 
 // observeJob asks after a job now.
 func (r *Run) observeJob(id types.JobID) (h history.Event) {
-	record := func(a wire.Response) { r.Clients.recordObservation(id, a) }
-	r.Request(r.Clients.address, "g2", "job.get", string(id), nil, record)
+	record := func(a wire.Response) { r.Clients.RecordObservation(id, a) }
+	r.Request(r.Clients.Address, "g2", "job.get", string(id), nil, record)
 	r.RunUntil(time.Duration(r.Now()) + 300*time.Millisecond)
 	for _, x := range r.History.Events {
 		if x.Kind == history.JobObserved && x.Job == id {
@@ -236,7 +236,7 @@
 			Target:  state.Target{Rack: "r1"},
 			Windows: []state.CalendarWindow{window},
 		}
-		r.Clients.requestAsOperator("plan.put", "roof", wire.EncodeBody(plan), func() {})
+		r.Clients.RequestAsOperator("plan.put", "roof", wire.EncodeBody(plan), func() {})
 		r.RunUntil(time.Duration(open) - 3*time.Second)
 		r.leader().Kill() // the windows outlive a change of leader
 		r.RunUntil(time.Duration(open) - time.Second)
@@ -340,7 +340,7 @@
 			Work:      deployment.RandomWork(rnd, 800, 1600),
 		}}}
 	}
-	r.Clients.startFlow(deployment.Flow{Queue: "menus", MeanInterval: 30 * time.Millisecond, NewSpec: newSmall})
+	r.Clients.StartFlow(deployment.Flow{Queue: "menus", MeanInterval: 30 * time.Millisecond, NewSpec: newSmall})
 	r.RunUntil(20 * time.Second)
 	var waits []time.Duration
 	for i := range 4 {
--- a/sim/execute.go
+++ b/sim/execute.go
@@ -39,7 +39,7 @@
 	if p.LastFault {
 		r.injectFault(pickOne(r.Random, p.Faults), lastFaultDuration)
 	}
-	r.Clients.open = false
+	r.Clients.Open = false
 	r.RunUntil(p.trafficEnd() + lastHealDelay)
 	r.Heal()
 	r.RunUntil(p.trafficEnd() + p.Settle)
@@ -50,7 +50,7 @@
 // scheduleFirstTable has an operator put the deployment's table, with the plan's time-outs.
 func (r *Run) scheduleFirstTable() {
 	unresolvedTimeout := r.Plan.UnresolvedTimeout
-	t := r.Clients.deployment.Table()
+	t := r.Clients.Deployment.Table()
 	for i := range t.Queues {
 		q := &t.Queues[i]
 		q.UnresolvedTimeoutMillis = int(unresolvedTimeout.Milliseconds())
@@ -58,37 +58,37 @@
 			q.PartitionTimeoutMillis = q.UnresolvedTimeoutMillis
 		}
 	}
-	r.After(firstTableTime, func() { r.Clients.putTable(t, r.Clients.anyGateway(), func(bool) {}) })
+	r.After(firstTableTime, func() { r.Clients.PutTable(t, r.Clients.AnyGateway(), func(bool) {}) })
 }
 
 // startTraffic starts all jobs that a deployment's callers submit.
 func (r *Run) startTraffic() {
-	d := r.Clients.deployment
+	d := r.Clients.Deployment
 	for _, s := range d.Streams {
-		r.Clients.startStream(s)
+		r.Clients.StartStream(s)
 	}
 	if d.Invoked() {
 		return
 	}
 	for _, f := range append(d.Flows[:3:3], d.LongGangs()) {
-		r.Clients.startFlow(f)
+		r.Clients.StartFlow(f)
 	}
 }
 
 // startOperators starts the operators that change the table.
 func (r *Run) startOperators() {
-	if r.Clients.deployment.Invoked() {
-		r.Clients.startVersioningOperators()
+	if r.Clients.Deployment.Invoked() {
+		r.Clients.StartVersioningOperators()
 	} else {
-		r.Clients.startRacingOperators()
+		r.Clients.StartRacingOperators()
 	}
 }
 
 // startTableReads has an operator read the table now and then while there is traffic.
 func (r *Run) startTableReads() {
 	r.After(tableReadInterval, func() {
-		if r.Clients.open {
-			r.Clients.readTable(nil)
+		if r.Clients.Open {
+			r.Clients.ReadTable(nil)
 			r.startTableReads()
 		}
 	})
--- a/sim/fairness_test.go
+++ b/sim/fairness_test.go
@@ -49,7 +49,7 @@
 		}}}
 	}
 	flood := deployment.Flow{Queue: "menus", MeanInterval: 25 * time.Millisecond, NewSpec: newFloodJob}
-	r.After(18*time.Second, func() { r.Clients.startFlow(flood) })
+	r.After(18*time.Second, func() { r.Clients.StartFlow(flood) })
 	r.RunUntil(48 * time.Second)
 	calm := queueCompletionRate(&r.History, "quotes", 8*time.Second, 18*time.Second)
 	full := queueCompletionRate(&r.History, "quotes", 24*time.Second, 48*time.Second)
--- a/sim/fault_targets.go
+++ b/sim/fault_targets.go
@@ -111,7 +111,7 @@
 // allExcept returns the addresses of all processes and clients but some.
 func (r *Run) allExcept(excluded ...types.Addr) []types.Addr {
 	var rest []types.Addr
-	for _, a := range append(slices.Clone(r.NodeOrder), r.Clients.address) {
+	for _, a := range append(slices.Clone(r.NodeOrder), r.Clients.Address) {
 		if !slices.Contains(excluded, a) {
 			rest = append(rest, a)
 		}
--- a/sim/goodput_test.go
+++ b/sim/goodput_test.go
@@ -41,7 +41,7 @@
 	}, heavyFlow(every), deployment.Named("kingston").Flows[1], deployment.Named("kingston").Flows[2])
 	r.Clients.ImpatientRate = impatientRate
 	for _, f := range also {
-		r.Clients.startFlow(f)
+		r.Clients.StartFlow(f)
 	}
 	r.RunUntil(50 * time.Second)
 	good = history.CompletionRate(&r.History, int64(25*time.Second), int64(50*time.Second))
--- a/sim/invoked_workers_test.go
+++ b/sim/invoked_workers_test.go
@@ -103,9 +103,9 @@
 // newGangRun is a deployment of nothing but gangs, in which something goes wrong from 5 s on.
 func newGangRun(seed int64, how func(*Run)) *Run {
 	r := New(calmPlan(seed, "kingston-called", false))
-	r.Clients.deployment.Streams = r.Clients.deployment.Streams[:1]
+	r.Clients.Deployment.Streams = r.Clients.Deployment.Streams[:1]
 	shape := deployment.JobShape{Queue: "quotes", Steps: 1, Tasks: 6, TaskMS: 900, Cores: 3, MemoryMB: 900, GangRate: 1}
-	stream := &r.Clients.deployment.Streams[0]
+	stream := &r.Clients.Deployment.Streams[0]
 	stream.MeanInterval = 120 * time.Millisecond
 	stream.NewSpec = func(rnd *rand.Rand, now int64) state.Spec { return shape.NewSpec(rnd, now, 16) }
 	r.After(5*time.Second, func() { how(r) })
--- a/sim/leader_bench_test.go
+++ b/sim/leader_bench_test.go
@@ -49,11 +49,11 @@
 	const settle = 14 * time.Second
 	p := Plan{Seed: 1, Deployment: "kingston-grown", Quick: true, Before: settle + time.Duration(b.N)*time.Second}
 	r := New(p)
-	for i := range r.Clients.deployment.Streams {
-		r.Clients.deployment.Streams[i].MeanInterval /= 2
+	for i := range r.Clients.Deployment.Streams {
+		r.Clients.Deployment.Streams[i].MeanInterval /= 2
 	}
 	r.After(3*time.Second, func() {
-		r.Clients.putTable(r.Clients.deployment.Table(), r.Clients.anyGateway(), func(bool) {})
+		r.Clients.PutTable(r.Clients.Deployment.Table(), r.Clients.AnyGateway(), func(bool) {})
 	})
 	r.After(6*time.Second, r.startTraffic)
 	r.advance(settle)
--- a/sim/linearizability_recorder_test.go
+++ b/sim/linearizability_recorder_test.go
@@ -82,7 +82,7 @@
 // daemon picks one to ask: a gateway, or a controller itself.
 func (or *operationRecorder) daemon() types.Addr {
 	if or.Random.Intn(2) == 0 {
-		return pickOne(or.Random, or.Clients.gateways)
+		return pickOne(or.Random, or.Clients.Gateways)
 	}
 	return pickOne(or.Random, or.controllers).Addr
 }
@@ -111,7 +111,7 @@
 	case n < 6 && len(or.submitted) > 0:
 		or.putTable(client, or.daemon(), pickOne(or.Random, or.submitted), 0, again)
 	default:
-		t := or.Clients.deployment.Table()
+		t := or.Clients.Deployment.Table()
 		t.Version, t.RequestedVersion = or.newestKnown, or.newestKnown+1+types.Version(or.Random.Intn(2))
 		t.Queues[0].Weight = 1 + or.Random.Intn(900)
 		or.submitted = append(or.submitted, t)
@@ -246,7 +246,7 @@
 	or.Heal()
 	or.Run.RunUntil(time.Duration(or.Now()) + 8*time.Second)
 	for range 2 {
-		or.readTable(0, or.Clients.anyGateway(), func() {})
+		or.readTable(0, or.Clients.AnyGateway(), func() {})
 		for _, id := range or.ids {
 			or.requestJob(0, "job.get", id, state.Spec{}, 9, func() {})
 		}
--- a/sim/linearizability_test.go
+++ b/sim/linearizability_test.go
@@ -247,7 +247,7 @@
 			}
 			to := pickOne(r.Random, r.controllers).Addr
 			if r.Random.Intn(2) == 0 {
-				to = r.Clients.anyGateway()
+				to = r.Clients.AnyGateway()
 			}
 			r.Request("operator", to, "table.put", "", wire.EncodeBody(t), func(a wire.Response) {
 				again(outcomeOf("table.put", a.Error))
@@ -255,7 +255,7 @@
 			r.After(requestTimeout, func() { again(unclear) })
 		}
 		for i := range 2 {
-			t := r.Clients.deployment.Table()
+			t := r.Clients.Deployment.Table()
 			t.RequestedVersion, t.Queues[0].Weight = 5, 100+i
 			r.After(time.Duration(r.Random.Int63n(int64(4*time.Millisecond))), func() { send(t) })
 		}
--- a/sim/operator_faults.go
+++ b/sim/operator_faults.go
@@ -44,10 +44,10 @@
 func (r *Run) drain(target string) (end func()) {
 	accepted, over := false, false
 	cancel := func() {
-		r.Clients.cancelDrain(target, func() { delete(r.drained, target) })
+		r.Clients.CancelDrain(target, func() { delete(r.drained, target) })
 	}
 	drain := config.Drain{WithinMillis: r.Random.Intn(drainSeconds) * 1000}
-	r.Clients.startDrain(target, drain, func() {
+	r.Clients.StartDrain(target, drain, func() {
 		accepted = true
 		if over {
 			cancel()
@@ -72,10 +72,10 @@
 		if end == nil {
 			return nil
 		}
-		r.After(duration/2, func() { r.Clients.putChanges(changes) })
+		r.After(duration/2, func() { r.Clients.PutChanges(changes) })
 		return func() {
 			end()
-			r.Clients.putChanges(changes)
+			r.Clients.PutChanges(changes)
 		}
 	}
 }
--- a/sim/partition_sides.go
+++ b/sim/partition_sides.go
@@ -91,7 +91,7 @@
 
 // zoneFromAll draws a zone, and returns its processes and all others.
 func zoneFromAll(r *Run) (a, b []types.Addr) {
-	size := r.Clients.deployment.Size
+	size := r.Clients.Deployment.Size
 	zone := r.zones[size.Zone(r.Random.Intn(size.Zones))]
 	return zone, r.allExcept(zone...)
 }
--- a/sim/planted_invoked_test.go
+++ b/sim/planted_invoked_test.go
@@ -112,7 +112,7 @@
 		faults: []string{"drain-worker", "notice-worker", "drain-rack"},
 		rules:  []string{"unasked"},
 		plant: func(r *Run) {
-			r.Clients.deployment.Streams[1].MeanInterval /= 4 // more of the long jobs, of which some checkpoint
+			r.Clients.Deployment.Streams[1].MeanInterval /= 4 // more of the long jobs, of which some checkpoint
 			onStart(1, func(c *wire.WorkerCall) {
 				if c.Checkpoint != "" {
 					c.Checkpoint = "0123456789abcdef"
@@ -129,7 +129,7 @@
 		name:  "cancels are acknowledged without effect",
 		rules: []string{"cancel-start", "cancel-run"},
 		plant: func(r *Run) {
-			streams := r.Clients.deployment.Streams
+			streams := r.Clients.Deployment.Streams
 			for i := range streams {
 				streams[i].CancelRate, streams[i].CancelWithin = 0.5, 500*time.Millisecond
 			}
--- a/sim/planted_polling_test.go
+++ b/sim/planted_polling_test.go
@@ -176,10 +176,10 @@
 	})(r)
 	r.Clients.RacingOperators = false
 	r.After(7*time.Second, func() {
-		r.Clients.readTable(func(t config.Table) {
+		r.Clients.ReadTable(func(t config.Table) {
 			t.Queues = slices.Clone(t.Queues)
 			t.Queues[1].MaxRunning = 8
-			r.Clients.putTable(t, "g1", func(bool) {})
+			r.Clients.PutTable(t, "g1", func(bool) {})
 		})
 	})
 }
--- a/sim/quorum_loss_planted_test.go
+++ b/sim/quorum_loss_planted_test.go
@@ -254,7 +254,7 @@
 		r.RunUntil(22 * time.Second)
 		is.True(again()) // the others lead, and the configuration is another
 		answers := map[wire.Verb]wire.Response{}
-		stale := r.Clients.deployment.Table()
+		stale := r.Clients.Deployment.Table()
 		stale.Version = 7
 		requests := map[wire.Verb]json.RawMessage{
 			"table.get":   nil,
--- a/sim/quorum_loss_test.go
+++ b/sim/quorum_loss_test.go
@@ -177,8 +177,8 @@
 	}
 	c := &cutoff{Run: newRun(Plan{Seed: seed, Quick: true, UnresolvedTimeout: 5 * time.Second}, d)}
 	c.Network.Quality = world.NetworkQuality{}
-	table := c.Clients.deployment.Table()
-	c.After(3*time.Second, func() { c.Clients.putTable(table, c.gateways[0].Addr, func(bool) {}) })
+	table := c.Clients.Deployment.Table()
+	c.After(3*time.Second, func() { c.Clients.PutTable(table, c.gateways[0].Addr, func(bool) {}) })
 	if plant != nil {
 		plant(c)
 	}
@@ -188,7 +188,7 @@
 	})
 	c.After(cutFrom, func() { c.beginCut(leads, w) })
 	c.Run.RunUntil(cutEnd + 8*time.Second)
-	c.Clients.open, c.record.stopped = false, true
+	c.Clients.Open, c.record.stopped = false, true
 	c.Run.RunUntil(cutEnd + settledAfter)
 	return c
 }
--- a/sim/random_faults_test.go
+++ b/sim/random_faults_test.go
@@ -49,7 +49,7 @@
 	if plant != nil {
 		plant(r)
 	}
-	r.After(3*time.Second, func() { r.Clients.putTable(d.Table(), "g1", func(bool) {}) })
+	r.After(3*time.Second, func() { r.Clients.PutTable(d.Table(), "g1", func(bool) {}) })
 	r.After(scheduleStart, func() {
 		r.startTraffic()
 		for range 2 {
@@ -70,7 +70,7 @@
 	r.RunUntil(scheduleStart + span)
 	r.Heal()
 	r.advance(4 * time.Second)
-	r.Clients.open = false
+	r.Clients.Open = false
 	r.advance(32 * time.Second)
 	r.endedAt = r.Now()
 	return r
@@ -88,12 +88,12 @@
 // other one does so too, and they race.
 func (r *Run) changes() {
 	r.After(changeEvery/2+time.Duration(r.Random.Int63n(int64(changeEvery))), func() {
-		if !r.Clients.open {
+		if !r.Clients.Open {
 			return
 		}
-		r.Clients.readTable(func(t config.Table) {
+		r.Clients.ReadTable(func(t config.Table) {
 			if len(t.Queues) >= 3 {
-				r.Clients.putTable(r.Clients.nextVersion(t), r.Clients.anyGateway(), func(bool) {})
+				r.Clients.PutTable(r.Clients.NextVersion(t), r.Clients.AnyGateway(), func(bool) {})
 			}
 		})
 		r.changes()
--- a/sim/redirect_test.go
+++ b/sim/redirect_test.go
@@ -25,7 +25,7 @@
 
 // changedTable is the deployment's table with another weight, put on a version.
 func (r *Run) changedTable(base types.Version, weight int) config.Table {
-	t := r.Clients.deployment.Table()
+	t := r.Clients.Deployment.Table()
 	t.Version, t.Queues[0].Weight = base, weight
 	return t
 }
--- a/sim/run.go
+++ b/sim/run.go
@@ -9,6 +9,7 @@
 	"coppercourse/internal/dispatch/protocol"
 	"coppercourse/internal/settings"
 	"coppercourse/internal/types"
+	"coppercourse/sim/clients"
 	"coppercourse/sim/deployment"
 	"coppercourse/sim/worker"
 	"coppercourse/sim/world"
@@ -51,7 +52,7 @@
 type Run struct {
 	*world.World
 	Plan        Plan
-	Clients     *Clients
+	Clients     *clients.Group
 	controllers []*world.Node // a replaced one is not among them
 	gateways    []*world.Node
 	agents      []*world.Node
@@ -90,10 +91,10 @@
 	r.addDaemons(d.Size)
 	r.addWorkers(d)
 	r.scheduleBoots()
-	r.Clients = newClients(r.World, d, addressesOf(r.gateways))
-	r.Clients.CancelRate = defaultCancelRate
+	r.Clients = clients.New(r.World, d, addressesOf(r.gateways))
+	r.Clients.CancelRate = clients.DefaultCancelRate
 	r.Clients.RacingOperators = true
-	r.Clients.MaxRetries = defaultMaxRetries
+	r.Clients.MaxRetries = clients.DefaultMaxRetries
 	r.Network.Quality = usualQuality
 	return r
 }
--- a/sim/scale.go
+++ b/sim/scale.go
@@ -11,6 +11,7 @@
 	"coppercourse/internal/controller"
 	"coppercourse/internal/dispatch/protocol"
 	"coppercourse/internal/types"
+	"coppercourse/sim/clients"
 	"coppercourse/sim/deployment"
 	"coppercourse/sim/history"
 	"coppercourse/sim/world"
@@ -99,7 +100,7 @@
 		r.AddPollingWorker(fleetAddr(workerSubnet, i), agent, s.zone(i), spec)
 	}
 	r.scheduleBoots()
-	r.Clients = newClients(r.World, deployment.Deployment{}, addressesOf(r.gateways))
+	r.Clients = clients.New(r.World, deployment.Deployment{}, addressesOf(r.gateways))
 	return r
 }
 
--- a/sim/scale_load.go
+++ b/sim/scale_load.go
@@ -69,7 +69,7 @@
 // submit submits a job at any gateway.
 func (r *Run) submit(id string, spec state.Spec) {
 	r.Record(history.Event{Kind: history.JobSubmitted, Job: types.JobID(id), Spec: &spec})
-	r.Clients.submit(types.JobID(id), wire.EncodeBody(spec), r.Clients.anyGateway())
+	r.Clients.Submit(types.JobID(id), wire.EncodeBody(spec), r.Clients.AnyGateway())
 }
 
 // startLoad starts long tasks in proportion to those that run at the full size, and then
--- a/sim/scale_measure.go
+++ b/sim/scale_measure.go
@@ -111,7 +111,7 @@
 		return err
 	}
 	acknowledged := false
-	r.Clients.putTable(table, r.gateways[0].Addr, func(accepted bool) { acknowledged = accepted })
+	r.Clients.PutTable(table, r.gateways[0].Addr, func(accepted bool) { acknowledged = accepted })
 	return r.await(healthLimit, "the first table and all workers healthy", func() bool {
 		return acknowledged && r.healthyWorkers() == s.Agents
 	})
@@ -188,7 +188,7 @@
 func (r *Run) timeTableChange(next config.Table) (time.Duration, error) {
 	startedAt := r.Now()
 	acknowledged := false
-	r.Clients.putTable(next, r.Clients.anyGateway(), func(accepted bool) { acknowledged = accepted })
+	r.Clients.PutTable(next, r.Clients.AnyGateway(), func(accepted bool) { acknowledged = accepted })
 	inForce := func(n *world.Node) bool {
 		have, fresh := n.Machine.(*gateway.Gateway).Table()
 		return fresh && have.Version > next.Version
--- a/sim/setup_test.go
+++ b/sim/setup_test.go
@@ -6,12 +6,12 @@
 
 // putFirstTableAt has an operator put the deployment's table at a time.
 func (r *Run) putFirstTableAt(at time.Duration) {
-	r.After(at, func() { r.Clients.putTable(r.Clients.deployment.Table(), "g1", func(bool) {}) })
+	r.After(at, func() { r.Clients.PutTable(r.Clients.Deployment.Table(), "g1", func(bool) {}) })
 }
 
 // startFlows starts the usual traffic of a deployment whose workers poll.
 func (r *Run) startFlows() {
-	for _, flow := range r.Clients.deployment.Flows {
-		r.Clients.startFlow(flow)
+	for _, flow := range r.Clients.Deployment.Flows {
+		r.Clients.StartFlow(flow)
 	}
 }
--- a/sim/step_cost_test.go
+++ b/sim/step_cost_test.go
@@ -54,7 +54,7 @@
 			}
 			id := types.JobID(fmt.Sprint("menus-f", i))
 			r.Record(history.Event{Kind: history.JobSubmitted, Job: id, Spec: &s})
-			r.Clients.submit(id, wire.EncodeBody(s), "g1")
+			r.Clients.Submit(id, wire.EncodeBody(s), "g1")
 		}
 		r.RunUntil(14 * time.Second)
 		is.Equal(r.Clients.Refusals["queue_full"], 0)
--- a/sim/voters_helpers_test.go
+++ b/sim/voters_helpers_test.go
@@ -69,7 +69,7 @@
 	ok := false
 	t := deployment.Named("kingston").Table()
 	t.Version = on
-	r.Clients.putTable(t, "g1", func(b bool) { ok = ok || b })
+	r.Clients.PutTable(t, "g1", func(b bool) { ok = ok || b })
 	return func() bool { return ok }
 }
 
--- a/sim/workload.go
+++ b/sim/workload.go
@@ -10,8 +10,8 @@
 
 	"coppercourse/internal/state"
 	"coppercourse/internal/types"
+	"coppercourse/sim/clients"
 	"coppercourse/sim/deployment"
-	"coppercourse/sim/history"
 )
 
 // Submission is one job of a workload.
@@ -55,7 +55,7 @@
 	for i, stream := range d.Streams {
 		random := rand.New(rand.NewSource(seed*int64(len(d.Streams)) + int64(i)))
 		for at := time.Duration(0); ; {
-			interval := (minIntervalPart + random.Float64()) * float64(stream.MeanInterval)
+			interval := (clients.MinIntervalPart + random.Float64()) * float64(stream.MeanInterval)
 			at += time.Duration(interval / (load * rateFactor(at, faults)))
 			if at >= lasts {
 				break
@@ -66,9 +66,9 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b Submission) int { return int(a.At - b.At) })
-	clients := Clients{}
+	group := clients.Group{}
 	for i := range list {
-		list[i].ID = clients.nextJobID(list[i].Spec.Queue)
+		list[i].ID = group.NextJobID(list[i].Spec.Queue)
 	}
 	return list
 }
@@ -81,7 +81,7 @@
 func (r *Run) ExecuteWorkload(workload []Submission, faults []TimedFault, until time.Duration) *Run {
 	r.scheduleFirstTable()
 	for _, s := range workload {
-		r.After(s.At, func() { r.Clients.submitWorkload(s) })
+		r.After(s.At, func() { r.Clients.SubmitDrawn(s.ID, s.Spec) })
 	}
 	for _, f := range faults {
 		r.After(TrafficStart+f.At, func() { r.injectFault(f.Name, f.For) })
@@ -89,20 +89,14 @@
 	if len(workload) > 0 {
 		r.RunUntil(workload[len(workload)-1].At)
 	}
-	r.Clients.open = false
+	r.Clients.Open = false
 	r.Heal()
 	for _, s := range workload {
 		if s.Spec.Steps[0].AlwaysRestart {
-			r.Clients.cancelJob(s.ID)
+			r.Clients.CancelJob(s.ID)
 		}
 	}
 	r.RunUntil(until)
 	r.endedAt = r.Now()
 	return r
 }
-
-// submitWorkload submits a job of a workload for the first time.
-func (c *Clients) submitWorkload(s Submission) {
-	c.world.Record(history.Event{Kind: history.JobSubmitted, Job: s.ID, Spec: &s.Spec})
-	c.submit(s.ID, encodeSpec(s.Spec), c.readyGateway(c.world.Random.Intn(callerZones)))
-}
--- a/sim/zone_partition_test.go
+++ b/sim/zone_partition_test.go
@@ -35,12 +35,12 @@
 	r.After(6*time.Second, r.openFlows)
 	r.RunUntil(20 * time.Second)
 	zone := r.zones["z1"]
-	rest := r.allExcept(append(zone, r.Clients.address)...)
+	rest := r.allExcept(append(zone, r.Clients.Address)...)
 	r.Network.SetPartition(zone, rest, true, true)
 	cut := r.Now()
 	r.RunUntil(30 * time.Second)
 	var refusal *apierror.Error
-	r.Request(r.Clients.address, "g1", "job.cancel", "quotes-1", nil, func(a wire.Response) { refusal = a.Error })
+	r.Request(r.Clients.Address, "g1", "job.cancel", "quotes-1", nil, func(a wire.Response) { refusal = a.Error })
 	r.RunUntil(32 * time.Second)
 	is.Equal(refusal.Kind, apierror.NoLeader) // the cut side's own gateway refuses at once
 	is.True(refusal.RetryAfterSeconds > 1)
@@ -64,7 +64,7 @@
 	t.Logf("cut for %s: jobs done a second %.2f before, %.2f from 12 s after, %d workers healthy",
 		*cutDuration, before, after, healthy)
 	is.True(after > MinRecovery*before)
-	r.Clients.open = false
+	r.Clients.Open = false
 	r.RunUntil(time.Duration(r.Now()) + 40*time.Second)
 	violations, coverage := checker.Check(&r.History, checker.DefaultBounds, r.Now(), 30*time.Second)
 	t.Logf("opportunities:\n%v", coverage)
@@ -76,14 +76,14 @@
 
 // openFlows opens the clients and starts the deployment's usual traffic.
 func (r *Run) openFlows() {
-	r.Clients.open = true
+	r.Clients.Open = true
 	r.startFlows()
 }
 
 // trafficDuringCut runs until the cut's time is over and leaves the usual traffic on:
 // with it all the while, or else with a burst every two minutes.
 func (r *Run) trafficDuringCut(cut int64) {
-	r.Clients.open = *steadyTraffic
+	r.Clients.Open = *steadyTraffic
 	if *steadyTraffic {
 		r.RunUntil(time.Duration(cut) + *cutDuration)
 	}
@@ -91,7 +91,7 @@
 		r.RunUntil(time.Duration(min(end, r.Now()+int64(110*time.Second))))
 		r.openFlows()
 		r.RunUntil(time.Duration(r.Now()) + 10*time.Second)
-		r.Clients.open = false
+		r.Clients.Open = false
 	}
 	if !*steadyTraffic {
 		r.RunUntil(time.Duration(r.Now()) + 12*time.Second) // all streams have ended, so that they are not doubled
@@ -108,7 +108,7 @@
 			continue
 		}
 		sent++
-		r.Request(r.Clients.address, "g1", "job.put", string(h.Job), wire.EncodeBody(h.Spec), func(a wire.Response) {
+		r.Request(r.Clients.Address, "g1", "job.put", string(h.Job), wire.EncodeBody(h.Spec), func(a wire.Response) {
 			if a.Error != nil && a.Error.RetryAfterSeconds == 0 {
 				t.Error(h.Job, a.Error)
 			}
