--- a/internal/controller/attempt_review.go
+++ b/internal/controller/attempt_review.go
@@ -4,15 +4,13 @@
 	"time"
 
 	"coppercourse/internal/dispatch/scheduler"
-	"coppercourse/internal/placement"
-	"coppercourse/internal/policy"
 	"coppercourse/internal/state"
 	"coppercourse/internal/types"
 )
 
 const (
 	// reviewInterval is the least time between two reviews of all attempts for what depends
-	// on time alone: time limits, stalls, maintenance windows, stragglers.
+	// on time alone: time limits, stalls, maintenance windows.
 	reviewInterval = 10 * time.Millisecond
 
 	// departureMargin is how long before its worker must be empty an attempt is withdrawn.
@@ -26,7 +24,6 @@
 type attemptReview struct {
 	windows workerWindows
 	timer   reviewTimer
-	policy  policy.Policy
 }
 
 // reviewTimer limits something to once in each reviewInterval.
@@ -44,16 +41,12 @@
 	return true
 }
 
-// review returns the attempts to withdraw now, and requests for the hedges to start.
-func (r *attemptReview) review(v *leaderView) ([]state.Withdrawal, []placement.Request) {
+// review returns the attempts to withdraw now.
+func (r *attemptReview) review(v *leaderView) []state.Withdrawal {
 	if !r.timer.due(v.now) {
-		return nil, nil
+		return nil
 	}
-	attempts := v.scheduler.Attempts()
-	if r.policy.NoHedges {
-		return r.toWithdraw(v, attempts), nil
-	}
-	return r.toWithdraw(v, attempts), hedgeRequests(v, attempts)
+	return r.toWithdraw(v, v.scheduler.Attempts())
 }
 
 // toWithdraw lists the attempts to withdraw now.
@@ -65,7 +58,7 @@
 		if reason == "" && broken[attempt.StageID()] {
 			reason = state.GangPeerUnreachable
 		}
-		if reason == "" && r.straggles(v, attempt) {
+		if reason == "" && isStalled(v, attempt) {
 			reason = state.Straggling
 		}
 		if reason != "" && canWithdraw(v.state, attempt.ID) {
@@ -75,11 +68,6 @@
 	return list
 }
 
-// straggles reports whether an attempt is so far behind that its task is better done elsewhere.
-func (r *attemptReview) straggles(v *leaderView, attempt *scheduler.OutstandingAttempt) bool {
-	return isStalled(v, attempt) || !r.policy.NoStragglerRestart && isWorthRestarting(v, attempt)
-}
-
 // departingWorkers returns the workers that must be empty soon, and why.
 func (r *attemptReview) departingWorkers(v *leaderView) map[types.Shard]state.WithdrawReason {
 	departing := map[types.Shard]state.WithdrawReason{}
--- a/internal/controller/attempt_review_test.go
+++ b/internal/controller/attempt_review_test.go
@@ -42,7 +42,7 @@
 				drain.Deadline = l.raft.Clock().Add(c.in)
 			}
 			l.log.state().Drains = []state.Drain{drain}
-			list, _ := l.planner.review.review(l.view(l.now))
+			list := l.planner.review.review(l.view(l.now))
 			if !c.want {
 				is.Equal(len(list), 0)
 				return
@@ -50,7 +50,7 @@
 			is.Equal(list, []state.Withdrawal{{ID: attemptID("j", 0, 1), Reason: state.WorkerDrained}})
 			l.apply(t, state.Command{Withdrawals: list})
 			l.now = l.now.Add(reviewInterval)
-			list, _ = l.planner.review.review(l.view(l.now))
+			list = l.planner.review.review(l.view(l.now))
 			is.Equal(len(list), 0) // it is being withdrawn
 		})
 	}
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -38,7 +38,7 @@
 	return planner{
 		locality: newLocality(options),
 		policy:   options.Policy,
-		review:   attemptReview{windows: windows, policy: options.Policy},
+		review:   attemptReview{windows: windows},
 		rounds:   assignmentRounds{assignments: map[types.TaskID]state.Assignment{}},
 		ranking:  newJobRanking(options.Policy),
 		limits:   newCoreLimits(),
@@ -77,12 +77,11 @@
 	return p.planFull(v)
 }
 
-// planFull makes a full round: the review withdraws and hedges attempts, new work is placed,
+// planFull makes a full round: the review withdraws attempts, new work is placed,
 // and if nothing at all could be done, preemption makes room.
 func (p *planner) planFull(v *leaderView) round {
 	p.rounds.allApplied()
-	withdrawals, hedges := p.review.review(v)
-	result := round{withdrawals: withdrawals}
+	result := round{withdrawals: p.review.review(v)}
 	if v.scheduler.InInitialWait() {
 		return result
 	}
@@ -91,17 +90,12 @@
 	if len(in.Requests) == 0 {
 		p.reservation = nil
 		p.waits.reset()
-	}
-	if len(in.Requests)+len(hedges) == 0 {
 		return result
 	}
 	in.Slots, in.TotalCores = p.slots.list(v, p.ends, &p.rounds)
-	if len(in.Requests) > 0 {
-		out := p.place(v, in)
-		p.reservation = out.Reservation
-		result.assignments = p.assign(v.state, out.Assignments)
-	}
-	result.assignments = append(result.assignments, placeHedges(v, in, hedges)...)
+	out := p.place(v, in)
+	p.reservation = out.Reservation
+	result.assignments = p.assign(v.state, out.Assignments)
 	if result.empty() && p.reservation == nil && !p.policy.NoPreemption {
 		result.withdrawals, p.reservation = p.preemption.find(v, in)
 	}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -31,10 +31,6 @@
 	NoDataRackWait   bool // a task doesn't wait for the rack of its data
 	NoLocalityFactor bool // a task away from its data counts as a slow one
 
-	// What is run again.
-	NoStragglerRestart bool // an attempt on a slow worker is left there
-	NoHedges           bool // no second attempt runs beside a slow one
-
 	// After a loss.
 	NoEarlyInitialWait bool // a new leader always waits until all leases before it have ended
 	NoEndBroadcast     bool // agents report ends to the leader only
@@ -73,8 +69,6 @@
 		{"data-rack", func(p *Policy) *bool { return &p.NoDataRack }},
 		{"data-rack-wait", func(p *Policy) *bool { return &p.NoDataRackWait }},
 		{"locality-factor", func(p *Policy) *bool { return &p.NoLocalityFactor }},
-		{"straggler-restart", func(p *Policy) *bool { return &p.NoStragglerRestart }},
-		{"hedges", func(p *Policy) *bool { return &p.NoHedges }},
 		{"early-initial-wait", func(p *Policy) *bool { return &p.NoEarlyInitialWait }},
 		{"end-broadcast", func(p *Policy) *bool { return &p.NoEndBroadcast }},
 		{"gateway-end-buffer", func(p *Policy) *bool { return &p.NoGatewayEndBuffer }},
--- a/sim/experiment/run_test.go
+++ b/sim/experiment/run_test.go
@@ -23,7 +23,7 @@
 		Policies: []PolicyPlan{
 			{Name: "all on"},
 			{Name: "no long poll", Off: []string{"long-poll"}},
-			{Name: "no data rack", Off: []string{"data-rack", "hedges"}},
+			{Name: "no data rack", Off: []string{"data-rack", "worker-speed"}},
 		},
 		Deployments: []string{"drawn-1"},
 		Days:        []Day{{Name: "leader", Faults: []DayFault{{Fault: "kill-leader", AtS: 1, ForS: 1}}}},
