--- a/internal/dispatch/scheduler/slowdown.go
+++ b/internal/dispatch/scheduler/slowdown.go
@@ -24,9 +24,10 @@
 	slowdownHalfLife = 2 * time.Second
 	// slowThreshold is the slowdown from which a worker counts as slow.
 	slowThreshold = 1.4
-	// stragglerRatio is how many times as long as elsewhere an attempt takes that counts
-	// as a straggler.
-	stragglerRatio = 2.2
+	// stragglerRatio is how many times as long as others of its stage elsewhere an attempt
+	// takes that counts as a straggler. Tasks of one stage differ by half and more, and so do
+	// workers; what takes ten times as long stands still.
+	stragglerRatio = 10
 )
 
 // recordDuration takes how long an attempt takes by an estimate, or has taken if it has
