--- a/internal/dispatch/scheduler/slowdown.go
+++ b/internal/dispatch/scheduler/slowdown.go
@@ -28,6 +28,9 @@
 	// takes that counts as a straggler. Tasks of one stage differ by half and more, and so do
 	// workers; what takes ten times as long stands still.
 	stragglerRatio = 10
+	// overdueRatio is how many times as long as others elsewhere a straggler has run already:
+	// the first estimates of a member of a gang count the wait for the other members.
+	overdueRatio = 2
 )
 
 // recordDuration takes how long an attempt takes by an estimate, or has taken if it has
@@ -45,7 +48,8 @@
 		return
 	}
 	worker.slowdown.add(sc.now, float64(atData)/float64(elsewhere))
-	isStraggler := !hasEnded && float64(atData) > stragglerRatio*float64(elsewhere)
+	isOverdue := sc.now.Sub(attempt.OrderedAt) > overdueRatio*elsewhere
+	isStraggler := !hasEnded && isOverdue && float64(atData) > stragglerRatio*float64(elsewhere)
 	if isStraggler {
 		attempt.StragglerEnd = attempt.OrderedAt.Add(duration)
 	} else {
--- a/internal/dispatch/scheduler/slowdown_test.go
+++ b/internal/dispatch/scheduler/slowdown_test.go
@@ -58,6 +58,7 @@
 			sampleStage(sc, test.elsewhere...)
 			id := types.AttemptID{TaskID: types.TaskID{Job: "j"}, Attempt: 1}
 			attempt := &OutstandingAttempt{ID: id, Shard: "s", OrderedAt: testStart}
+			sc.now = testStart.Add(3 * time.Second)
 			sc.recordDuration(attempt, test.duration, test.hasEnded)
 			want := types.MonoTime(0)
 			if test.wantStraggler {
@@ -93,3 +94,19 @@
 	sc.recordDuration(remote, farBehind, false)
 	is.True(remote.StragglerEnd > 0) // beside its data it is one
 }
+
+// TestStragglersAreOverdue: the first estimates of a member of a gang count the wait for the
+// others.
+func TestStragglersAreOverdue(t *testing.T) {
+	is := is.New(t)
+	sc, _ := newTestScheduler()
+	sampleStage(sc, time.Second, time.Second, time.Second)
+	id := types.AttemptID{TaskID: types.TaskID{Job: "j"}, Attempt: 1}
+	attempt := &OutstandingAttempt{ID: id, Shard: "s", OrderedAt: testStart}
+	sc.now = testStart.Add(overdueRatio * time.Second)
+	sc.recordDuration(attempt, time.Minute, false)
+	is.Equal(attempt.StragglerEnd, types.MonoTime(0))
+	sc.now++
+	sc.recordDuration(attempt, time.Minute, false)
+	is.True(attempt.StragglerEnd > 0)
+}
