--- a/internal/repotest/layers_test.go
+++ b/internal/repotest/layers_test.go
@@ -24,6 +24,7 @@
 	{"cmd/coppercourse", "sim/history"},
 	{"sim/worker"},
 	{"sim/checker", "sim/deployment", "sim/world"},
+	{"sim/clients"},
 	{"sim", "sim/fleet"},
 	{"sim/capacity", "sim/experiment"},
 	{"cmd/coppersim"},
