--- a/sim/compaction_storm_test.go
+++ b/sim/compaction_storm_test.go
@@ -259,13 +259,13 @@
 			n.Disk.LosesRewrite = true
 		}
 	},
-	"a follower drops its entries after a snapshot": func(r *Run) { r.TamperMessage = unmatchSnapshots(r) },
+	"a follower drops its entries after a snapshot": func(r *Run) { r.TamperMessage = unmatchSnapshots() },
 }
 
 // unmatchSnapshots gives snapshots, and what follows them, the term before that of their last
 // entry: a follower that has this entry does not know it and drops what comes after it, as
 // members did before step 6 of InstallSnapshot was there.
-func unmatchSnapshots(_ *Run) func(*wire.OutboundMessage) bool {
+func unmatchSnapshots() func(*wire.OutboundMessage) bool {
 	type position struct {
 		index types.Index
 		term  types.Term
