state, config, wire: types for tenants, their keys as hashes and their limits

Rows of the queue table for tenants, a tenant in a job and in a forwarded request, two kinds of error.

--- a/internal/apierror/kind.go
+++ b/internal/apierror/kind.go
@@ -13,6 +13,8 @@
 	TooLarge       Kind = "too_large"
 	NoSuchPath     Kind = "no_such_path"
 	NoSuchMethod   Kind = "no_such_method"
+	Unauthorized   Kind = "unauthorized" // no tenant holds the key, or there is none
+	Forbidden      Kind = "forbidden"    // the job is another tenant's
 	NoSuchJob      Kind = "no_such_job"
 	NoSuchQueue    Kind = "no_such_queue"
 	NoSuchWorker   Kind = "no_such_worker"
@@ -43,6 +45,8 @@
 	TooLarge:       http.StatusRequestEntityTooLarge,
 	NoSuchPath:     http.StatusNotFound,
 	NoSuchMethod:   http.StatusMethodNotAllowed,
+	Unauthorized:   http.StatusUnauthorized,
+	Forbidden:      http.StatusForbidden,
 	NoSuchJob:      http.StatusNotFound,
 	NoSuchQueue:    http.StatusUnprocessableEntity,
 	NoSuchWorker:   http.StatusNotFound,
--- a/internal/config/queue.go
+++ b/internal/config/queue.go
@@ -32,6 +32,9 @@
 	PathPrefix string            `json:"prefix,omitempty"`  // of its route; empty for no route
 	Service    types.ServiceKind `json:"service,omitempty"` // which workers run its tasks, if a job does not say
 
+	// RequiresKey says that requests on its route need a key of a tenant.
+	RequiresKey bool `json:"requires_key,omitempty"`
+
 	// A job should be done within TargetFactor times the critical path of its steps plus
 	// TargetMarginMillis. Without a TargetFactor there is no latency target.
 	Priority             int     `json:"priority,omitempty"` // 0 goes first
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -19,6 +19,7 @@
 	Orphans          OrphanPolicy    `json:"orphans,omitempty"`
 	Queues           []Queue         `json:"queues"`
 	Services         []Service       `json:"services,omitempty"`
+	Tenants          []Tenant        `json:"tenants,omitempty"`
 	Limits           Limits          `json:"limits,omitzero"`
 	Source           json.RawMessage `json:"source,omitempty"` // the operator's own document, as it came
 }
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -26,6 +26,7 @@
 	Seq              uint64               `json:"seq"`  // position in the order of acceptance
 	Hash             string               `json:"hash"` // of the Spec; see Spec.Hash
 	Queue            types.QueueName      `json:"queue"`
+	Tenant           types.TenantName     `json:"tenant,omitempty"`
 	AcceptedAt       types.ClusterTime    `json:"at"`
 	AcceptedWallTime types.WallTime       `json:"wall"`
 	Status           JobStatus            `json:"state"`
--- a/internal/state/job_spec.go
+++ b/internal/state/job_spec.go
@@ -12,11 +12,14 @@
 
 // Spec is a job as its caller describes it.
 type Spec struct {
-	Queue    types.QueueName `json:"queue"`
-	Urgency  int             `json:"urgency,omitempty"` // 0 to 9; in a queue the higher goes first
-	Steps    []Step          `json:"steps"`
-	Schedule *Schedule       `json:"times,omitempty"` // nil for one occurrence, at once
-	Work     json.RawMessage `json:"work,omitempty"`  // for steps that have none of their own
+	Queue types.QueueName `json:"queue"`
+	// Tenant is whose job it is, by the key that the request carried; empty for a request
+	// without one.
+	Tenant   types.TenantName `json:"tenant,omitempty"`
+	Urgency  int              `json:"urgency,omitempty"` // 0 to 9; in a queue the higher goes first
+	Steps    []Step           `json:"steps"`
+	Schedule *Schedule        `json:"times,omitempty"` // nil for one occurrence, at once
+	Work     json.RawMessage  `json:"work,omitempty"`  // for steps that have none of their own
 	// Request is the hash of what the caller wrote, if the rest of the Spec depends on
 	// the configuration by which the request was read. See RequestHash.
 	Request string `json:"request,omitempty"`
@@ -115,10 +118,10 @@
 	return hex.EncodeToString(sum[:hashBytes])
 }
 
-// RequestHash returns the hash of what the caller wrote, without the queue and the kinds
-// of workers, which the configuration of the moment added.
+// RequestHash returns the hash of what the caller wrote, without the queue, the tenant and
+// the kinds of workers, which the configuration of the moment added.
 func (s Spec) RequestHash() string {
-	s.Queue, s.Request, s.Steps = "", "", slices.Clone(s.Steps)
+	s.Queue, s.Tenant, s.Request, s.Steps = "", "", "", slices.Clone(s.Steps)
 	for i := range s.Steps {
 		s.Steps[i].Kind = ""
 	}
--- a/internal/state/submission.go
+++ b/internal/state/submission.go
@@ -46,7 +46,7 @@
 	s.LastSeq++
 	spec := &submission.Spec
 	job := &Job{
-		ID: submission.ID, Seq: s.LastSeq, Hash: spec.Hash(), Queue: spec.Queue,
+		ID: submission.ID, Seq: s.LastSeq, Hash: spec.Hash(), Queue: spec.Queue, Tenant: spec.Tenant,
 		AcceptedAt: s.Time, AcceptedWallTime: types.WallTime(s.Time) + s.WallOffset,
 		Status: JobOpen, Spec: spec, TaskCount: spec.TotalTasks(), ApproxBytes: spec.ApproxBytes(),
 		snapshotNumber: s.snapshotNumber, // a snapshot in progress began before the job was there
--- a/internal/types/identities.go
+++ b/internal/types/identities.go
@@ -18,6 +18,8 @@
 	ServiceKind string
 	// QueueName names one queue of the queue table.
 	QueueName string
+	// TenantName names one tenant of the queue table.
+	TenantName string
 	// JobID is a job's identity, chosen by its caller.
 	JobID string
 	// Term is an election term of the replicated log.
--- a/internal/types/resources.go
+++ b/internal/types/resources.go
@@ -87,6 +87,13 @@
 	return r.Cores >= other.Cores && r.MemoryMB >= other.MemoryMB && r.Accelerators >= other.Accelerators
 }
 
+// Within reports whether r keeps a limit, of which a part that is 0 bounds nothing.
+func (r Resources) Within(limit Resources) bool {
+	return (limit.Cores == 0 || r.Cores <= limit.Cores) &&
+		(limit.MemoryMB == 0 || r.MemoryMB <= limit.MemoryMB) &&
+		(limit.Accelerators == 0 || r.Accelerators <= limit.Accelerators)
+}
+
 // unlimited is the FitCount of resources that are all 0.
 const unlimited = 1 << 30
 
--- a/internal/wire/forward.go
+++ b/internal/wire/forward.go
@@ -10,10 +10,12 @@
 // ForwardedRequest is the body of a ForwardRequest: a client's request, which a gateway
 // sends to the controller that it takes for the leader.
 type ForwardedRequest struct {
-	ID   uint64          `json:"id"` // the gateway's own number for it
-	Verb Verb            `json:"verb"`
-	Arg  string          `json:"arg,omitempty"`
-	Body json.RawMessage `json:"body,omitempty"`
+	ID   uint64 `json:"id"` // the gateway's own number for it
+	Verb Verb   `json:"verb"`
+	Arg  string `json:"arg,omitempty"`
+	// Tenant is whose request it is, by its key; empty for a request without one.
+	Tenant types.TenantName `json:"tenant,omitempty"`
+	Body   json.RawMessage  `json:"body,omitempty"`
 }
 
 // ForwardedReply is the body of a ForwardReply: the response to a forwarded request.
--- a/internal/wire/machine.go
+++ b/internal/wire/machine.go
@@ -50,7 +50,8 @@
 type Request struct {
 	Token   uint64
 	Verb    Verb
-	Arg     string // what the path names: an id, or a kind and an id
+	Arg     string           // what the path names: an id, or a kind and an id
+	Tenant  types.TenantName // whose request it is, by its key; empty for a request without one
 	Body    json.RawMessage
 	Timeout time.Duration // how long the client waits; 0 if that is not known
 }
