controller: what a tenant submits beyond its weight runs last, and little of it waits

A tenant's weight is its share in jobs a second. Without it one loud tenant's jobs ranked like all others and delayed them.

--- a/internal/apierror/kind.go
+++ b/internal/apierror/kind.go
@@ -27,6 +27,7 @@
 	StaleVersion   Kind = "stale_edition"
 	QueueInUse     Kind = "queue_in_use"
 	QueueFull      Kind = "queue_full"
+	TenantOverRate Kind = "tenant_over_rate" // it submits more jobs a second than its weight
 	TooManyIDs     Kind = "too_many_ids"
 	TooBusy        Kind = "too_busy"
 	NoLeader       Kind = "no_leader"
@@ -59,6 +60,7 @@
 	StaleVersion:   http.StatusConflict,
 	QueueInUse:     http.StatusConflict,
 	QueueFull:      http.StatusTooManyRequests,
+	TenantOverRate: http.StatusTooManyRequests,
 	TooManyIDs:     http.StatusServiceUnavailable,
 	TooBusy:        http.StatusServiceUnavailable,
 	NoLeader:       http.StatusServiceUnavailable,
@@ -72,6 +74,7 @@
 // Retryable are the kinds whose response has a Retry-After header.
 var Retryable = map[Kind]bool{
 	QueueFull:      true,
+	TenantOverRate: true,
 	TooManyIDs:     true,
 	TooBusy:        true,
 	NoLeader:       true,
--- a/internal/config/tenant.go
+++ b/internal/config/tenant.go
@@ -11,7 +11,8 @@
 type Tenant struct {
 	Name      types.TenantName `json:"name"`
 	KeyHashes []KeyHash        `json:"key_hashes"`
-	// Weight is how many jobs a second the tenant may submit when the cluster is full.
+	// Weight is how many jobs a second are the tenant's share; what it submits beyond that runs
+	// behind the jobs of others, and little of it may wait. 0 bounds nothing.
 	Weight float64 `json:"weight,omitempty"`
 	// Limit bounds what its tasks use over all workers; a part that is 0 bounds nothing.
 	Limit types.Resources `json:"limit,omitzero"`
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -61,6 +61,7 @@
 	requests *requestTable
 	// forwarded remembers the submissions that gateways have forwarded to this process.
 	forwarded *forwardedSubmissions
+	rates     *tenantRates
 	overload  *overload
 	outbox    *outbox
 	trace     *trace.Ring
@@ -77,6 +78,7 @@
 		leader:    c.leader,
 		requests:  c.requests,
 		forwarded: newForwardedSubmissions(),
+		rates:     newTenantRates(),
 		overload:  c.overload,
 		outbox:    c.outbox,
 		trace:     c.Trace,
--- a/internal/controller/job_ranking.go
+++ b/internal/controller/job_ranking.go
@@ -107,9 +107,19 @@
 	if !r.policy.NoRanking {
 		rank.sortKey = -tardinessCost(lostValue, remainingWork, untilLost)
 	}
+	if j.OverRate {
+		return rank.afterOthers()
+	}
 	return rank
 }
 
+// afterOthers returns the rank of a job over its tenant's rate: behind all jobs within theirs.
+func (jr jobRank) afterOthers() jobRank {
+	jr.class = placement.TargetMissed
+	jr.sortKey *= missedPart
+	return jr
+}
+
 // jobWork returns the work of a job's tasks that have not ended, and of all its tasks, in
 // core-seconds.
 func jobWork(v *leaderView, j *state.Job, ready *state.ReadyIndex) (remaining, total float64) {
--- a/internal/controller/job_requests.go
+++ b/internal/controller/job_requests.go
@@ -27,7 +27,11 @@
 	if err == nil {
 		err = checkFeasible(a.log.state(), spec)
 	}
-	command := state.Command{Job: &state.Submission{ID: id, Spec: spec}}
+	submission := &state.Submission{ID: id, Spec: spec}
+	if err == nil {
+		submission.OverRate, err = a.rates.admit(r.now.Mono, a.log.state(), spec.Tenant)
+	}
+	command := state.Command{Job: submission}
 	if err != nil {
 		a.refuse(r, a.withRetryAfter(r.now, err, command))
 		return
--- a/internal/state/helpers_test.go
+++ b/internal/state/helpers_test.go
@@ -41,7 +41,7 @@
 // submitJob submits a job as "j".
 func submitJob(t *testing.T, s *State, text string) *Job {
 	t.Helper()
-	apply(s, sec, Command{Job: &Submission{"j", readTestSpec(t, text)}})
+	apply(s, sec, Command{Job: &Submission{ID: "j", Spec: readTestSpec(t, text)}})
 	return s.Jobs["j"]
 }
 
@@ -69,7 +69,7 @@
 
 // submission is a command that submits a job of n tasks.
 func submission(id string, n int) Command {
-	return Command{Job: &Submission{types.JobID(id), Spec{Queue: "q", Steps: []Step{{
+	return Command{Job: &Submission{ID: types.JobID(id), Spec: Spec{Queue: "q", Steps: []Step{{
 		Name: "a", Kind: "x", Resources: types.Resources{Cores: types.Core}, Tasks: n,
 	}}}}}
 }
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -27,6 +27,7 @@
 	Hash             string               `json:"hash"` // of the Spec; see Spec.Hash
 	Queue            types.QueueName      `json:"queue"`
 	Tenant           types.TenantName     `json:"tenant,omitempty"`
+	OverRate         bool                 `json:"over_rate,omitempty"` // see Submission.OverRate
 	AcceptedAt       types.ClusterTime    `json:"at"`
 	AcceptedWallTime types.WallTime       `json:"wall"`
 	Status           JobStatus            `json:"state"`
--- a/internal/state/queue_usage.go
+++ b/internal/state/queue_usage.go
@@ -13,6 +13,9 @@
 // UnfinishedJobs returns how many unfinished jobs a queue has.
 func (s *State) UnfinishedJobs(queue types.QueueName) int { return s.index.usage[queue].jobs }
 
+// UnfinishedOverRate returns how many unfinished jobs of a tenant are over its rate.
+func (s *State) UnfinishedOverRate(tenant types.TenantName) int { return s.index.overRate[tenant] }
+
 // budget is one of the limits on all unfinished work.
 type budget struct {
 	unit  string
--- a/internal/state/queue_usage_test.go
+++ b/internal/state/queue_usage_test.go
@@ -27,7 +27,8 @@
 	spec := submission("", 100).Job.Spec
 	submit := func(queue string, i int) *apierror.Error {
 		spec.Queue = types.QueueName(queue)
-		_, rejection := s.Apply(Command{Time: sec, Job: &Submission{types.JobID(fmt.Sprint(queue, "-", i)), spec}})
+		submission := &Submission{ID: types.JobID(fmt.Sprint(queue, "-", i)), Spec: spec}
+		_, rejection := s.Apply(Command{Time: sec, Job: submission})
 		return rejection
 	}
 	accepted := -1
--- a/internal/state/submission.go
+++ b/internal/state/submission.go
@@ -11,6 +11,8 @@
 type Submission struct {
 	ID   types.JobID `json:"id"`
 	Spec Spec        `json:"spec"`
+	// OverRate says that its tenant submitted more jobs a second than its weight.
+	OverRate bool `json:"over_rate,omitempty"`
 }
 
 // CheckJob reports whether a job may be accepted now: it returns the earlier job if the
@@ -47,6 +49,7 @@
 	spec := &submission.Spec
 	job := &Job{
 		ID: submission.ID, Seq: s.LastSeq, Hash: spec.Hash(), Queue: spec.Queue, Tenant: spec.Tenant,
+		OverRate:   submission.OverRate,
 		AcceptedAt: s.Time, AcceptedWallTime: types.WallTime(s.Time) + s.WallOffset,
 		Status: JobOpen, Spec: spec, TaskCount: spec.TotalTasks(), ApproxBytes: spec.ApproxBytes(),
 		snapshotNumber: s.snapshotNumber, // a snapshot in progress began before the job was there
--- a/internal/state/submission_test.go
+++ b/internal/state/submission_test.go
@@ -15,13 +15,13 @@
 	s := newTestState(t)
 	spec := readTestSpec(t, `{"queue":"q","steps":[{"name":"a","kind":"x"}]}`)
 	for _, id := range []types.JobID{"a", "b", "a"} {
-		_, rejection := s.Apply(Command{Time: sec, Job: &Submission{id, spec}})
+		_, rejection := s.Apply(Command{Time: sec, Job: &Submission{ID: id, Spec: spec}})
 		is.True(rejection == nil)
 	}
-	_, rejection := s.Apply(Command{Time: sec, Job: &Submission{"c", spec}})
+	_, rejection := s.Apply(Command{Time: sec, Job: &Submission{ID: "c", Spec: spec}})
 	is.Equal(rejection.Kind, apierror.QueueFull)
 	spec.Urgency = 3
-	_, rejection = s.Apply(Command{Time: sec, Job: &Submission{"a", spec}})
+	_, rejection = s.Apply(Command{Time: sec, Job: &Submission{ID: "a", Spec: spec}})
 	is.Equal(rejection.Kind, apierror.IDInUse)
 	s.BeginSnapshot()
 	apply(s, sec, Command{Cancel: "a"}) // after the snapshot began
@@ -43,7 +43,7 @@
 	s := New()
 	first := tableChange(0, 1, 1)
 	apply(s, sec, Command{Table: &first})
-	apply(s, sec, Command{Job: &Submission{"j", spec("q", "red", 1)}})
+	apply(s, sec, Command{Job: &Submission{ID: "j", Spec: spec("q", "red", 1)}})
 	moved := tableChange(1, 2, 1)
 	moved.Queues[0].Name = "other" // the same route now leads to another queue
 	apply(s, 2*sec, Command{Table: &moved})
