config: tables carry tenants; a key of two tenants makes one invalid

The product's own document reads the tenants' rows: name, keys (hashed at once) or hashes, weight, limit, and a queue's requires_key. Table.Check reports a key of two tenants, repeated names and hashes, negative values and more than 50,000 keys; no error shows a key or a hash. A table of an earlier daemon reads, and is encoded, as before.

The tests failed before: tenants was an unknown field, and Check looked at queues only. TestTablesWithoutTenantsReadAsBefore passed before and guards what stored tables rely on.

--- a/internal/config/table_check.go
+++ b/internal/config/table_check.go
@@ -11,7 +11,7 @@
 const maxTotalSharePercent = 100
 
 // Check adds the errors of a table as a whole: a version that is not above the base,
-// repeated names and routes, unknown services, shares over 100%.
+// repeated names and routes, unknown services, shares over 100%, tenants that share a key.
 func (t Table) Check(errs *apierror.ErrorList) {
 	errs.Check(t.RequestedVersion == 0 || t.RequestedVersion > t.Version,
 		"becomes", "must be above the edition it is based on")
@@ -27,6 +27,7 @@
 		shares += queue.SharePercent
 	}
 	errs.Check(shares <= maxTotalSharePercent, "queues", "the shares add up to more than 100")
+	CheckTenants(t.Tenants, "tenants", "key_hashes", errs)
 }
 
 // queueChecker checks the queues of a table, each against those before it.
--- a/internal/config/table_decode.go
+++ b/internal/config/table_decode.go
@@ -51,6 +51,11 @@
 				table.Services = append(table.Services, readService(r, path))
 			})
 		},
+		"tenants": func(path string) {
+			r.Array(path, maxTenants, func(path string, _ int) {
+				table.Tenants = append(table.Tenants, readTenant(r, path))
+			})
+		},
 		"limits": func(path string) { readLimits(r, path, &table.Limits) },
 		"source": Raw(r, (*[]byte)(&table.Source), maxSourceBytes),
 	})
@@ -88,6 +93,7 @@
 		"host":            Text(r, &queue.Host, AnyText),
 		"prefix":          Text(r, &queue.PathPrefix, Optional(checkPathPrefix)),
 		"service":         Text(r, &queue.Service, Optional(CheckName)),
+		"requires_key":    Bool(r, &queue.RequiresKey),
 		"priority":        Int(r, &queue.Priority, 0, 9),
 		"stretch":         Float(r, &queue.TargetFactor, 0, 1000),
 		"target_ms":       Int(r, &queue.TargetMarginMillis, 0, dayMillis),
