--- a/cmd/coppercourse/controller_daemon.go
+++ b/cmd/coppercourse/controller_daemon.go
@@ -45,11 +45,16 @@
 type controllerObserver struct {
 	machine *controller.Controller
 	states  stateLogger[controllerState]
+	tenants tenantLogger
 	ready   atomic.Bool
 }
 
 func newControllerObserver(machine *controller.Controller, log logr.Logger) *controllerObserver {
-	return &controllerObserver{machine: machine, states: stateLogger[controllerState]{log: log}}
+	return &controllerObserver{
+		machine: machine,
+		states:  stateLogger[controllerState]{log: log},
+		tenants: tenantLogger{log: log},
+	}
 }
 
 // AfterStep implements server.Observer.
@@ -62,6 +67,7 @@
 func (co *controllerObserver) Status() any {
 	status := co.machine.Status()
 	co.states.update(newControllerState(status))
+	co.tenants.update(co.machine.Table())
 	return status
 }
 
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"coppercourse/internal/config"
 	"coppercourse/internal/membership"
 	"coppercourse/internal/raft"
 	"coppercourse/internal/types"
@@ -83,6 +84,9 @@
 	return view
 }
 
+// Table returns the table in force as far as this controller knows.
+func (c *Controller) Table() config.Table { return c.log.state().Table }
+
 // statusReason returns why this controller is not as it should be, or nothing.
 func (c *Controller) statusReason(lossesTolerated int) string {
 	switch {
