--- a/internal/server/event_queue_test.go
+++ b/internal/server/event_queue_test.go
@@ -20,7 +20,7 @@
 		taken++
 	}
 	is.True(taken >= 1000)
-	response := loop.Ask(context.Background(), "job.get", "a", nil)
+	response := loop.Ask(context.Background(), wire.Request{Verb: "job.get", Arg: "a"})
 	is.Equal(response.Error.Kind, apierror.TooBusy)
 	is.True(response.Error.RetryAfterSeconds > 0)
 	others := []wire.Kind{wire.AppendEntries, wire.RequestVote, wire.ConfigWatch, wire.Heartbeat, wire.StatusReport}
--- a/internal/server/gateway_handlers.go
+++ b/internal/server/gateway_handlers.go
@@ -82,7 +82,8 @@
 			WriteError(w, err)
 			return
 		}
-		WriteResponse(w, h.Loop.Ask(r.Context(), verb, pathArgument(r), wire.EncodeBody(document)))
+		request := wire.Request{Verb: verb, Arg: pathArgument(r), Body: wire.EncodeBody(document)}
+		WriteResponse(w, h.Loop.Ask(r.Context(), request))
 	}
 }
 
--- a/internal/server/handlers.go
+++ b/internal/server/handlers.go
@@ -61,7 +61,7 @@
 			WriteError(w, apierror.New(apierror.BadBody, "", "not well-formed JSON"))
 			return
 		}
-		WriteResponse(w, h.Loop.Ask(r.Context(), verb, pathArgument(r), body))
+		WriteResponse(w, h.Loop.Ask(r.Context(), wire.Request{Verb: verb, Arg: pathArgument(r), Body: body}))
 	}
 }
 
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync/atomic"
 	"time"
 
@@ -12,21 +11,21 @@
 )
 
 // Ask has the machine answer a request and waits for the response until ctx ends. Any
-// goroutine may call it.
+// goroutine may call it. Ask sets the request's Token and Timeout.
 //
 // A request that submits work is rejected at once while the loop is overloaded. The
 // response's error says that the request was not accepted only if the machine never took
 // it. Where the machine may have taken it, the error's kind is OutcomeUnknown.
-func (el *EventLoop) Ask(ctx context.Context, verb wire.Verb, arg string, body json.RawMessage) wire.Response {
+func (el *EventLoop) Ask(ctx context.Context, request wire.Request) wire.Response {
 	if el.hasStopped() {
 		err := apierror.New(apierror.ShuttingDown, "", "this daemon is stopping")
 		return errorResponse(err.WithRetryAfter(time.Second))
 	}
 	delay := el.queue.callerDelay()
-	if wire.SubmitsWork(verb) && delay > workqueue.MaxSubmitDelay {
+	if wire.SubmitsWork(request.Verb) && delay > workqueue.MaxSubmitDelay {
 		return el.rejectBusy(max(delay, time.Second))
 	}
-	e := newRequestEvent(ctx, verb, arg, body)
+	e := newRequestEvent(ctx, request)
 	if !el.queue.push(e) {
 		return el.rejectBusy(max(delay, time.Second))
 	}
@@ -44,13 +43,12 @@
 }
 
 // newRequestEvent returns the event of a request whose caller waits until ctx ends.
-func newRequestEvent(ctx context.Context, verb wire.Verb, arg string, body json.RawMessage) queuedEvent {
-	request := &wire.Request{Verb: verb, Arg: arg, Body: body}
+func newRequestEvent(ctx context.Context, request wire.Request) queuedEvent {
 	if deadline, ok := ctx.Deadline(); ok {
 		request.Timeout = max(1, time.Until(deadline))
 	}
 	return queuedEvent{
-		Event:     wire.Event{Request: request},
+		Event:     wire.Event{Request: &request},
 		responses: make(chan wire.Response, 1),
 		claimed:   &atomic.Bool{},
 	}
--- a/internal/server/requests_test.go
+++ b/internal/server/requests_test.go
@@ -18,14 +18,14 @@
 	is := is.New(t)
 	now := types.MonoTime(0)
 	loop, _ := newStalledLoop(t, &now)
-	go loop.Ask(t.Context(), "job.get", "a", nil)
+	go loop.Ask(t.Context(), wire.Request{Verb: "job.get", Arg: "a"})
 	loop.waitForQueued(1)
 	now = types.MonoTime(workqueue.MaxSubmitDelay + 2*time.Second)
-	response := loop.Ask(context.Background(), "job.put", "b", nil)
+	response := loop.Ask(context.Background(), wire.Request{Verb: "job.put", Arg: "b"})
 	is.Equal(response.Error.Kind, apierror.TooBusy)
 	is.Equal(response.Error.RetryAfterSeconds, 5) // twice the delay of the oldest request
 	is.Equal(loop.queue.len(), 1)
-	go loop.Ask(t.Context(), "job.cancel", "a", nil) // submits no work: it is queued
+	go loop.Ask(t.Context(), wire.Request{Verb: "job.cancel", Arg: "a"}) // submits no work: it is queued
 	loop.waitForQueued(2)
 }
 
@@ -38,7 +38,7 @@
 	ctx, giveUp := context.WithCancel(context.Background())
 	defer giveUp()
 	responses := make(chan wire.Response)
-	go func() { responses <- loop.Ask(ctx, "job.put", "a", nil) }()
+	go func() { responses <- loop.Ask(ctx, wire.Request{Verb: "job.put", Arg: "a"}) }()
 	loop.waitForQueued(1)
 	giveUp()
 	is.Equal((<-responses).Error.Kind, apierror.TooBusy)
@@ -54,7 +54,7 @@
 	now := types.MonoTime(0)
 	loop, machine := newStalledLoop(t, &now)
 	responses := make(chan wire.Response)
-	go func() { responses <- loop.Ask(t.Context(), "job.get", "a", nil) }()
+	go func() { responses <- loop.Ask(t.Context(), wire.Request{Verb: "job.get", Arg: "a"}) }()
 	loop.waitForQueued(1)
 	now = types.MonoTime(workqueue.MaxRequestWait) + 1
 	loop.tick()
@@ -71,12 +71,12 @@
 		loop := newTestLoop(t, Config{Machine: machine})
 		stop := runInBackground(t, loop)
 		responses := make(chan wire.Response)
-		go func() { responses <- loop.Ask(context.Background(), "job.put", "a", nil) }()
+		go func() { responses <- loop.Ask(context.Background(), wire.Request{Verb: "job.put", Arg: "a"}) }()
 		synctest.Wait() // the machine has it, and may have forwarded it to the leader
 		is.Equal(machine.requests(), 1)
 		stop()
 		is.Equal((<-responses).Error.Kind, apierror.OutcomeUnknown)
-		late := loop.Ask(context.Background(), "job.put", "a", nil)
+		late := loop.Ask(context.Background(), wire.Request{Verb: "job.put", Arg: "a"})
 		is.Equal(late.Error.Kind, apierror.ShuttingDown) // this one it never saw
 		is.Equal(machine.requests(), 1)
 	})
@@ -87,12 +87,12 @@
 		is := is.New(t)
 		loop := newTestLoop(t, Config{Machine: &echoMachine{}})
 		stop := runInBackground(t, loop)
-		is.Equal(string(loop.Ask(context.Background(), "x", "", nil).Body), "false")
+		is.Equal(string(loop.Ask(context.Background(), wire.Request{Verb: "x"}).Body), "false")
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		is.Equal(string(loop.Ask(ctx, "x", "", nil).Body), "true")
+		is.Equal(string(loop.Ask(ctx, wire.Request{Verb: "x"}).Body), "true")
 		stop()
 		<-loop.stopped
-		is.Equal(loop.Ask(context.Background(), "x", "", nil).Error.Kind, apierror.ShuttingDown)
+		is.Equal(loop.Ask(context.Background(), wire.Request{Verb: "x"}).Error.Kind, apierror.ShuttingDown)
 	})
 }
