--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -103,7 +103,7 @@
 		g.leader.forwarded(p.sentAt, to)
 	}
 	g.Counters.Forwards++
-	body := wire.ForwardedRequest{ID: p.id, Verb: p.Verb, Arg: p.Arg, Body: p.Body}
+	body := wire.ForwardedRequest{ID: p.id, Verb: p.Verb, Arg: p.Arg, Tenant: p.Tenant, Body: p.Body}
 	g.core.Send(wire.NewMessage(g.core.Self().Addr, to, wire.ForwardRequest, body))
 }
 
