controller, state: a job is seen, cancelled and sent again by its own tenant only

A tenant who knew or guessed another's job id could see and cancel the job, and the same request under another key was answered as the first tenant's job. The leader answers 403 to the first two and 409 id_in_use to the third. Jobs without a tenant, and requests without one (an open route, the operator), aren't restricted. A job's hash leaves out the tenant, so that a tenant may send a job again that was accepted before tenants were known; the hash of a job without tenant is as before.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -43,7 +43,8 @@
 	caller caller
 	now    types.Now
 	verb   wire.Verb
-	arg    string // what it is about, such as a job's ID
+	arg    string           // what it is about, such as a job's ID
+	tenant types.TenantName // whose request it is; empty for an operator's, or one without a key
 	body   json.RawMessage
 }
 
@@ -96,12 +97,13 @@
 func forwardedRequest(now types.Now, message wire.Message) (request, bool) {
 	r, ok := wire.DecodeBody[wire.ForwardedRequest](message)
 	from := caller{gateway: message.From, requestID: r.ID}
-	return request{caller: from, now: now, verb: r.Verb, arg: r.Arg, body: r.Body}, ok
+	return request{caller: from, now: now, verb: r.Verb, arg: r.Arg, tenant: r.Tenant, body: r.Body}, ok
 }
 
 // handleClient handles a request of a client of this daemon.
 func (a *api) handleClient(now types.Now, r wire.Request) {
-	a.handle(request{caller: caller{token: r.Token}, now: now, verb: r.Verb, arg: r.Arg, body: r.Body})
+	from := caller{token: r.Token}
+	a.handle(request{caller: from, now: now, verb: r.Verb, arg: r.Arg, tenant: r.Tenant, body: r.Body})
 }
 
 // handle serves a request that admit lets through.
--- a/internal/controller/job_requests.go
+++ b/internal/controller/job_requests.go
@@ -52,6 +52,10 @@
 // getJob shows a job, once the ends of its attempts that are in flight are committed.
 func (a *api) getJob(r request) {
 	id := types.JobID(r.arg)
+	if err := a.checkOwner(r); err != nil {
+		a.outbox.replyError(r.caller, err)
+		return
+	}
 	if !a.requests.holdRead(r.caller, id, a.log.applied()) {
 		a.replyJob(r.caller, id)
 	}
@@ -66,9 +70,23 @@
 	a.outbox.replyError(from, apierror.New(apierror.NoSuchJob, "id", "no such job"))
 }
 
+// checkOwner returns why the tenant of a request may not see or cancel the job that it is
+// about, or nil.
+func (a *api) checkOwner(r request) *apierror.Error {
+	job := a.log.state().Find(types.JobID(r.arg))
+	if job == nil || job.BelongsTo(r.tenant) {
+		return nil
+	}
+	return apierror.New(apierror.Forbidden, "id", "the job is another tenant's")
+}
+
 // cancelJob cancels a job.
 func (a *api) cancelJob(r request) {
 	id := types.JobID(r.arg)
+	if err := a.checkOwner(r); err != nil {
+		a.outbox.replyError(r.caller, err)
+		return
+	}
 	switch isRepeat, err := a.log.state().CheckCancel(id); {
 	case err != nil:
 		a.outbox.replyError(r.caller, err)
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -51,6 +51,12 @@
 	return j.Status == JobDone || j.Status == JobFailed || j.Status == JobCancelled
 }
 
+// BelongsTo reports whether a tenant may see and change the job: it is the tenant's own, or
+// nobody's, or the request is not a tenant's and the name is empty.
+func (j *Job) BelongsTo(tenant types.TenantName) bool {
+	return j.Tenant == "" || tenant == "" || j.Tenant == tenant
+}
+
 // Task returns the task with a number, or nil if there is none or the job has ended.
 func (j *Job) Task(number int) *Task {
 	if j.Spec == nil {
--- a/internal/state/job_spec.go
+++ b/internal/state/job_spec.go
@@ -108,11 +108,12 @@
 const hashBytes = 8
 
 // Hash returns a hash by which two jobs under one id are distinguished, in hexadecimal.
-// It doesn't depend on the layout of the request's body.
+// It doesn't depend on the layout of the request's body, nor on the tenant.
 func (s Spec) Hash() string {
 	if s.Request != "" {
 		return s.Request
 	}
+	s.Tenant = ""
 	encoded, _ := json.Marshal(s) // fails only for a Work that is not JSON, which ReadSpec rejects
 	sum := sha256.Sum256(encoded)
 	return hex.EncodeToString(sum[:hashBytes])
--- a/internal/state/submission.go
+++ b/internal/state/submission.go
@@ -18,7 +18,7 @@
 // rejection is of the kind IDInUse, NoSuchQueue, QueueFull or TooManyIDs.
 func (s *State) CheckJob(id types.JobID, spec Spec) (known *Job, rejection *apierror.Error) {
 	if job := s.Find(id); job != nil {
-		if job.Hash != spec.Hash() {
+		if job.Hash != spec.Hash() || !job.BelongsTo(spec.Tenant) {
 			return nil, apierror.New(apierror.IDInUse, "id", "another job has this id")
 		}
 		return job, nil
--- a/internal/state/submission_test.go
+++ b/internal/state/submission_test.go
@@ -70,3 +70,30 @@
 		}
 	}
 }
+
+// Guards against incident 33: the same request under the key of another tenant was answered
+// as that tenant's job.
+func TestSameJobOfAnotherTenantIsRefused(t *testing.T) {
+	is := is.New(t)
+	spec := func(tenant types.TenantName, request string) Spec {
+		return Spec{
+			Queue: "q", Tenant: tenant, Request: request,
+			Steps: []Step{{Name: "s0", Kind: "red", Tasks: 1}},
+		}
+	}
+	s := New()
+	first := tableChange(0, 1, 1)
+	apply(s, sec, Command{Table: &first})
+	for id, request := range map[types.JobID]string{"plain": "", "read": "a hash"} {
+		apply(s, sec, Command{Job: &Submission{id, spec("one", request)}})
+		for _, s := range []*State{s, restoredCopy(t, s)} {
+			is.Equal(s.Find(id).Tenant, types.TenantName("one"))
+			_, rejection := s.CheckJob(id, spec("two", request))
+			is.Equal(rejection.Kind, apierror.IDInUse)
+			for _, tenant := range []types.TenantName{"one", ""} {
+				known, rejection := s.CheckJob(id, spec(tenant, request))
+				is.True(rejection == nil && known != nil)
+			}
+		}
+	}
+}
