settings: quotaExcess, by what part of its limit a tenant may exceed it

The settings file's bound reaches the controller's options; nothing uses it yet. A settings file without it gives 0.

--- a/cmd/coppercourse/controller_daemon.go
+++ b/cmd/coppercourse/controller_daemon.go
@@ -29,6 +29,7 @@
 		RaftTimeouts:     s.Timeouts.Raft(),
 		DispatchTimeouts: s.Timeouts.Dispatch(),
 		RemoteSlowdown:   s.Bounds.RemoteSlowdown,
+		QuotaExcess:      s.Bounds.QuotaExcess,
 	}, records)
 	loop := server.NewEventLoop(server.Config{
 		Machine:  machine,
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -29,7 +29,9 @@
 	DispatchTimeouts  protocol.Timeouts
 	SnapshotThreshold types.Index // entries between two snapshots at least; 0 is DefaultSnapshotThreshold
 	RemoteSlowdown    float64     // how many times as long a task takes away from its data; 0 means as long
-	Policy            policy.Policy
+	// QuotaExcess is by what part of its limit a tenant may exceed it for a while.
+	QuotaExcess float64
+	Policy      policy.Policy
 }
 
 // Controller is one controller as a state machine. It joins the parts, and has a field for
--- a/internal/settings/bounds.go
+++ b/internal/settings/bounds.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Bounds are what the surroundings of a cluster require of it, in milliseconds except for the
-// last one. 0 is no bound. The timeouts can be derived from them, so that no time has to be
+// last two. 0 is no bound. The timeouts can be derived from them, so that no time has to be
 // set twice.
 type Bounds struct {
 	MaxLeaseMS     int     // the longest lease that a worker accepts
@@ -21,6 +21,7 @@
 	CheckpointMS   int     // work between two checkpoints
 	RestoreMS      int     // how long it takes to continue from a checkpoint
 	RemoteSlowdown float64 // how many times as long a task takes away from its data
+	QuotaExcess    float64 // by what part of its limit a tenant may exceed it for a while
 }
 
 // DefaultBounds are the bounds where the settings give no others.
