controller, placement: a tenant gets no more than its limit

Rounds placed whatever fitted the workers.

The leader now counts what each tenant uses from the replicated state: an attempt from its assignment in a round in flight until its end is known, those of cancelled jobs and withdrawn ones included, in all three resources. placement.Place never assigns beyond the limit; a tenant that runs nothing may start one task of any size, or a gang whose other members keep the limit and its excess. Requests that the limit leaves no room for are left out before they are ranked; no workers are reserved and nothing is preempted for them.

--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -25,6 +25,7 @@
 	ranking     jobRanking
 	limits      coreLimits
 	slots       slotCache
+	quotaExcess float64 // see placement.TenantUsage.Excess
 	ends        *endTracker
 	locality    locality
 	policy      policy.Policy
@@ -36,14 +37,15 @@
 // attempts have released their resources.
 func newPlanner(windows workerWindows, ends *endTracker, options Options) planner {
 	return planner{
-		locality: newLocality(options),
-		policy:   options.Policy,
-		review:   attemptReview{windows: windows},
-		rounds:   assignmentRounds{assignments: map[types.TaskID]state.Assignment{}},
-		ranking:  newJobRanking(options.Policy),
-		limits:   newCoreLimits(),
-		slots:    slotCache{windows: windows},
-		ends:     ends,
+		locality:    newLocality(options),
+		policy:      options.Policy,
+		review:      attemptReview{windows: windows},
+		rounds:      assignmentRounds{assignments: map[types.TaskID]state.Assignment{}},
+		ranking:     newJobRanking(options.Policy),
+		limits:      newCoreLimits(),
+		slots:       slotCache{windows: windows},
+		quotaExcess: options.QuotaExcess,
+		ends:        ends,
 	}
 }
 
@@ -85,8 +87,8 @@
 	if v.scheduler.InInitialWait() {
 		return result
 	}
-	in := placement.Input{Reservation: p.reservation, Policy: p.policy}
-	in.Requests, in.Usage = p.readyWork(v)
+	in := p.readyWork(v)
+	in.Reservation = p.reservation
 	if len(in.Requests) == 0 {
 		p.reservation = nil
 		p.waits.reset()
@@ -108,8 +110,8 @@
 	if p.rounds.full(applied) || v.scheduler.InInitialWait() || p.reservation != nil {
 		return round{}
 	}
-	in := placement.Input{Policy: p.policy}
-	if in.Requests, in.Usage = p.readyWork(v); len(in.Requests) == 0 {
+	in := p.readyWork(v)
+	if len(in.Requests) == 0 {
 		return round{}
 	}
 	in.Slots, in.TotalCores = p.slots.list(v, p.ends, &p.rounds)
@@ -143,26 +145,29 @@
 	return list
 }
 
-// readyWork lists what may start now, and what each queue uses. The list is valid until the
-// next call.
-func (p *planner) readyWork(v *leaderView) ([]placement.Request, map[types.QueueName]*placement.QueueUsage) {
-	list, usage := p.requests[:0], queueUsage(v.state)
+// readyWork lists what may start now, and what each queue and each tenant with a limit uses.
+// The list is valid until the next call. What its tenant's limit leaves no room for is not
+// in it, so that it costs a round nothing.
+func (p *planner) readyWork(v *leaderView) placement.Input {
+	in := placement.Input{Usage: queueUsage(v.state), Tenants: p.tenantUsage(v), Policy: p.policy}
+	list := p.requests[:0]
 	for _, j := range v.state.LiveJobs() {
-		used := usage[j.Queue]
+		used := in.Usage[j.Queue]
 		if used == nil {
 			continue
 		}
 		ready := v.state.ReadyIndex(j, v.clock)
 		used.RunningTasks += ready.OutstandingAttempts
-		used.CoresInUse += ready.CoresInUse
+		used.CoresInUse += ready.InUse.Cores
 		for _, stage := range ready.Stages {
-			if stage.Tasks = p.unassigned(j, stage, used); len(stage.Tasks) > 0 {
+			stage.Tasks = p.unassigned(j, stage, used)
+			if len(stage.Tasks) > 0 && tenantAllows(in.Tenants[j.Tenant], j, stage) {
 				list = append(list, p.request(v, j, used.Queue, ready, stage))
 			}
 		}
 	}
-	p.requests = list
-	return list, usage
+	p.requests, in.Requests = list, list
+	return in
 }
 
 // queueUsage returns the queues, those removed with jobs in them too, with nothing in use.
@@ -211,6 +216,7 @@
 	return placement.Request{
 		StageID:      types.StageID{Job: j.ID, Stage: stage},
 		Queue:        j.Queue,
+		Tenant:       j.Tenant,
 		Urgency:      j.Spec.Urgency,
 		Kind:         step.Kind,
 		Rack:         step.Rack,
--- a/internal/controller/planner_test.go
+++ b/internal/controller/planner_test.go
@@ -78,7 +78,7 @@
 	second := l.plan(6)
 	is.Equal(len(second.assignments), 1)
 	is.Equal(second.assignments[0].ID, attemptID("second", 0, 1))
-	_, usage := l.planner.readyWork(l.view(l.now))
+	usage := l.planner.readyWork(l.view(l.now)).Usage
 	is.Equal(usage["q"].RunningTasks, 2) // what is in flight counts as in use
 	is.Equal(usage["q"].CoresInUse, types.MilliCores(2000))
 
--- a/internal/controller/preemption.go
+++ b/internal/controller/preemption.go
@@ -50,7 +50,7 @@
 		return nil, nil
 	}
 	for _, request := range in.Requests {
-		if !mayPreempt(request, in.Usage[request.Queue]) {
+		if !mayPreempt(request, in.Usage[request.Queue], in.Tenants[request.Tenant]) {
 			continue
 		}
 		victims := chooseVictims(request, in.Slots, preemptionCandidates(v, request, in))
@@ -64,8 +64,12 @@
 	return nil, nil
 }
 
-// mayPreempt reports whether a request may preempt other work.
-func mayPreempt(request placement.Request, usage *placement.QueueUsage) bool {
+// mayPreempt reports whether a request may preempt other work; tenant is nil if it has no
+// limit.
+func mayPreempt(request placement.Request, usage *placement.QueueUsage, tenant *placement.TenantUsage) bool {
+	if tenant != nil && !tenant.Allows(request.Resources, request.MinTasks()) {
+		return false
+	}
 	return usage != nil && usage.Queue.CanPreempt && request.WaitingFor >= preemptionDelay &&
 		len(request.Tasks) > 0 && usage.RunningTasks+request.MinTasks() <= usage.Queue.MaxRunning
 }
--- a/internal/controller/queue_view.go
+++ b/internal/controller/queue_view.go
@@ -22,9 +22,9 @@
 // queueViews views the queues in the table's order.
 func (l *leader) queueViews(now types.MonoTime) []QueueView {
 	s := l.log.state()
-	requests, usage := l.planner.readyWork(l.view(now))
+	in := l.planner.readyWork(l.view(now))
 	ready := map[types.QueueName]int{}
-	for _, request := range requests {
+	for _, request := range in.Requests {
 		ready[request.Queue] += len(request.Tasks)
 	}
 	oldest := map[types.QueueName]types.ClusterTime{}
@@ -41,8 +41,8 @@
 			Share:          queue.SharePercent,
 			UnfinishedJobs: s.UnfinishedJobs(queue.Name),
 			JobLimit:       queue.MaxUnfinished,
-			TasksRunning:   usage[queue.Name].RunningTasks,
-			CoresInUse:     usage[queue.Name].CoresInUse,
+			TasksRunning:   in.Usage[queue.Name].RunningTasks,
+			CoresInUse:     in.Usage[queue.Name].CoresInUse,
 			TasksReady:     ready[queue.Name],
 		}
 		if at, ok := oldest[queue.Name]; ok {
--- /dev/null
+++ b/internal/controller/tenant_usage.go
@@ -0,0 +1,53 @@
+package controller
+
+import (
+	"coppercourse/internal/placement"
+	"coppercourse/internal/state"
+	"coppercourse/internal/types"
+)
+
+// tenantUsage returns the tenants that have a limit and what each has in use. All of it is
+// counted from the replicated state: each attempt from its assignment until its end is
+// known, whatever has become of its job, and what the rounds in flight assign. So a new
+// leader, which plans once it has applied everything committed, counts the same.
+func (p *planner) tenantUsage(v *leaderView) map[types.TenantName]*placement.TenantUsage {
+	usage := map[types.TenantName]*placement.TenantUsage{}
+	for name, limit := range v.state.TenantLimits() {
+		if limit != (types.Resources{}) {
+			usage[name] = &placement.TenantUsage{Limit: limit, Excess: p.quotaExcess}
+		}
+	}
+	if len(usage) == 0 {
+		return nil
+	}
+	for _, j := range v.state.LiveJobs() {
+		if used := usage[j.Tenant]; used != nil {
+			ready := v.state.ReadyIndex(j, v.clock)
+			used.RunningTasks += ready.OutstandingAttempts
+			used.InUse = used.InUse.Add(ready.InUse)
+		}
+	}
+	for task := range p.rounds.pending() {
+		j := v.state.Jobs[task.Job]
+		if j == nil || j.Ended() {
+			continue
+		}
+		if used := usage[j.Tenant]; used != nil {
+			used.Add(j.Spec.Steps[types.StageOf(task.TaskNumber).Step()].Resources, 1)
+		}
+	}
+	return usage
+}
+
+// tenantAllows reports whether a job's tenant may start a task of a stage, or its gang;
+// usage is nil for a tenant without a limit.
+func tenantAllows(usage *placement.TenantUsage, j *state.Job, stage state.ReadyStage) bool {
+	if usage == nil {
+		return true
+	}
+	step, tasks := &j.Spec.Steps[stage.Stage.Step()], 1
+	if step.Gang {
+		tasks = len(stage.Tasks)
+	}
+	return usage.Allows(step.Resources, tasks)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -4,7 +4,8 @@
 // Queues take turns by priority and by how little they have in use of their share. In its
 // turn a queue places the first of its requests, the tasks of one stage that may start
 // (Request). A request that fits no worker (Slot) is passed over and delays nothing behind
-// it; a gang is placed whole or not at all.
+// it; a gang is placed whole or not at all. A tenant never gets more than its limit
+// (TenantUsage): beyond it its requests are left out, and nothing is reserved for them.
 //
 // A request that is passed over for ReserveAfter while others take capacity that it could
 // use gets a reservation: capacity on named workers on which others may start only what
@@ -20,13 +21,14 @@
 // MaxAssignments is how many tasks one round places at most; the next round goes on.
 const MaxAssignments = 400
 
-// Input is all that a round depends on. Place changes its requests, slots and usage.
+// Input is all that a round depends on. Place changes its requests, slots and usages.
 type Input struct {
 	Requests    []Request // oldest first
 	Slots       []Slot
 	Usage       map[types.QueueName]*QueueUsage // requests of other queues are left out
-	TotalCores  types.MilliCores                // of all workers, for the queues' shares
-	Reservation *Reservation                    // of the last round, or nil
+	Tenants     map[types.TenantName]*TenantUsage
+	TotalCores  types.MilliCores // of all workers, for the queues' shares
+	Reservation *Reservation     // of the last round, or nil
 	Policy      policy.Policy
 }
 
@@ -47,7 +49,7 @@
 	r := newRound(input)
 	r.honorReservation()
 	r.placeInTurn()
-	if r.passedOver != nil && r.bypassed && !r.Policy.NoReservation {
+	if r.passedOver != nil && r.bypassed && r.mayRun(r.passedOver) && !r.Policy.NoReservation {
 		r.output.Reservation = r.reserve(r.passedOver)
 	}
 	return r.output
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -11,8 +11,9 @@
 // because it holds all that is asked of a worker and all that decides on the order.
 type Request struct {
 	types.StageID
-	Queue types.QueueName
-	Tasks []int // their numbers; assigned ones are removed
+	Queue  types.QueueName
+	Tenant types.TenantName // whose limit holds for it, or empty
+	Tasks  []int            // their numbers; assigned ones are removed
 
 	// What the tasks ask of a worker.
 	Kind          types.ServiceKind
--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -29,14 +29,14 @@
 }
 
 // honorReservation places the request that has the reservation, or keeps the reservation
-// in force. It lapses when the request is no longer there or its queue may not run it, or
-// when one of the workers is no longer feasible.
+// in force. It lapses when the request is no longer there or its queue or its tenant may
+// not run it, or when one of the workers is no longer feasible.
 func (r *round) honorReservation() {
 	if r.Reservation == nil {
 		return
 	}
 	request, usage := r.reservedRequest()
-	if request == nil || !usage.hasQuota(request) {
+	if request == nil || !usage.hasQuota(request) || !r.mayRun(request) {
 		return
 	}
 	if slots := r.findSlots(request, request.MinTasks()); slots != nil {
@@ -138,7 +138,10 @@
 	if request.Class == TargetMissed || request.Gang || r.Policy.NoReservation {
 		return
 	}
-	for range request.Tasks {
+	for tasks := range request.Tasks {
+		if !r.tenantAllows(request, tasks+1) {
+			return
+		}
 		slot := r.slotToReserve(request)
 		if slot == nil || (r.roundReservations+1)*roundReservationDivisor > len(r.Slots) {
 			return
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -38,7 +38,7 @@
 			return
 		}
 		request := &turn.requests[0]
-		if !turn.usage.allows(request) {
+		if !turn.usage.allows(request) || !r.mayRun(request) {
 			turn.requests = turn.requests[1:]
 			continue
 		}
@@ -107,5 +107,8 @@
 	}
 	usage.RunningTasks += len(slots)
 	usage.CoresInUse += types.MilliCores(len(slots)) * request.Resources.Cores
+	if tenant := r.Tenants[request.Tenant]; tenant != nil {
+		tenant.Add(request.Resources, len(slots))
+	}
 	request.Tasks = request.Tasks[len(slots):]
 }
--- a/internal/state/job_index.go
+++ b/internal/state/job_index.go
@@ -26,11 +26,16 @@
 	inOrder []*Job                         // the live ones, oldest first, and some that have ended since
 	ended   []*Job                         // in the order of their ends
 	usage   map[types.QueueName]queueUsage // what the live jobs of each queue hold
+	tenants map[types.TenantName]int       // how many live jobs each tenant has; none without one
 }
 
 // newJobIndex lists jobs.
 func newJobIndex(jobs map[types.JobID]*Job) jobIndex {
-	ji := jobIndex{live: map[types.JobID]*Job{}, usage: map[types.QueueName]queueUsage{}}
+	ji := jobIndex{
+		live:    map[types.JobID]*Job{},
+		usage:   map[types.QueueName]queueUsage{},
+		tenants: map[types.TenantName]int{},
+	}
 	for _, job := range jobs {
 		if job.Ended() {
 			ji.ended = append(ji.ended, job)
@@ -59,13 +64,17 @@
 	ji.addUsage(job, -1)
 }
 
-// addUsage adds a job to its queue's usage, or removes it with sign -1.
+// addUsage adds a job to the usage of its queue and of its tenant, or removes it with
+// sign -1.
 func (ji *jobIndex) addUsage(job *Job, sign int) {
 	usage := ji.usage[job.Queue]
 	usage.jobs += sign
 	usage.tasks += sign * job.TaskCount
 	usage.bytes += sign * job.ApproxBytes
 	ji.usage[job.Queue] = usage
+	if ji.tenants[job.Tenant] += sign; job.Tenant == "" || ji.tenants[job.Tenant] == 0 {
+		delete(ji.tenants, job.Tenant)
+	}
 }
 
 // liveInOrder returns the live jobs, oldest first. The list is valid until the next change.
--- a/internal/state/queue_table.go
+++ b/internal/state/queue_table.go
@@ -62,6 +62,7 @@
 		return nil
 	}
 	s.keepRemovedQueues(table)
+	s.keepRemovedTenants(table)
 	s.Table = table.Accepted()
 	s.History.add(changeOf(table))
 	s.failExhaustedTasks()
--- a/internal/state/ready_index.go
+++ b/internal/state/ready_index.go
@@ -13,7 +13,7 @@
 type ReadyIndex struct {
 	Stages              []ReadyStage
 	OutstandingAttempts int
-	CoresInUse          types.MilliCores  // by the outstanding attempts
+	InUse               types.Resources   // by the outstanding attempts
 	RemainingTasks      []int             // tasks that are not done, of each step, in occurrences whose time has come
 	ToStop              []types.AttemptID // see Job.ToStop
 	Exhausted           []AttemptEnd      // see Job.Exhausted
@@ -96,7 +96,7 @@
 		case task.Primary != nil:
 			count := len(task.Outstanding())
 			b.index.OutstandingAttempts += count
-			b.index.CoresInUse += stage.step.Resources.Cores * types.MilliCores(count)
+			b.index.InUse = b.index.InUse.Add(stage.step.Resources.Scale(count))
 		case !task.Done && !task.Failed:
 			b.recheckAt(task.ReadyAt)
 		}
--- a/internal/types/resources.go
+++ b/internal/types/resources.go
@@ -94,6 +94,16 @@
 		(limit.Accelerators == 0 || r.Accelerators <= limit.Accelerators)
 }
 
+// Increase returns the resources increased by a part of themselves, rounded down.
+func (r Resources) Increase(part float64) Resources {
+	increase := func(n int) int { return n + int(part*float64(n)) }
+	return Resources{
+		Cores:        MilliCores(increase(int(r.Cores))),
+		MemoryMB:     increase(r.MemoryMB),
+		Accelerators: increase(r.Accelerators),
+	}
+}
+
 // unlimited is the FitCount of resources that are all 0.
 const unlimited = 1 << 30
 
