state: the last limit of a removed tenant holds for a minute, also without jobs

The commit before refused jobs of a tenant that the table in force lacks. That is the gateways' business, which know the keys, and a second place for it can only differ from theirs. Such a job is accepted as before; so that it does not run without a limit, the last limit of a removed tenant is kept while it has jobs and for a minute in any case, in which a request that was let in by the table before has surely arrived or been given up.

--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -31,9 +31,9 @@
 	// RemovedQueues are the last settings of queues that a table left out while they
 	// had unfinished jobs.
 	RemovedQueues map[types.QueueName]config.Queue `json:"retired,omitempty"`
-	// RemovedTenants are the last limits of tenants that a table left out while they had
-	// unfinished jobs.
-	RemovedTenants map[types.TenantName]types.Resources `json:"retired_tenants,omitempty"`
+	// RemovedTenants are the tenants that a table left out while they had unfinished jobs, or
+	// lately.
+	RemovedTenants map[types.TenantName]RemovedTenant `json:"retired_tenants,omitempty"`
 }
 
 // New returns the state before the first command.
--- a/internal/state/submission.go
+++ b/internal/state/submission.go
@@ -15,8 +15,7 @@
 
 // CheckJob reports whether a job may be accepted now: it returns the earlier job if the
 // same one was accepted under this id before, or why the job is rejected, or neither. The
-// rejection is of the kind IDInUse, NoSuchQueue, Unauthorized for a tenant that the table no
-// longer has, QueueFull or TooManyIDs.
+// rejection is of the kind IDInUse, NoSuchQueue, QueueFull or TooManyIDs.
 func (s *State) CheckJob(id types.JobID, spec Spec) (known *Job, rejection *apierror.Error) {
 	if job := s.Find(id); job != nil {
 		if job.Hash != spec.Hash() {
@@ -28,9 +27,6 @@
 	if !ok {
 		return nil, apierror.New(apierror.NoSuchQueue, "queue", "no queue is called "+string(spec.Queue))
 	}
-	if _, ok := s.Table.FindTenant(spec.Tenant); !ok && spec.Tenant != "" {
-		return nil, apierror.New(apierror.Unauthorized, "tenant", "no tenant is called "+string(spec.Tenant))
-	}
 	if n := s.index.usage[spec.Queue].jobs; n >= queue.MaxUnfinished {
 		return nil, apierror.New(apierror.QueueFull, "queue",
 			fmt.Sprintf("%d unfinished jobs, as many as the queue may hold", n))
