--- a/internal/state/job_index.go
+++ b/internal/state/job_index.go
@@ -23,19 +23,24 @@
 // have ended. It is derived from the jobs and not stored.
 type jobIndex struct {
 	live    map[types.JobID]*Job
-	inOrder []*Job                         // the live ones, oldest first, and some that have ended since
-	ended   []*Job                         // in the order of their ends
-	usage   map[types.QueueName]queueUsage // what the live jobs of each queue hold
-	// overRate counts the live jobs of each tenant that are over its rate; see Job.OverRate.
-	overRate map[types.TenantName]int
+	inOrder []*Job                          // the live ones, oldest first, and some that have ended since
+	ended   []*Job                          // in the order of their ends
+	usage   map[types.QueueName]queueUsage  // what the live jobs of each queue hold
+	tenants map[types.TenantName]tenantJobs // the live jobs of each tenant; none without one
+}
+
+// tenantJobs counts the live jobs of one tenant.
+type tenantJobs struct {
+	unfinished int
+	overRate   int // those of them over its rate; see Job.OverRate
 }
 
 // newJobIndex lists jobs.
 func newJobIndex(jobs map[types.JobID]*Job) jobIndex {
 	ji := jobIndex{
-		live:     map[types.JobID]*Job{},
-		usage:    map[types.QueueName]queueUsage{},
-		overRate: map[types.TenantName]int{},
+		live:    map[types.JobID]*Job{},
+		usage:   map[types.QueueName]queueUsage{},
+		tenants: map[types.TenantName]tenantJobs{},
 	}
 	for _, job := range jobs {
 		if job.Ended() {
@@ -65,18 +70,29 @@
 	ji.addUsage(job, -1)
 }
 
-// addUsage adds a job to the usage of its queue and tenant, or removes it with sign -1.
+// addUsage adds a job to the usage of its queue and of its tenant, or removes it with
+// sign -1.
 func (ji *jobIndex) addUsage(job *Job, sign int) {
 	usage := ji.usage[job.Queue]
 	usage.jobs += sign
 	usage.tasks += sign * job.TaskCount
 	usage.bytes += sign * job.ApproxBytes
 	ji.usage[job.Queue] = usage
-	if !job.OverRate {
-		return
+	if job.Tenant != "" {
+		ji.addToTenant(job, sign)
+	}
+}
+
+// addToTenant adds a job to its tenant's, or removes it with sign -1.
+func (ji *jobIndex) addToTenant(job *Job, sign int) {
+	jobs := ji.tenants[job.Tenant]
+	jobs.unfinished += sign
+	if job.OverRate {
+		jobs.overRate += sign
 	}
-	if ji.overRate[job.Tenant] += sign; ji.overRate[job.Tenant] == 0 {
-		delete(ji.overRate, job.Tenant)
+	ji.tenants[job.Tenant] = jobs
+	if jobs.unfinished == 0 {
+		delete(ji.tenants, job.Tenant)
 	}
 }
 
--- a/internal/state/queue_usage.go
+++ b/internal/state/queue_usage.go
@@ -14,7 +14,9 @@
 func (s *State) UnfinishedJobs(queue types.QueueName) int { return s.index.usage[queue].jobs }
 
 // UnfinishedOverRate returns how many unfinished jobs of a tenant are over its rate.
-func (s *State) UnfinishedOverRate(tenant types.TenantName) int { return s.index.overRate[tenant] }
+func (s *State) UnfinishedOverRate(tenant types.TenantName) int {
+	return s.index.tenants[tenant].overRate
+}
 
 // budget is one of the limits on all unfinished work.
 type budget struct {
--- a/internal/state/submission_test.go
+++ b/internal/state/submission_test.go
@@ -85,7 +85,7 @@
 	first := tableChange(0, 1, 1)
 	apply(s, sec, Command{Table: &first})
 	for id, request := range map[types.JobID]string{"plain": "", "read": "a hash"} {
-		apply(s, sec, Command{Job: &Submission{id, spec("one", request)}})
+		apply(s, sec, Command{Job: &Submission{ID: id, Spec: spec("one", request)}})
 		for _, s := range []*State{s, restoredCopy(t, s)} {
 			is.Equal(s.Find(id).Tenant, types.TenantName("one"))
 			_, rejection := s.CheckJob(id, spec("two", request))
