--- a/cmd/coppercourse/gateway_commands.go
+++ b/cmd/coppercourse/gateway_commands.go
@@ -15,6 +15,7 @@
 	app.Flag("gateway", "Gateway to ask, for the commands that ask one. Default 127.0.0.1:7410.").
 		PlaceHolder("IP:PORT").Default("127.0.0.1:7410").Envar("COPPERCOURSE_GATEWAY").StringVar(&client.gateway)
 	addTable(app, client, commands)
+	addTenants(app, client, commands)
 	addJobs(app, client, commands)
 	addViews(app, client, commands)
 	addDrains(app, client, commands)
