controller: the leader takes no job without a tenant for a queue that requires keys

A gateway decides by the route of a request. Through a route that requires no key, or the product's own interface, a job of a tenant could be shown and cancelled by anybody who sent no key at all, and a job could be put into a queue that requires keys. The leader now answers 401 there, for jobs of a tenant, by the table in force. Rejecting a submission so says that it was not accepted, as far as no other controller may have accepted it.

--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -37,6 +37,12 @@
 	return e
 }
 
+// KeyRequired returns the error of a request without a key that a tenant holds. It is the same
+// for all of them, as it must not hold the key.
+func KeyRequired() *Error {
+	return New(Unauthorized, "", "this takes the key of a tenant, and one that is valid now")
+}
+
 // WithRetryAfter sets the Retry-After, rounded up to whole seconds, one at least, and
 // returns the error.
 func (e *Error) WithRetryAfter(wait time.Duration) *Error {
--- a/internal/controller/job_owner_test.go
+++ b/internal/controller/job_owner_test.go
@@ -80,3 +80,42 @@
 	is.True(ok)
 	is.Equal(r.tenant, types.TenantName("two"))
 }
+
+// requireKeys has queue q require keys.
+func (c *cluster) requireKeys() {
+	c.t.Helper()
+	changed := table(c.leader().machine.log.state().Table.Version, 100)
+	changed.Queues[0].RequiresKey = true
+	if r := c.askAs("", wire.VerbPutTable, "", wire.EncodeBody(changed)); r.Error != nil {
+		c.t.Fatal(r.Error)
+	}
+}
+
+// Guards against incident 33 where a gateway can't tell that a queue requires keys, as its
+// table isn't confirmed, or the request is on another queue's route: the leader asks for one.
+func TestLeaderRequiresAKeyWhereTheQueueDoes(t *testing.T) {
+	c := servingCluster(t, 64)
+	job := func(tenant types.TenantName) json.RawMessage {
+		return wire.EncodeBody(state.Spec{Queue: "q", Tenant: tenant, Steps: []state.Step{testStep("s", 1)}})
+	}
+	check := func(name string, r wire.Response, want apierror.Kind) {
+		t.Helper()
+		if (r.Error != nil) != (want != "") || r.Error != nil && r.Error.Kind != want {
+			t.Errorf("%s: %v", name, r.Error)
+		}
+	}
+	check("nobody's, no key required", c.askAs("", wire.VerbSubmitJob, "old", job("")), "")
+	check("a tenant's, no key required", c.askAs("one", wire.VerbSubmitJob, "j", job("one")), "")
+	check("shown without a key", c.askAs("", wire.VerbGetJob, "j", nil), "")
+	c.requireKeys()
+	check("submitted without one", c.askAs("", wire.VerbSubmitJob, "k", job("")), apierror.Unauthorized)
+	check("known already", c.askAs("", wire.VerbSubmitJob, "j", job("")), apierror.Unauthorized)
+	check("shown without", c.askAs("", wire.VerbGetJob, "j", nil), apierror.Unauthorized)
+	check("cancelled without", c.askAs("", wire.VerbCancelJob, "j", nil), apierror.Unauthorized)
+	check("nobody's, accepted before", c.askAs("", wire.VerbGetJob, "old", nil), "")
+	check("submitted with one", c.askAs("one", wire.VerbSubmitJob, "k", job("one")), "")
+	check("shown with one", c.askAs("one", wire.VerbGetJob, "k", nil), "")
+	if j := c.leader().machine.log.state().Find("k"); j == nil || j.Tenant != "one" {
+		t.Errorf("not tenant one's: %v", j)
+	}
+}
--- a/internal/controller/job_requests.go
+++ b/internal/controller/job_requests.go
@@ -18,6 +18,10 @@
 		a.outbox.replyError(r.caller, err)
 		return
 	}
+	if err := a.checkSubmitter(spec); err != nil {
+		a.refuse(r, err)
+		return
+	}
 	id := types.JobID(r.arg)
 	known, err := a.log.state().CheckJob(id, spec)
 	if known != nil {
@@ -70,16 +74,6 @@
 	a.outbox.replyError(from, apierror.New(apierror.NoSuchJob, "id", "no such job"))
 }
 
-// checkOwner returns why the tenant of a request may not see or cancel the job that it is
-// about, or nil.
-func (a *api) checkOwner(r request) *apierror.Error {
-	job := a.log.state().Find(types.JobID(r.arg))
-	if job == nil || job.BelongsTo(r.tenant) {
-		return nil
-	}
-	return apierror.New(apierror.Forbidden, "id", "the job is another tenant's")
-}
-
 // cancelJob cancels a job.
 func (a *api) cancelJob(r request) {
 	id := types.JobID(r.arg)
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -167,7 +167,12 @@
 // saysNotAccepted reports whether the client may conclude from an error of this kind that
 // the request was not accepted.
 func saysNotAccepted(kind apierror.Kind) bool {
-	return apierror.Retryable[kind] || kind == apierror.NoSuchQueue || kind == apierror.NeverPlaceable
+	switch kind {
+	case apierror.NoSuchQueue, apierror.NeverPlaceable, apierror.Unauthorized:
+		return true
+	default:
+		return apierror.Retryable[kind]
+	}
 }
 
 // mutatingVerbs are the verbs of requests that change the state.
