server, cmd: requests about jobs carry a tenant's key on the product's own interface

The gateway's own interface asked for no key either, so that jobs of tenants could be sent around the route that requires one. Authorization: Bearer KEY is checked against the confirmed table: 401 for a key that no tenant holds, 503 while there is no such table. The leader asks for a key where there is none and the queue requires it. The golden list of the command line now has the flags of groups of commands, which it left out.

TestJobRequestsAreAuthenticated and TestRevokedKeyOpensNoJob failed before.

--- a/cmd/coppercourse/gateway_client.go
+++ b/cmd/coppercourse/gateway_client.go
@@ -19,6 +19,7 @@
 // gatewayClient asks the gateway that the command line names, and other daemons.
 type gatewayClient struct {
 	gateway string // IP:port; set when the command line has been parsed
+	key     string // of a tenant, for requests about jobs; empty for none
 	http    *http.Client
 }
 
@@ -43,6 +44,9 @@
 	if err != nil {
 		return nil, apierror.Wrap(apierror.BadSetting, err, "request to "+addr)
 	}
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
 	res, err := c.http.Do(req)
 	if err != nil {
 		return nil, apierror.Wrap(apierror.NotReady, err, "no response from "+addr)
--- a/cmd/coppercourse/job_commands.go
+++ b/cmd/coppercourse/job_commands.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -12,9 +13,30 @@
 	"coppercourse/internal/state"
 )
 
+// jobClient asks the gateway about jobs, with the key of a tenant if there is one.
+type jobClient struct {
+	client  *gatewayClient
+	keyFile string // empty for none; set when the command line has been parsed
+}
+
+// print asks the gateway about a job and prints its response.
+func (j *jobClient) print(method, path string, body []byte) error {
+	if j.keyFile != "" {
+		key, err := os.ReadFile(j.keyFile)
+		if err != nil {
+			return apierror.Wrap(apierror.BadSetting, err, "read the key file")
+		}
+		j.client.key = strings.TrimSpace(string(key))
+	}
+	return j.client.print(method, path, body)
+}
+
 // addJobs adds the commands that work on one job.
-func addJobs(app *kingpin.Application, client *gatewayClient, commands commandline.Commands) {
+func addJobs(app *kingpin.Application, gateway *gatewayClient, commands commandline.Commands) {
 	job := app.Command("job", "Submit, show or cancel a job.")
+	client := &jobClient{client: gateway}
+	job.Flag("key-file", "File with the key of the job's tenant, where its queue requires one.").
+		PlaceHolder("FILE").Envar("COPPERCOURSE_KEY_FILE").StringVar(&client.keyFile)
 	addJobSend(job, client, commands)
 
 	show := job.Command("show", "Print a job's state and tasks.")
@@ -30,7 +52,7 @@
 	}
 }
 
-func addJobSend(group *kingpin.CmdClause, client *gatewayClient, commands commandline.Commands) {
+func addJobSend(group *kingpin.CmdClause, client *jobClient, commands commandline.Commands) {
 	command := group.Command("send", "Submit a job. Submitting the same id and file again changes nothing.")
 	id := command.Arg("id", "Id of the job, chosen by the caller.").Required().String()
 	file := command.Arg("file", "Job file (JSON).").Required().String()
--- a/internal/goldentest/commandline.go
+++ b/internal/goldentest/commandline.go
@@ -21,10 +21,22 @@
 	for _, command := range model.FlattenedCommands() {
 		described = append(described, commandLines(command, commands.Has(command.FullCommand))...)
 	}
+	described = append(described, groupFlagLines(model.Commands)...)
 	slices.Sort(described)
 	File(t, "command-line.txt", []byte(strings.Join(described, "\n")+"\n"))
 }
 
+// groupFlagLines describes the flags that hold for all commands of a group.
+func groupFlagLines(list []*kingpin.CmdModel) (described []string) {
+	for _, group := range list {
+		if len(group.Commands) > 0 {
+			described = append(described, flagLines(group.FullCommand+" ", group.FlagGroupModel)...)
+			described = append(described, groupFlagLines(group.Commands)...)
+		}
+	}
+	return described
+}
+
 // commandLines describes a command with its flags and arguments.
 func commandLines(command *kingpin.CmdModel, runs bool) []string {
 	name := command.FullCommand
--- a/internal/server/gateway_handlers.go
+++ b/internal/server/gateway_handlers.go
@@ -28,9 +28,9 @@
 // Routes returns a gateway's routes: those that every daemon has, and its own.
 func (g *GatewayHandlers) Routes(h *Handlers) http.Handler {
 	r := h.Router()
-	r.HandleFunc("/v1/jobs/{id}", requireName(putHandler(h, wire.VerbSubmitJob, g.readJob))).Methods(http.MethodPut)
-	r.HandleFunc("/v1/jobs/{id}", requireName(h.RequestHandler(wire.VerbGetJob))).Methods(http.MethodGet)
-	r.HandleFunc("/v1/jobs/{id}/cancel", requireName(h.RequestHandler(wire.VerbCancelJob))).Methods(http.MethodPost)
+	r.HandleFunc(jobPath, g.jobHandler(putHandler(h, wire.VerbSubmitJob, g.readJob))).Methods(http.MethodPut)
+	r.HandleFunc(jobPath, g.jobHandler(h.RequestHandler(wire.VerbGetJob))).Methods(http.MethodGet)
+	r.HandleFunc(cancelPath, g.jobHandler(h.RequestHandler(wire.VerbCancelJob))).Methods(http.MethodPost)
 	r.HandleFunc("/v1/table", putHandler(h, wire.VerbPutTable, readTable)).Methods(http.MethodPut)
 	r.HandleFunc("/v1/table", h.RequestHandler(wire.VerbGetTable)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/queues", h.RequestHandler(wire.VerbListQueues)).Methods(http.MethodGet)
@@ -47,6 +47,12 @@
 	return r
 }
 
+// Paths of a job and of its cancelling.
+const (
+	jobPath    = "/v1/jobs/{id}"
+	cancelPath = "/v1/jobs/{id}/cancel"
+)
+
 // drainPath is the path of the drain of one worker or rack.
 const drainPath = "/v1/drains/{kind:workers|racks}/{id}"
 
@@ -82,19 +88,13 @@
 			WriteError(w, err)
 			return
 		}
-		request := wire.Request{Verb: verb, Arg: pathArgument(r), Body: wire.EncodeBody(document)}
+		request := wire.Request{
+			Verb: verb, Arg: pathArgument(r), Tenant: tenantOf(r), Body: wire.EncodeBody(document),
+		}
 		WriteResponse(w, h.Loop.Ask(r.Context(), request))
 	}
 }
 
-func (g *GatewayHandlers) readJob(_ *http.Request, body []byte, errs *apierror.ErrorList) state.Spec {
-	spec := state.ReadSpec(body, errs)
-	if len(errs.List()) == 0 && g.table.queueUnknown(spec.Queue) {
-		errs.Add(apierror.NoSuchQueue, "queue", "no queue is called "+string(spec.Queue))
-	}
-	return spec
-}
-
 func readTable(_ *http.Request, body []byte, errs *apierror.ErrorList) config.Table {
 	return config.ReadTable(body, errs)
 }
--- a/internal/server/handlers.go
+++ b/internal/server/handlers.go
@@ -61,7 +61,8 @@
 			WriteError(w, apierror.New(apierror.BadBody, "", "not well-formed JSON"))
 			return
 		}
-		WriteResponse(w, h.Loop.Ask(r.Context(), wire.Request{Verb: verb, Arg: pathArgument(r), Body: body}))
+		request := wire.Request{Verb: verb, Arg: pathArgument(r), Tenant: tenantOf(r), Body: body}
+		WriteResponse(w, h.Loop.Ask(r.Context(), request))
 	}
 }
 
--- a/internal/server/table_check.go
+++ b/internal/server/table_check.go
@@ -7,25 +7,34 @@
 
 // tableCheck checks requests against the table last published.
 type tableCheck struct {
-	table PublishedTable[map[types.QueueName]bool] // the names of the table's queues
+	table PublishedTable[tableView]
+}
+
+// tableView is what is checked of one version of the table. It is immutable.
+type tableView struct {
+	queues  map[types.QueueName]bool
+	tenants *config.Authenticator
 }
 
 // publish sets the table for all requests from now on.
 func (c *tableCheck) publish(table config.Table, confirmedUntil types.MonoTime) {
-	c.table.Publish(table, confirmedUntil, queueNames)
+	c.table.Publish(table, confirmedUntil, newTableView)
 }
 
-func queueNames(table config.Table) map[types.QueueName]bool {
-	names := map[types.QueueName]bool{}
+func newTableView(table config.Table) tableView {
+	view := tableView{queues: map[types.QueueName]bool{}, tenants: table.Authenticator()}
 	for _, queue := range table.Queues {
-		names[queue.Name] = true
+		view.queues[queue.Name] = true
 	}
-	return names
+	return view
 }
 
+// confirmed returns the table to decide by; false if none is confirmed now.
+func (c *tableCheck) confirmed() (tableView, bool) { return c.table.Confirmed() }
+
 // queueUnknown reports that a queue is surely not in the table. Without a table that is
 // confirmed now, nothing is sure.
 func (c *tableCheck) queueUnknown(queue types.QueueName) bool {
-	queues, confirmed := c.table.Confirmed()
-	return confirmed && !queues[queue]
+	table, confirmed := c.confirmed()
+	return confirmed && !table.queues[queue]
 }
