--- a/internal/controller/worker_shapes.go
+++ b/internal/controller/worker_shapes.go
@@ -13,14 +13,15 @@
 // worker could ever run is distinguished from one whose workers are disconnected.
 type workerShapes struct {
 	proposed types.Index // of the newest change; the next one waits until it is applied
+	timer    reviewTimer
 }
 
 // reset forgets what another leadership proposed.
-func (w *workerShapes) reset() { w.proposed = 0 }
+func (w *workerShapes) reset() { *w = workerShapes{} }
 
-// propose proposes the shapes that have changed.
+// propose proposes the shapes that have changed, if it is time to look for them.
 func (w *workerShapes) propose(v *leaderView, log *commandLog) {
-	if w.proposed > log.applied() {
+	if w.proposed > log.applied() || !w.timer.due(v.now) {
 		return
 	}
 	if changed := changedShapes(v); changed != nil {
--- a/internal/controller/worker_shapes_test.go
+++ b/internal/controller/worker_shapes_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -65,3 +66,23 @@
 	l.heartbeat(0)
 	is.Equal(changed(), 1)
 }
+
+// Guards against a leader that compares the shapes of all workers in each round, thousands of
+// times a second: they are looked through once in a reviewInterval, at once by a new leadership.
+func TestShapesAreLookedThroughOnceInAnInterval(t *testing.T) {
+	is := is.New(t)
+	l := newLeaderRig(rand.New(rand.NewSource(1)))
+	lookedAt := func() types.MonoTime {
+		l.shapes.propose(l.view(l.now), l.log)
+		return l.shapes.timer.lastAt
+	}
+	first := l.now
+	is.Equal(lookedAt(), first)
+	l.advance(reviewInterval - time.Millisecond)
+	is.Equal(lookedAt(), first)
+	l.advance(time.Millisecond)
+	is.Equal(lookedAt(), l.now)
+	l.advance(time.Millisecond)
+	l.shapes.reset()
+	is.Equal(lookedAt(), l.now)
+}
