dispatch: many workers' agents are asked for fewer heartbeats

What callers saw: on a deployment of 240 workers first starts come late, since the leader is short of processor time. Cause, of a part: each agent sends 10 heartbeats a second and is answered as often, in requests of their own: a third of all messages that the leader takes and sends, whatever the load. The interval was fixed by the settings, whatever the number of workers.

Now the leader's replies ask for an interval (every_ms) at which all agents together send 1,000 a second, at least eight in a lease, and a worker counts as unhealthy after three such intervals if that is more than the settings say: 240 ms and 720 ms with 240 workers (100 and 400 before). Leases and the time to loss stay. Up to 100 workers nothing changes with the pace of the platform's settings. An agent goes back to its own interval for a leader that has not replied. Builds may be mixed: an earlier agent ignores the field, an earlier leader does not send it.

The tests do not build before the change; without the interval taken over, or not computed, they fail.

--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -51,7 +51,8 @@
 //
 // # Worker states at the agent
 //
-// The agent keeps the same states by the same timeouts, so that it stops its attempts
+// The agent keeps the same states by the same timeouts (protocol.HeartbeatPace has how they
+// depend on the number of workers), so that it stops its attempts
 // before the scheduler counts them as lost. Silence is the time since it sent the latest
 // heartbeat whose reply renewed its lease. The agent accepts a RunTask only while HEALTHY.
 //
--- a/internal/dispatch/executor/executor.go
+++ b/internal/dispatch/executor/executor.go
@@ -83,7 +83,7 @@
 		startedAt:   now,
 		now:         now,
 		association: association{instance: newInstance()},
-		health:      newHealth(now),
+		health:      newHealth(now, timeouts.DefaultPace()),
 		reports:     reportTimes{heartbeatAt: types.DistantPast, statusAt: types.DistantPast},
 		attempts:    newAttemptTable(),
 		worker:      workerStatus{heardAt: types.DistantPast},
@@ -96,6 +96,7 @@
 func (ex *Executor) Tick(now types.MonoTime, leader types.Addr) {
 	if leader != ex.leader {
 		ex.reports.requestHeartbeat() // a new leader gets a heartbeat at once
+		ex.health.pace = ex.timeouts.DefaultPace()
 	}
 	ex.now, ex.leader = now, leader
 	ex.updateWorkerHealth()
--- a/internal/dispatch/executor/health.go
+++ b/internal/dispatch/executor/health.go
@@ -14,10 +14,19 @@
 	// The scheduler received it later, so the state goes down here before it does there.
 	lastRenewalSentAt types.MonoTime
 	leaseUntil        types.MonoTime // types.DistantPast for none yet
+	// pace is what the scheduler has last asked for; a leader that is new to this instance
+	// is sent heartbeats at the default one until it replies.
+	pace protocol.HeartbeatPace
 }
 
-func newHealth(now types.MonoTime) health {
-	return health{state: protocol.WorkerNew, since: now, lastRenewalSentAt: now, leaseUntil: types.DistantPast}
+func newHealth(now types.MonoTime, pace protocol.HeartbeatPace) health {
+	return health{
+		state:             protocol.WorkerNew,
+		since:             now,
+		lastRenewalSentAt: now,
+		leaseUntil:        types.DistantPast,
+		pace:              pace,
+	}
 }
 
 func (h *health) set(now types.MonoTime, state protocol.Health) {
@@ -44,7 +53,7 @@
 	case ex.health.state == protocol.WorkerNew:
 	case sinceRenewal > ex.timeouts.LostAfter:
 		ex.health.set(ex.now, protocol.WorkerMustDie)
-	case sinceRenewal > ex.timeouts.UnhealthyAfter:
+	case sinceRenewal > ex.health.pace.UnhealthyAfter:
 		ex.health.set(ex.now, protocol.WorkerUnhealthy)
 	default:
 		ex.health.set(ex.now, protocol.WorkerHealthy)
@@ -62,6 +71,7 @@
 	ex.association.workerSet = protocol.WorkerSetID{}
 	ex.association.querySequence = 0
 	ex.health.lastRenewalSentAt, ex.health.leaseUntil = ex.now, types.DistantPast
+	ex.health.pace = ex.timeouts.DefaultPace()
 	ex.reports.requestHeartbeat()
 	ex.health.set(ex.now, protocol.WorkerNew)
 }
--- a/internal/dispatch/executor/protocol_test.go
+++ b/internal/dispatch/executor/protocol_test.go
@@ -428,3 +428,46 @@
 	agent.Tick(cluster.now, "h")
 	is.True(agent.attempts.byID[theAttempt].state != attemptEnded)
 }
+
+// Guards against agents that send each leader as many heartbeats as a small deployment can
+// bear: an agent sends them at the pace that the leader's replies ask for, and at its own again to
+// a leader that has not replied.
+func TestHeartbeatsFollowTheLeadersPace(t *testing.T) {
+	is, cluster, agent := newHealthyCluster(t)
+	const workers = 240
+	slow := protocol.DefaultTimeouts
+	slow.HeartbeatInterval, slow.UnhealthyAfter = 100*ms, 400*ms
+	agent.timeouts = slow
+	told := protocol.HeartbeatReply{
+		Header:          protocol.Header{Term: 1, To: agent.association.instance},
+		HeartbeatSentAt: cluster.now,
+		LeaseUntil:      cluster.now.Add(2 * time.Second),
+		Associated:      true,
+		WorkerSet:       agent.association.workerSet,
+		IntervalMS:      slow.FleetPace(workers).Interval.Milliseconds(),
+	}
+	sent := func(d time.Duration) (count int) { // heartbeats while nobody replies
+		for end := cluster.now.Add(d); cluster.now < end; {
+			cluster.now = cluster.now.Add(10 * ms)
+			agent.Tick(cluster.now, agent.leader)
+			for _, m := range agent.TakeOutput() {
+				if m.Message.Kind == wire.Heartbeat {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	agent.HandleMessage(cluster.now, wire.NewMessage("h", "w", wire.HeartbeatReply, told).Message)
+	is.True(sent(720*ms) <= 4)
+	is.Equal(agent.health.state, protocol.WorkerHealthy) // three intervals of silence are permitted
+	sent(20 * ms)
+	is.Equal(agent.health.state, protocol.WorkerUnhealthy)
+	agent.Tick(cluster.now, "h2")
+	is.True(sent(700*ms) >= 7)
+	agent.Tick(cluster.now, "h")
+	agent.HandleMessage(cluster.now, wire.NewMessage("h", "w", wire.HeartbeatReply, told).Message)
+	told.Term, told.IntervalMS, told.Associated = 2, 0, false
+	agent.HandleMessage(cluster.now, wire.NewMessage("h", "w", wire.HeartbeatReply, told).Message)
+	is.True(sent(700*ms) >= 7) // a leader of a higher term
+}
--- a/internal/dispatch/executor/reports.go
+++ b/internal/dispatch/executor/reports.go
@@ -38,7 +38,7 @@
 		ex.worker.report.Shortfall = shortfall
 		ex.reports.requestHeartbeat()
 	}
-	if ex.now.Sub(ex.reports.heartbeatAt) >= ex.timeouts.HeartbeatInterval && ex.canReportRunningTasks() {
+	if ex.now.Sub(ex.reports.heartbeatAt) >= ex.health.pace.Interval && ex.canReportRunningTasks() {
 		ex.sendHeartbeat()
 	}
 	if ex.now.Sub(ex.reports.statusAt) >= ex.timeouts.RetryInterval {
@@ -100,7 +100,7 @@
 func (ex *Executor) recentCheckpoints() []protocol.Checkpoint {
 	var list []protocol.Checkpoint
 	for _, attempt := range ex.attempts.sorted {
-		isRecent := ex.now.Sub(attempt.checkpointAt) < checkpointHeartbeats*ex.timeouts.HeartbeatInterval
+		isRecent := ex.now.Sub(attempt.checkpointAt) < checkpointHeartbeats*ex.health.pace.Interval
 		if attempt.state != attemptEnded && attempt.checkpoint != "" && isRecent {
 			list = append(list, protocol.Checkpoint{Attempt: attempt.id(), Ref: attempt.checkpoint})
 		}
--- a/internal/dispatch/executor/scheduler_messages.go
+++ b/internal/dispatch/executor/scheduler_messages.go
@@ -18,6 +18,7 @@
 	}
 	if header.Term > ex.association.term {
 		ex.association.term, ex.association.querySequence = header.Term, 0
+		ex.health.pace = ex.timeouts.DefaultPace()
 		if ex.health.state != protocol.WorkerMustDie {
 			ex.health.set(ex.now, protocol.WorkerNew)
 		}
@@ -47,11 +48,12 @@
 		return
 	}
 	ex.association.previousInstance = ""
+	ex.health.pace = ex.timeouts.ToldPace(reply)
 	ex.health.renewLease(reply)
 	if ex.health.state == protocol.WorkerNew {
 		ex.health.set(ex.now, protocol.WorkerUnhealthy)
 	}
-	isRecent := ex.now.Sub(ex.health.lastRenewalSentAt) <= ex.timeouts.UnhealthyAfter
+	isRecent := ex.now.Sub(ex.health.lastRenewalSentAt) <= ex.health.pace.UnhealthyAfter
 	if ex.health.state == protocol.WorkerUnhealthy && isRecent {
 		ex.health.set(ex.now, protocol.WorkerHealthy)
 	}
--- a/internal/dispatch/protocol/messages.go
+++ b/internal/dispatch/protocol/messages.go
@@ -96,6 +96,9 @@
 	// it is no longer NEW there.
 	Associated bool        `json:"known"`
 	WorkerSet  WorkerSetID `json:"set"` // the scheduler's latest
+	// IntervalMS is how long the agent waits with its next heartbeat, in milliseconds; 0 is
+	// the interval of its settings.
+	IntervalMS int64 `json:"every_ms,omitempty"`
 }
 
 // RunningTasksQuery is getRunningTasks, scheduler to agent.
--- a/internal/dispatch/scheduler/association.go
+++ b/internal/dispatch/scheduler/association.go
@@ -65,13 +65,14 @@
 	if worker.State == protocol.WorkerMustDie || heartbeat.PreviousInstance == worker.Instance {
 		return true
 	}
-	return worker.Addr == from && sc.now.Sub(worker.lastHeartbeat.arrivedAt) > 2*sc.timeouts.HeartbeatInterval
+	return worker.Addr == from && sc.now.Sub(worker.lastHeartbeat.arrivedAt) > 2*sc.pace.Interval
 }
 
 func (sc *Scheduler) register(from types.Addr, heartbeat protocol.Heartbeat) *RemoteWorker {
 	worker := newRemoteWorker(sc.now, from, heartbeat)
 	before := sc.workers.put(worker)
 	sc.workerSets.add(worker, before)
+	sc.pace = sc.timeouts.FleetPace(len(sc.workers.sorted))
 	return worker
 }
 
@@ -110,6 +111,9 @@
 		Associated:      worker.State != protocol.WorkerNew,
 		WorkerSet:       sc.workerSets.latest(sc.term),
 	}
+	if sc.pace != sc.timeouts.DefaultPace() {
+		reply.IntervalMS = sc.pace.Interval.Milliseconds()
+	}
 	if healthy && reply.Associated {
 		reply.LeaseUntil = sc.newLeaseEnd(worker)
 	}
--- a/internal/dispatch/scheduler/health_check.go
+++ b/internal/dispatch/scheduler/health_check.go
@@ -18,7 +18,7 @@
 		next = protocol.WorkerMustDie
 	case worker.State == protocol.WorkerNew:
 		return
-	case sinceHealthy > sc.timeouts.UnhealthyAfter:
+	case sinceHealthy > sc.pace.UnhealthyAfter:
 		next = protocol.WorkerUnhealthy
 	case worker.sets.hasBeenHealthy || sc.workerSets.permitsHealthy(worker):
 		next, worker.sets.hasBeenHealthy = protocol.WorkerHealthy, true
--- a/internal/dispatch/scheduler/health_check_test.go
+++ b/internal/dispatch/scheduler/health_check_test.go
@@ -167,3 +167,32 @@
 	is.True(len(sc.workers.replaced) <= 6)
 	is.True(len(sc.workers.replaced) >= 4)
 }
+
+// Guards against a leader whose processor time goes into heartbeats: it asks many workers for
+// fewer of them, and waits as much longer before it takes one for unhealthy.
+func TestManyWorkersAreAskedForFewerHeartbeats(t *testing.T) {
+	is := is.New(t)
+	sc, worker := newTestScheduler()
+	sc.timeouts.HeartbeatInterval, sc.timeouts.UnhealthyAfter = 100*time.Millisecond, 400*time.Millisecond
+	heartbeat := func(shard types.Shard) protocol.HeartbeatReply {
+		h := protocol.Heartbeat{Shard: shard, Instance: types.ID("i" + shard), SentAt: sc.now.Add(1)}
+		h.Healthy = true
+		sc.HandleMessage(sc.now.Add(1), time.Minute, wire.NewMessage("b", "h", wire.Heartbeat, h).Message)
+		messages, _ := sc.TakeOutput()
+		reply, ok := wire.DecodeBody[protocol.HeartbeatReply](messages[len(messages)-1].Message)
+		is.True(ok)
+		return reply
+	}
+	is.Equal(heartbeat("k1").IntervalMS, int64(0))
+	for i := range 238 {
+		heartbeat(types.Shard(fmt.Sprint("k", i+2)))
+	}
+	is.Equal(heartbeat("k1").IntervalMS, int64(240))
+	worker.State, worker.sets.hasBeenHealthy = protocol.WorkerHealthy, true
+	sc.now = worker.LastHealthyAt.Add(720 * time.Millisecond)
+	sc.updateHealth(worker)
+	is.Equal(worker.State, protocol.WorkerHealthy)
+	sc.now = worker.LastHealthyAt.Add(721 * time.Millisecond)
+	sc.updateHealth(worker)
+	is.Equal(worker.State, protocol.WorkerUnhealthy)
+}
--- a/internal/dispatch/scheduler/scheduler.go
+++ b/internal/dispatch/scheduler/scheduler.go
@@ -71,6 +71,7 @@
 	now                types.MonoTime // of the present step
 	authorityRemaining time.Duration  // how long the leader's own authority lasts from now
 
+	pace       protocol.HeartbeatPace
 	wait       initialWait
 	workers    workerTable
 	workerSets workerSetHistory
@@ -92,6 +93,7 @@
 		cluster:     config.Cluster,
 		policy:      config.Policy,
 		now:         now,
+		pace:        config.Timeouts.DefaultPace(),
 		wait:        newInitialWait(now, config.PriorLeaderHeardAt),
 		workers:     newWorkerTable(),
 		workerSets:  newWorkerSetHistory(),
