--- a/cmd/coppercourse/tenant_commands.go
+++ b/cmd/coppercourse/tenant_commands.go
@@ -29,11 +29,10 @@
 
 func (tc *tenantCommands) add(app *kingpin.Application, commands commandline.Commands) {
 	tenant := app.Command("tenant", "Show or change the tenants of the table in force, their limits and keys.")
-	tenant.Flag("json", "Print JSON in place of a table.").BoolVar(&tc.json)
-	tenant.Command("list", "List the tenants.")
+	tc.addJSON(tenant.Command("list", "List the tenants."))
 	commands["tenant list"] = tc.list
 
-	show := tenant.Command("show", "Show a tenant and the hashes of its keys.")
+	show := tc.addJSON(tenant.Command("show", "Show a tenant and the hashes of its keys."))
 	shown := show.Arg("name", "Name of the tenant.").Required().String()
 	commands["tenant show"] = func() error { return tc.show(types.TenantName(*shown)) }
 
@@ -43,9 +42,15 @@
 	tc.addKeyRemove(key, commands)
 }
 
+// addJSON adds the flag --json to a command and returns the command.
+func (tc *tenantCommands) addJSON(command *kingpin.CmdClause) *kingpin.CmdClause {
+	command.Flag("json", "Print JSON in place of a table.").BoolVar(&tc.json)
+	return command
+}
+
 func (tc *tenantCommands) addSet(group *kingpin.CmdClause, commands commandline.Commands) {
 	set := &tenantSettings{}
-	command := group.Command("set", "Change a tenant's weight and limits; a new name adds a tenant.")
+	command := tc.addJSON(group.Command("set", "Change a tenant's weight and limits; a new name adds a tenant."))
 	command.Arg("name", "Name of the tenant.").Required().StringVar(&set.name)
 	command.Flag("weight", "Jobs a second that it may submit when the cluster is full.").
 		IsSetByUser(&set.hasWeight).Float64Var(&set.weight)
@@ -59,7 +64,7 @@
 }
 
 func (tc *tenantCommands) addKeyAdd(group *kingpin.CmdClause, commands commandline.Commands) {
-	command := group.Command("add", "Add a key, read from the standard input or a file, to a tenant.")
+	command := tc.addJSON(group.Command("add", "Add a key, read from the standard input or a file, to a tenant."))
 	name := command.Arg("name", "Name of the tenant.").Required().String()
 	file := command.Flag("file", "File with the key, in place of the standard input.").PlaceHolder("FILE").String()
 	commands["tenant key add"] = func() error {
@@ -72,7 +77,7 @@
 }
 
 func (tc *tenantCommands) addKeyRemove(group *kingpin.CmdClause, commands commandline.Commands) {
-	command := group.Command("remove", "Remove a key, read from the standard input or a file, from a tenant.")
+	command := tc.addJSON(group.Command("remove", "Remove a key, read in the same way, from a tenant."))
 	name := command.Arg("name", "Name of the tenant.").Required().String()
 	file := command.Flag("file", "File with the key, in place of the standard input.").PlaceHolder("FILE").String()
 	prefix := command.Flag("hash", "Beginning of the key's hash, in place of the key.").PlaceHolder("DIGITS").String()
