--- a/internal/controller/tenant_usage.go
+++ b/internal/controller/tenant_usage.go
@@ -23,7 +23,6 @@
 	for _, j := range v.state.LiveJobs() {
 		if used := usage[j.Tenant]; used != nil {
 			ready := v.state.ReadyIndex(j, v.clock)
-			used.RunningTasks += ready.OutstandingAttempts
 			used.InUse = used.InUse.Add(ready.InUse)
 		}
 	}
@@ -33,7 +32,7 @@
 			continue
 		}
 		if used := usage[j.Tenant]; used != nil {
-			used.Add(j.Spec.Steps[types.StageOf(task.TaskNumber).Step()].Resources, 1)
+			used.InUse = used.InUse.Add(j.Spec.Steps[types.StageOf(task.TaskNumber).Step()].Resources)
 		}
 	}
 	return usage
--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -138,15 +138,18 @@
 	if request.Class == TargetMissed || request.Gang || r.Policy.NoReservation {
 		return
 	}
-	for tasks := range request.Tasks {
-		if !r.tenantAllows(request, tasks+1) {
-			return
-		}
+	var tenant TenantUsage // with what is reserved for it; without a limit if it has none
+	if usage := r.Tenants[request.Tenant]; usage != nil {
+		tenant = *usage
+	}
+	for range request.Tasks {
 		slot := r.slotToReserve(request)
-		if slot == nil || (r.roundReservations+1)*roundReservationDivisor > len(r.Slots) {
+		if slot == nil || !tenant.Allows(request.Resources, 1) ||
+			(r.roundReservations+1)*roundReservationDivisor > len(r.Slots) {
 			return
 		}
 		slot.reserved = request.Resources
+		tenant.InUse = tenant.InUse.Add(request.Resources)
 		r.roundReservations++
 	}
 }
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -108,7 +108,7 @@
 	usage.RunningTasks += len(slots)
 	usage.CoresInUse += types.MilliCores(len(slots)) * request.Resources.Cores
 	if tenant := r.Tenants[request.Tenant]; tenant != nil {
-		tenant.Add(request.Resources, len(slots))
+		tenant.InUse = tenant.InUse.Add(request.Resources.Scale(len(slots)))
 	}
 	request.Tasks = request.Tasks[len(slots):]
 }
