sim: tenants with limits, the rule quota and the bugs that it catches

Two deployments whose jobs are of four tenants, of which one sends half of all, and whose operators raise and lower limits during the run. The rule judges from what the workers ran and the tables that may have been in force. A job of a tenant that uses half of its limit may wait (rule idle).

--- a/sim/checker/bounds.go
+++ b/sim/checker/bounds.go
@@ -25,6 +25,7 @@
 	IdleWork        time.Duration // for which work may wait that is ready and has capacity
 	TableRegression time.Duration // after which a gateway may not follow an older table
 	ClockJump       time.Duration // added to StartEarly if clocks jump in the run
+	QuotaExcess     float64       // by what part of its limit a tenant may exceed it
 }
 
 // DefaultBounds are the bounds of the first brief.
@@ -66,5 +67,6 @@
 		IdleWork:          3 * time.Second,
 		TableRegression:   250 * time.Millisecond,
 		ClockJump:         5 * time.Second,
+		QuotaExcess:       rules.QuotaExcess,
 	}
 }
--- a/sim/checker/checker.go
+++ b/sim/checker/checker.go
@@ -94,6 +94,7 @@
 		c.checkInvokedStatuses(job)
 	}
 	c.checkCapacity()
+	c.checkQuotas()
 	c.checkIdle()
 	c.checkTables()
 	c.checkRivalTables()
--- a/sim/clients/submissions.go
+++ b/sim/clients/submissions.go
@@ -48,6 +48,7 @@
 	g.afterInterval(s.MeanInterval, func() {
 		id := g.NextJobID(s.Queue)
 		spec := s.NewSpec(g.world.Random, g.world.Now())
+		g.Deployment.AssignTenant(g.world.Random, &spec)
 		g.drawCancellation(id, s)
 		g.SubmitNew(id, spec)
 		g.StartStream(s)
--- a/sim/clients/versioning_operators.go
+++ b/sim/clients/versioning_operators.go
@@ -43,13 +43,16 @@
 	})
 }
 
-// NextVersion returns the next version of a table: another request time-out, and an idle
-// queue more or less.
+// NextVersion returns the next version of a table: another request time-out, another
+// limit of a tenant, and an idle queue more or less.
 func (g *Group) NextVersion(t config.Table) config.Table {
 	next := t
 	next.Queues = slices.Clone(t.Queues)
 	next.RequestedVersion = t.Version + 1 + types.Version(g.world.Random.Intn(9))
 	next.Queues[g.world.Random.Intn(3)].RequestTimeoutMillis = 1000 + g.world.Random.Intn(4000)
+	if len(next.Tenants) > 0 {
+		next.Tenants = g.Deployment.DrawLimits(g.world.Random, next.Tenants)
+	}
 	idle := slices.IndexFunc(next.Queues, isIdleQueue)
 	if idle >= 0 && g.world.Random.Intn(2) == 0 {
 		next.Queues = slices.Delete(next.Queues, idle, idle+1)
--- a/sim/deployment/catalog.go
+++ b/sim/deployment/catalog.go
@@ -21,6 +21,8 @@
 	romania,
 	kingstonCalled,
 	romaniaCalled,
+	kingstonCalled.sharedBy("kingston-shared", 64, 48, 32, 24),
+	romaniaCalled.sharedBy("romania-shared", 260, 200, 130, 100),
 	kingstonCalled.grownTo("kingston-grown",
 		Size{Zones: 4, Controllers: 8, Gateways: 8, Workers: 62, WorkersPerRack: 7, Founders: 3}),
 	romaniaCalled.grownTo("romania-grown",
--- a/sim/deployment/deployment.go
+++ b/sim/deployment/deployment.go
@@ -21,6 +21,7 @@
 	WorkerRules *worker.Rules // nil where workers poll
 	Streams     []Stream
 	Queues      []config.Queue
+	Tenants     []config.Tenant // whose the jobs are; the first sends most of them
 	// WorkerSizes and WorkerSlowdowns are taken in turn by the workers: the size beside
 	// Cores, and how many times as long tasks take there. Where they are nil, every third
 	// worker is larger and none is slow.
@@ -46,6 +47,7 @@
 	d.Flows = slices.Clone(d.Flows)
 	d.Streams = slices.Clone(d.Streams)
 	d.Queues = slices.Clone(d.Queues)
+	d.Tenants = slices.Clone(d.Tenants)
 	if d.WorkerRules != nil {
 		rules := *d.WorkerRules
 		d.WorkerRules = &rules
@@ -62,6 +64,7 @@
 		return config.Table{
 			Orphans:  config.FinishOrphans,
 			Queues:   slices.Clone(d.Queues),
+			Tenants:  slices.Clone(d.Tenants),
 			Services: []config.Service{{Name: invokedService, EnforcesResources: true}},
 		}
 	}
--- a/sim/worker/environment.go
+++ b/sim/worker/environment.go
@@ -18,6 +18,7 @@
 	RestoreTime        time.Duration // before an attempt goes on from a checkpoint
 	RemoteSlowdown     float64       // factor for work away from its data, or for a gang across racks
 	HeartbeatInterval  time.Duration // of a worker to its agent
+	QuotaExcess        float64       // by what part of its limit a tenant may exceed it
 }
 
 // Environment is what the invoked workers of a deployment share, and no daemon sees:
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -129,6 +129,7 @@
 		options.RaftTimeouts.AuthorityLease = w.Timeouts.AgentLease
 		if w.Environment != nil {
 			options.RemoteSlowdown = w.Environment.RemoteSlowdown
+			options.QuotaExcess = w.Environment.QuotaExcess
 		}
 		return controller.New(n.ClockReading(), w.newRandom(), options, n.Disk.read())
 	})
