controller: the leader logs jobs that stand still, with what keeps them from running

Change: once a second, while less than half of all cores is in use, the leader looks for jobs of which no attempt is confirmed by an agent though something of them is due. After 3 s it logs 'job stands still' with a typed reason: attempts not confirmed, a backoff, an assignment in flight, no round, a queue that may not run it, or how many workers each obstacle keeps away. It decides nothing: placement.Diagnose looks at the last round's input as Place has left it, and asks the functions that decide.

--- a/cmd/coppercourse/controller_daemon.go
+++ b/cmd/coppercourse/controller_daemon.go
@@ -44,16 +44,23 @@
 // controllerObserver publishes whether a controller is ready, and logs its state.
 type controllerObserver struct {
 	machine *controller.Controller
+	log     logr.Logger
 	states  stateLogger[controllerState]
 	ready   atomic.Bool
 }
 
 func newControllerObserver(machine *controller.Controller, log logr.Logger) *controllerObserver {
-	return &controllerObserver{machine: machine, states: stateLogger[controllerState]{log: log}}
+	return &controllerObserver{machine: machine, log: log, states: stateLogger[controllerState]{log: log}}
 }
 
 // AfterStep implements server.Observer.
-func (co *controllerObserver) AfterStep() { co.ready.Store(co.machine.Ready()) }
+func (co *controllerObserver) AfterStep() {
+	co.ready.Store(co.machine.Ready())
+	for _, s := range co.machine.TakeStandstills() {
+		co.log.Info("job stands still", "job", s.Job, "reason", s.Reason, "detail", s.Detail,
+			"idle_ms", s.Idle.Milliseconds(), "tasks_ready", s.ReadyTasks, "tasks_unconfirmed", s.Outstanding)
+	}
+}
 
 // Ready implements server.Observer.
 func (co *controllerObserver) Ready() bool { return co.ready.Load() }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -249,3 +249,7 @@
 
 // Workers views the workers as this controller sees them, none unless it leads.
 func (c *Controller) Workers() []WorkerView { return c.leader.workerViews(c.now.Mono) }
+
+// TakeStandstills returns the jobs that were found standing still since it was last called,
+// none unless this controller leads.
+func (c *Controller) TakeStandstills() []Standstill { return c.leader.standstill.take() }
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -37,6 +37,7 @@
 	shapes     workerShapes
 	wallOffset wallOffset
 	locality   locality
+	standstill standstillReview
 	current    leaderView // see view
 }
 
@@ -107,6 +108,7 @@
 	l.ends.reset()
 	l.planner.reset()
 	l.shapes.reset()
+	l.standstill.reset()
 }
 
 // outstandingAttempts lists the attempts that a state has as outstanding.
@@ -145,6 +147,7 @@
 	if l.schedule.startRound(now, lag) {
 		l.counters.Placed++
 		l.placeWork(l.view(now))
+		l.standstill.review(l.view(now), &l.planner)
 		l.takeSchedulerOutput()
 	}
 }
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -30,6 +30,7 @@
 	policy      policy.Policy
 	reservation *placement.Reservation // workers kept for a request that was passed over
 	requests    []placement.Request    // the last list; its memory is reused
+	lastInput   placement.Input        // of the last round, as Place has left it; empty without one
 }
 
 // newPlanner returns a planner. windows tells how long workers are available, ends which
@@ -53,6 +54,7 @@
 	p.waits.reset()
 	p.slots.reset()
 	p.reservation = nil
+	p.lastInput = placement.Input{}
 }
 
 // recordJob learns from a new job.
@@ -71,6 +73,7 @@
 
 // plan makes the next round, given the last index applied.
 func (p *planner) plan(v *leaderView, applied types.Index) round {
+	p.lastInput = placement.Input{}
 	if p.rounds.inFlight(applied) {
 		return p.planWhileInFlight(v, applied)
 	}
@@ -120,6 +123,7 @@
 func (p *planner) place(v *leaderView, in placement.Input) placement.Output {
 	p.waits.update(v.now, in.Requests)
 	p.limits.apply(v.now, in)
+	p.lastInput = in
 	return placement.Place(in)
 }
 
--- a/internal/dispatch/scheduler/outstanding_attempt.go
+++ b/internal/dispatch/scheduler/outstanding_attempt.go
@@ -84,3 +84,14 @@
 	}
 	return ""
 }
+
+// JobsRunning returns the jobs of which an attempt runs, as its agent has said.
+func (sc *Scheduler) JobsRunning() map[types.JobID]bool {
+	running := map[types.JobID]bool{}
+	for id, attempt := range sc.attempts.byID {
+		if attempt.phase == confirmedRunning {
+			running[id.Job] = true
+		}
+	}
+	return running
+}
--- /dev/null
+++ b/internal/placement/diagnosis_test.go
@@ -0,0 +1,55 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"coppercourse/internal/config"
+	"coppercourse/internal/types"
+)
+
+// A request that is not placed has one reason for each worker, and each kind of reason is
+// told from the others.
+func TestDiagnosisTellsObstaclesApart(t *testing.T) {
+	is := is.New(t)
+	usage := usageOf(config.Queue{Name: "q"})
+	request := newRequest("j", "q", 1, 4)
+	request.MaxPerWorker = 1
+	slots := newSlots(6, 8)
+	slots[0].Capacity.Cores, slots[0].Free.Cores = 2*types.Core, 2*types.Core
+	slots[1].Free.Cores = 3 * types.Core
+	slots[2].TasksByStage[request.StageID] = 1
+	slots[3].reserved = types.Resources{Cores: 8 * types.Core}
+	request.TimeLimit = time.Second
+	slots[4].CurrentDurationFactor = maxDurationFactor + 1
+	diagnosis := Diagnose(Input{Slots: slots, Usage: usage}, &request)
+	is.Equal(diagnosis.Queue, NoObstacle)
+	is.Equal(diagnosis.Workers, map[Obstacle]int{
+		Unsuitable: 1, NoRoom: 1, StageFull: 1, Reserved: 1, Distrusted: 1, NoObstacle: 1,
+	})
+}
+
+func TestDiagnosisNamesWhatKeepsAQueueFromItsTurn(t *testing.T) {
+	is := is.New(t)
+	usage := usageOf(config.Queue{Name: "q"})
+	request := newRequest("j", "q", 1, 4)
+	request.MaxQueueCores = 4 * types.Core
+	usage["q"].CoresInUse = types.Core
+	is.Equal(Diagnose(Input{Slots: newSlots(1, 8), Usage: usage}, &request).Queue, CoresKept)
+	usage["q"].RunningTasks = usage["q"].Queue.MaxRunning
+	is.Equal(Diagnose(Input{Slots: newSlots(1, 8), Usage: usage}, &request).Queue, QueueLimit)
+}
+
+func TestDiagnosisOfARequestThatWaitsForItsData(t *testing.T) {
+	is := is.New(t)
+	request := newRequest("j", "q", 1, 4)
+	request.DataRack, request.DataRackWait = "r1", time.Second
+	slots := newSlots(6, 8)
+	for i := 3; i < 6; i++ {
+		slots[i].Free = types.Resources{}
+	}
+	diagnosis := Diagnose(Input{Slots: slots}, &request)
+	is.Equal(diagnosis.Workers, map[Obstacle]int{OtherRack: 3, NoRoom: 3})
+}
