checker: the idle rule counts the room of workers that are up and take work

The rule says that work may not stand still while there is room for it twice over and less than half of all room is in use.

--- a/sim/checker/checker.go
+++ b/sim/checker/checker.go
@@ -39,6 +39,7 @@
 	stoppedAt  map[string][]int64         // daemons' processes
 	leaving    map[types.Shard][]interval // from a worker's announcement to its withdrawal
 	draining   map[types.Shard][]interval // by operators
+	down       map[types.Shard][]interval // from the end of a worker's process to the next one
 	tables     []activeTable
 	faults     []faultWindow
 
@@ -114,6 +115,7 @@
 		stoppedAt: map[string][]int64{},
 		leaving:   map[types.Shard][]interval{},
 		draining:  map[types.Shard][]interval{},
+		down:      map[types.Shard][]interval{},
 		coverage:  Coverage{},
 	}
 	newReader(c).readAll()
--- a/sim/checker/reader.go
+++ b/sim/checker/reader.go
@@ -113,6 +113,9 @@
 		if event.Worker != nil {
 			r.workers[event.Shard] = event.Worker
 		}
+		if list := r.down[event.Shard]; len(list) > 0 && list[len(list)-1].to == r.end {
+			list[len(list)-1].to = event.At
+		}
 		if list := r.leaving[event.Shard]; len(list) > 0 && list[len(list)-1].to == r.end {
 			list[len(list)-1].to = event.At
 		}
@@ -121,6 +124,7 @@
 	case history.WorkerRemoved:
 		r.countRemoval(event)
 	case history.WorkerDied:
+		r.down[event.Shard] = append(r.down[event.Shard], interval{event.At, r.end})
 		r.workerDied(event)
 	case history.WorkerFroze:
 		r.frozenSince[event.Process] = event.At
