controller, server: the leader's status and metrics show tenants at their limit

An operator could not see why a tenant's tasks wait while workers are idle. The status lists tenants with unfinished jobs: limit, use, jobs, and ready tasks that the limit alone holds back; the same are metrics with the tenant's name as a label. The figures are those of the last round, so that the status costs no count of its own.

--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -31,6 +31,10 @@
 	policy      policy.Policy
 	reservation *placement.Reservation // workers kept for a request that was passed over
 	requests    []placement.Request    // the last list; its memory is reused
+
+	// Of the last round, for the status.
+	tenants         map[types.TenantName]*placement.TenantUsage
+	waitingForLimit map[types.TenantName]int // ready tasks that their tenant's limit holds back
 }
 
 // newPlanner returns a planner. windows tells how long workers are available, ends which
@@ -46,6 +50,8 @@
 		slots:       slotCache{windows: windows},
 		quotaExcess: options.QuotaExcess,
 		ends:        ends,
+
+		waitingForLimit: map[types.TenantName]int{},
 	}
 }
 
@@ -55,6 +61,7 @@
 	p.waits.reset()
 	p.slots.reset()
 	p.reservation = nil
+	p.tenants = nil
 }
 
 // recordJob learns from a new job.
@@ -151,6 +158,7 @@
 func (p *planner) readyWork(v *leaderView) placement.Input {
 	in := placement.Input{Usage: queueUsage(v.state), Tenants: p.tenantUsage(v), Policy: p.policy}
 	list := p.requests[:0]
+	clear(p.waitingForLimit)
 	for _, j := range v.state.LiveJobs() {
 		used := in.Usage[j.Queue]
 		if used == nil {
@@ -160,12 +168,17 @@
 		used.RunningTasks += ready.OutstandingAttempts
 		used.CoresInUse += ready.InUse.Cores
 		for _, stage := range ready.Stages {
-			stage.Tasks = p.unassigned(j, stage, used)
-			if len(stage.Tasks) > 0 && tenantAllows(in.Tenants[j.Tenant], j, stage) {
-				list = append(list, p.request(v, j, used.Queue, ready, stage))
+			if stage.Tasks = p.unassigned(j, stage, used); len(stage.Tasks) == 0 {
+				continue
+			}
+			if !tenantAllows(in.Tenants[j.Tenant], j, stage) {
+				p.waitingForLimit[j.Tenant] += len(stage.Tasks)
+				continue
 			}
+			list = append(list, p.request(v, j, used.Queue, ready, stage))
 		}
 	}
+	p.tenants = in.Tenants
 	p.requests, in.Requests = list, list
 	return in
 }
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -32,6 +32,7 @@
 	Overloaded      bool               `json:"behind,omitempty"`       // with its control work, for long
 	LagMS           int64              `json:"lag_ms"`                 // of its control work
 	ClusterTime     string             `json:"cluster_time"`
+	Tenants         []TenantView       `json:"tenants,omitempty"` // of the leader; see TenantView
 	Peers           []membership.Peer  `json:"mates"`
 	Counters        Counters           `json:"sums"`
 }
@@ -74,6 +75,7 @@
 		Overloaded:     c.overload.isOverloaded(),
 		LagMS:          c.overload.controlLag().Milliseconds(),
 		ClusterTime:    clusterTime.UTC().Format(time.RFC3339Nano),
+		Tenants:        c.leader.tenantViews(),
 		Peers:          c.members.Peers(),
 		Counters:       c.Counters,
 	}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -18,7 +18,9 @@
 // format of Prometheus.
 func (h *Handlers) handleMetrics(w http.ResponseWriter, _ *http.Request) {
 	metrics := h.ownMetrics()
-	flatten("", statusNumbers(h.Loop.StatusJSON()), metrics)
+	status := statusNumbers(h.Loop.StatusJSON())
+	flatten("", status, metrics)
+	addTenants(status["tenants"], metrics)
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	for _, name := range slices.Sorted(maps.Keys(metrics)) {
 		fmt.Fprintf(w, "%s%s %v\n", metricPrefix, name, metrics[name])
@@ -54,6 +56,26 @@
 	return fields
 }
 
+// addTenants adds the numbers of the tenants in a status, with the tenant's name as a label.
+// The status bounds how many it lists.
+func addTenants(tenants any, metrics map[string]float64) {
+	list, ok := tenants.([]any)
+	if !ok {
+		return
+	}
+	for _, tenant := range list {
+		fields, ok := tenant.(map[string]any)
+		if !ok {
+			continue
+		}
+		numbers := map[string]float64{}
+		flatten("tenant", fields, numbers)
+		for name, number := range numbers {
+			metrics[fmt.Sprintf("%s{tenant=%q}", name, fields["name"])] = number
+		}
+	}
+}
+
 // flatten adds the numbers and flags in a decoded JSON value to the metrics, each under
 // its path: the keys on the way to it in lower case, joined by underscores.
 func flatten(path string, value any, metrics map[string]float64) {
