server: a request to a peer takes no goroutines of its connection

What callers saw: on a deployment of 240 workers first starts come late, since the leader is short of processor time: 6,500 requests a second come to it and as many go out, nearly each with one message, as the workers are many.

Now the goroutine that sends a peer's messages writes the request and reads the response itself (http.ReadResponse), on one connection that it replaces if the peer has closed it. As before a request is sent once, any response counts as success, no redirect is followed, and a connection idle for 30 s is closed. The header lacks what no peer reads (User-Agent, Accept-Encoding), so the simulator's bytes of a request are 99, as TestWireBytesAreThoseOfARealRequest measures, and were 154. On the wire nothing else changes: builds may be mixed.

TestMessagesAreNotResentByTheTransport and the others of the sender hold; the tests of peerConnection are new.

--- a/internal/server/sender.go
+++ b/internal/server/sender.go
@@ -1,11 +1,8 @@
 package server
 
 import (
-	"bytes"
 	"context"
-	"fmt"
-	"io"
-	"net/http"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,7 +34,7 @@
 	Failed  atomic.Uint64 // requests without a response
 	Dropped atomic.Uint64 // messages for which there was no room
 
-	client *http.Client
+	dialer *net.Dialer
 	mu     sync.Mutex
 	queues map[types.Addr]*peerQueue
 	closed bool
@@ -54,7 +51,7 @@
 func NewSender(source string) *Sender {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Sender{
-		client: NewClient(source, 0), // each request has a timeout of its own, by its size
+		dialer: NewDialer(source),
 		queues: map[types.Addr]*peerQueue{},
 		ctx:    ctx,
 		cancel: cancel,
@@ -85,50 +82,41 @@
 	return queue
 }
 
-// sendQueued sends the queued messages of a peer until the sender is closed.
+// sendQueued sends the queued messages of a peer until the sender is closed. A connection
+// that has not been used for idleConnTimeout is closed.
 func (s *Sender) sendQueued(to types.Addr, queue *peerQueue) {
+	connection := newPeerConnection(s.dialer, to)
+	defer connection.close()
+	idle := time.NewTimer(idleConnTimeout)
+	defer idle.Stop()
 	for {
 		select {
 		case <-s.ctx.Done():
 			return
+		case <-idle.C:
+			connection.close()
+			continue
 		case <-queue.wake:
 		}
 		for group := queue.take(); len(group) > 0 && s.ctx.Err() == nil; group = queue.take() {
-			s.deliver(to, group)
+			s.deliver(connection, group)
 		}
+		idle.Reset(idleConnTimeout)
 	}
 }
 
-// deliver makes one request with a group of messages and counts its outcome.
-func (s *Sender) deliver(to types.Addr, group []wire.Message) {
-	if err := s.post(to, wire.EncodeMessages(group)); err != nil {
+// deliver makes one request with a group of messages and counts its outcome. Any response
+// counts as success, since only the peer's machine decides what becomes of the messages.
+func (s *Sender) deliver(connection *peerConnection, group []wire.Message) {
+	body := wire.EncodeMessages(group)
+	timeout := requestTimeout + time.Duration(len(body)/minBytesPerMS)*time.Millisecond
+	if err := connection.post(s.ctx, body, timeout); err != nil {
 		s.Failed.Add(1)
 		return
 	}
 	s.Sent.Add(uint64(len(group)))
 }
 
-// post makes one request. Any response counts as success, since only the peer's machine
-// decides what becomes of the messages.
-func (s *Sender) post(to types.Addr, body []byte) error {
-	timeout := requestTimeout + time.Duration(len(body)/minBytesPerMS)*time.Millisecond
-	ctx, cancel := context.WithTimeout(s.ctx, timeout)
-	defer cancel()
-	url := "http://" + string(to) + messagesPath
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return fmt.Errorf("make a request to %s: %w", to, err)
-	}
-	request.Header.Set("Content-Type", "application/json")
-	response, err := s.client.Do(request)
-	if err != nil {
-		return fmt.Errorf("send messages to %s: %w", to, err)
-	}
-	defer response.Body.Close()
-	io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardedBytes))
-	return nil
-}
-
 // Close drops the queued messages, cancels the requests in flight and waits for the
 // goroutines of all peers.
 func (s *Sender) Close() {
--- a/internal/server/sender_test.go
+++ b/internal/server/sender_test.go
@@ -24,9 +24,11 @@
 			sender := NewSender("")
 			defer sender.Close()
 			group := []wire.Message{{Kind: "a"}}
-			sender.deliver(peer.Addr, group)
+			connection := newPeerConnection(sender.dialer, peer.Addr)
+			defer connection.close()
+			sender.deliver(connection, group)
 			is.Equal(sender.Sent.Load(), uint64(1))
-			sender.deliver(peer.Addr, group)
+			sender.deliver(connection, group)
 			<-peer.Finished
 			is.Equal(peer.Broken.Load(), int32(1))
 			if moment.ResponseStarted { // the peer has taken the messages
@@ -49,7 +51,10 @@
 	defer near.Close()
 	sender := NewSender("")
 	defer sender.Close()
-	sender.deliver(types.Addr(strings.TrimPrefix(near.URL, "http://")), []wire.Message{{Kind: "a"}})
+	connection := newPeerConnection(sender.dialer, types.Addr(strings.TrimPrefix(near.URL, "http://")))
+	defer connection.close()
+	sender.deliver(connection, []wire.Message{{Kind: "a"}})
+	is.Equal(sender.Sent.Load(), uint64(1))
 	is.Equal(redirected.Load(), int32(0))
 }
 
--- a/sim/world/usage.go
+++ b/sim/world/usage.go
@@ -60,7 +60,7 @@
 // What a request to a peer and its answer take beside the messages in it. A test holds
 // them against the real client and server.
 const (
-	requestBytes = 154
+	requestBytes = 99
 	answerBytes  = 64
 	messageBytes = len(`{"from":"","kind":"","body":},`)
 )
