--- a/sim/checker/idle_test.go
+++ b/sim/checker/idle_test.go
@@ -31,7 +31,8 @@
 	}
 	for i, id := range []types.JobID{"busy", "waits"} {
 		cores := types.MilliCores(5-4*i) * types.Core
-		spec := state.Spec{Queue: "q", Steps: []state.Step{{Name: "s", Tasks: 1, Resources: types.Resources{Cores: cores}}}}
+		step := state.Step{Name: "s", Tasks: 1, Resources: types.Resources{Cores: cores}}
+		spec := state.Spec{Queue: "q", Steps: []state.Step{step}}
 		add(time.Second, history.Event{Kind: history.JobSubmitted, Job: id, Spec: &spec})
 		add(time.Second, history.Event{Kind: history.JobAccepted, Job: id})
 	}
