--- a/cmd/coppercourse/controller_daemon.go
+++ b/cmd/coppercourse/controller_daemon.go
@@ -29,6 +29,7 @@
 		RaftTimeouts:     s.Timeouts.Raft(),
 		DispatchTimeouts: s.Timeouts.Dispatch(),
 		RemoteSlowdown:   s.Bounds.RemoteSlowdown,
+		QuotaExcess:      s.Bounds.QuotaExcess,
 	}, records)
 	loop := server.NewEventLoop(server.Config{
 		Machine:  machine,
@@ -44,16 +45,29 @@
 // controllerObserver publishes whether a controller is ready, and logs its state.
 type controllerObserver struct {
 	machine *controller.Controller
+	log     logr.Logger
 	states  stateLogger[controllerState]
+	tenants tenantLogger
 	ready   atomic.Bool
 }
 
 func newControllerObserver(machine *controller.Controller, log logr.Logger) *controllerObserver {
-	return &controllerObserver{machine: machine, states: stateLogger[controllerState]{log: log}}
+	return &controllerObserver{
+		machine: machine,
+		log:     log,
+		states:  stateLogger[controllerState]{log: log},
+		tenants: tenantLogger{log: log},
+	}
 }
 
 // AfterStep implements server.Observer.
-func (co *controllerObserver) AfterStep() { co.ready.Store(co.machine.Ready()) }
+func (co *controllerObserver) AfterStep() {
+	co.ready.Store(co.machine.Ready())
+	for _, s := range co.machine.TakeStandstills() {
+		co.log.Info("job stands still", "job", s.Job, "reason", s.Reason, "detail", s.Detail,
+			"idle_ms", s.Idle.Milliseconds(), "tasks_ready", s.ReadyTasks, "tasks_unconfirmed", s.Outstanding)
+	}
+}
 
 // Ready implements server.Observer.
 func (co *controllerObserver) Ready() bool { return co.ready.Load() }
@@ -62,6 +76,7 @@
 func (co *controllerObserver) Status() any {
 	status := co.machine.Status()
 	co.states.update(newControllerState(status))
+	co.tenants.update(co.machine.Table())
 	return status
 }
 
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -62,6 +62,7 @@
 	requests *requestTable
 	// forwarded remembers the submissions that gateways have forwarded to this process.
 	forwarded *forwardedSubmissions
+	rates     *tenantRates
 	overload  *overload
 	outbox    *outbox
 	trace     *trace.Ring
@@ -78,6 +79,7 @@
 		leader:    c.leader,
 		requests:  c.requests,
 		forwarded: newForwardedSubmissions(),
+		rates:     newTenantRates(),
 		overload:  c.overload,
 		outbox:    c.outbox,
 		trace:     c.Trace,
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"coppercourse/internal/config"
 	"coppercourse/internal/membership"
 	"coppercourse/internal/raft"
 	"coppercourse/internal/types"
@@ -31,6 +32,7 @@
 	Overloaded      bool               `json:"behind,omitempty"`       // with its control work, for long
 	LagMS           int64              `json:"lag_ms"`                 // of its control work
 	ClusterTime     string             `json:"cluster_time"`
+	Tenants         []TenantView       `json:"tenants,omitempty"` // of the leader; see TenantView
 	Peers           []membership.Peer  `json:"mates"`
 	Counters        Counters           `json:"sums"`
 }
@@ -73,6 +75,7 @@
 		Overloaded:     c.overload.isOverloaded(),
 		LagMS:          c.overload.controlLag().Milliseconds(),
 		ClusterTime:    clusterTime.UTC().Format(time.RFC3339Nano),
+		Tenants:        c.leader.tenantViews(),
 		Peers:          c.members.Peers(),
 		Counters:       c.Counters,
 	}
@@ -83,6 +86,9 @@
 	return view
 }
 
+// Table returns the table in force as far as this controller knows.
+func (c *Controller) Table() config.Table { return c.log.state().Table }
+
 // statusReason returns why this controller is not as it should be, or nothing.
 func (c *Controller) statusReason(lossesTolerated int) string {
 	switch {
--- a/internal/state/job_index.go
+++ b/internal/state/job_index.go
@@ -23,14 +23,25 @@
 // have ended. It is derived from the jobs and not stored.
 type jobIndex struct {
 	live    map[types.JobID]*Job
-	inOrder []*Job                         // the live ones, oldest first, and some that have ended since
-	ended   []*Job                         // in the order of their ends
-	usage   map[types.QueueName]queueUsage // what the live jobs of each queue hold
+	inOrder []*Job                          // the live ones, oldest first, and some that have ended since
+	ended   []*Job                          // in the order of their ends
+	usage   map[types.QueueName]queueUsage  // what the live jobs of each queue hold
+	tenants map[types.TenantName]tenantJobs // the live jobs of each tenant; none without one
+}
+
+// tenantJobs counts the live jobs of one tenant.
+type tenantJobs struct {
+	unfinished int
+	overRate   int // those of them over its rate; see Job.OverRate
 }
 
 // newJobIndex lists jobs.
 func newJobIndex(jobs map[types.JobID]*Job) jobIndex {
-	ji := jobIndex{live: map[types.JobID]*Job{}, usage: map[types.QueueName]queueUsage{}}
+	ji := jobIndex{
+		live:    map[types.JobID]*Job{},
+		usage:   map[types.QueueName]queueUsage{},
+		tenants: map[types.TenantName]tenantJobs{},
+	}
 	for _, job := range jobs {
 		if job.Ended() {
 			ji.ended = append(ji.ended, job)
@@ -59,13 +70,30 @@
 	ji.addUsage(job, -1)
 }
 
-// addUsage adds a job to its queue's usage, or removes it with sign -1.
+// addUsage adds a job to the usage of its queue and of its tenant, or removes it with
+// sign -1.
 func (ji *jobIndex) addUsage(job *Job, sign int) {
 	usage := ji.usage[job.Queue]
 	usage.jobs += sign
 	usage.tasks += sign * job.TaskCount
 	usage.bytes += sign * job.ApproxBytes
 	ji.usage[job.Queue] = usage
+	if job.Tenant != "" {
+		ji.addToTenant(job, sign)
+	}
+}
+
+// addToTenant adds a job to its tenant's, or removes it with sign -1.
+func (ji *jobIndex) addToTenant(job *Job, sign int) {
+	jobs := ji.tenants[job.Tenant]
+	jobs.unfinished += sign
+	if job.OverRate {
+		jobs.overRate += sign
+	}
+	ji.tenants[job.Tenant] = jobs
+	if jobs.unfinished == 0 {
+		delete(ji.tenants, job.Tenant)
+	}
 }
 
 // liveInOrder returns the live jobs, oldest first. The list is valid until the next change.
