placement: a full round goes on for jobs of which nothing runs

What callers can see: a job that is late has nothing running although there is room, as long as every round is filled by work that goes before it. A round places 400 tasks; a leader that is behind makes two to ten rounds a second, so that more than 800 to 4,000 task starts a second are left to later rounds, and what goes last gets no turn. Short tasks leave most of the room free meanwhile.

Change: once a round is full it goes on for requests of idle jobs that have waited for a second: one task each, or the gang, 50 requests at most. They pass the same checks as all others.

TestIdleJobsGetATaskInAFullRound and TestAFullRoundTakesFewIdleJobs failed without it (0 tasks, and 1 job in place of 51).

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,7 +17,8 @@
 	"coppercourse/internal/types"
 )
 
-// MaxAssignments is how many tasks one round places at most; the next round goes on.
+// MaxAssignments is how many tasks one round places at most, but for those of starved
+// requests; the next round goes on.
 const MaxAssignments = 400
 
 // Input is all that a round depends on. Place changes its requests, slots and usage.
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -15,6 +15,7 @@
 	bypassed   bool     // others took slots after it that it could have used
 
 	roundReservations int // slots that reserveForRound has reserved
+	starvedPlaced     int // starved requests that were placed once the round was full
 
 	// Buffers of findSlotsOn, kept from one search to the next.
 	freeBuffer  []types.Resources
@@ -32,13 +33,13 @@
 // placeInTurn places one request after another, each time of the queue whose turn it is.
 func (r *round) placeInTurn() {
 	turns := groupByQueue(r.Requests, r.Usage)
-	for len(r.output.Assignments) < MaxAssignments {
+	for !r.isOver() {
 		turn := nextQueue(turns, r.TotalCores)
 		if turn == nil {
 			return
 		}
-		request := &turn.requests[0]
-		if !turn.usage.allows(request) {
+		request, isFull := &turn.requests[0], r.isFull()
+		if isFull && !isStarved(request) || !turn.usage.allows(request) {
 			turn.requests = turn.requests[1:]
 			continue
 		}
@@ -50,7 +51,10 @@
 		}
 		r.noteBypass(slots)
 		r.assign(request, turn.usage, slots)
-		if len(request.Tasks) == 0 {
+		if isFull {
+			r.starvedPlaced++
+		}
+		if isFull || len(request.Tasks) == 0 {
 			turn.requests = turn.requests[1:]
 		}
 	}
