controller: a copy of a job in the log takes nothing of its tenant's rate

What callers saw: a client whose first try got no answer sent the same job again and was told 429, "not taken, never runs"; the job ran all the same. A tenant whose gateways forwarded again beside a slow log had jobs within its weight rejected or marked as over the rate.

Cause: the leader looks for the job in its applied state and asks the token bucket otherwise. A copy that comes between the proposal and the commit of the first one is in neither: it took a token of its own, and without one was refused, from another number of a gateway even for good.

Evidence: TestCopyOfAJobInTheLogTakesNothingOfTheRate failed at its third copy with tenant_over_rate before the change, and passes with it; the package is green.

Why it works: what is proposed is remembered by id until it is applied. A copy of it is proposed as the first one was, takes no token and is answered with the commit; the state takes a job once. With the leadership all of it is forgotten, as the entries may never be committed.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -116,20 +116,25 @@
 	}
 }
 
-// propose proposes a command; the caller gets the reply once it is committed.
-func (a *api) propose(from caller, command state.Command) {
+// propose proposes a command; the caller gets the reply once it is committed. It reports
+// whether the command is in the log.
+func (a *api) propose(from caller, command state.Command) bool {
 	index, ok := a.log.propose(command)
 	if !ok {
 		a.outbox.replyError(from, apierror.New(apierror.NoLeader, "", "the log takes nothing now").
 			WithRetryAfter(logBusyRetryAfter))
-		return
+		return false
 	}
 	a.requests.await(index, a.raft.Term(), from)
+	return true
 }
 
 // commandApplied replies to the caller, if any, who waits for an entry whose command was
 // just applied; rejection is why the state rejected it, or nil.
 func (a *api) commandApplied(now types.Now, e raft.Entry, command state.Command, rejection *apierror.Error) {
+	if command.Job != nil {
+		a.rates.applied(command.Job)
+	}
 	from, isOwn, ok := a.requests.takeCommitted(e.Index, e.Term)
 	switch {
 	case !ok:
@@ -167,6 +172,7 @@
 
 // abandonRequests answers all requests that wait, as this controller does not lead.
 func (a *api) abandonRequests() {
+	a.rates.abandon()
 	changes, reads := a.requests.abandon()
 	for _, from := range changes {
 		a.outbox.replyError(from, leaderChanged())
--- a/internal/controller/job_requests.go
+++ b/internal/controller/job_requests.go
@@ -33,7 +33,7 @@
 	}
 	submission := &state.Submission{ID: id, Spec: spec}
 	if err == nil {
-		submission.OverRate, err = a.rates.admit(r.now.Mono, a.log.state(), spec.Tenant)
+		err = a.rates.admitSubmission(r.now.Mono, a.log.state(), submission)
 	}
 	command := state.Command{Job: submission}
 	if err != nil {
@@ -44,7 +44,9 @@
 		a.forwarded.noteTaken(r.now.Mono, r.caller)
 	}
 	a.trace.Add(r.now.Wall, trace.JobSubject(id), "received by leader", "from", r.caller.gateway)
-	a.propose(r.caller, command)
+	if a.propose(r.caller, command) {
+		a.rates.proposed(submission)
+	}
 }
 
 // withRetryAfter adds a Retry-After to the rejection of a submission by a full queue.
--- a/internal/controller/tenant_rates.go
+++ b/internal/controller/tenant_rates.go
@@ -26,12 +26,39 @@
 type tenantRates struct {
 	limiters map[types.TenantName]*rate.Limiter
 	version  types.Version // of the table that the limiters are made for
+	// inFlight are the jobs in the log that are not applied yet, and whether they are over
+	// their tenant's rate. A copy of one takes no token, and is not rejected.
+	inFlight map[types.JobID]bool
 }
 
 func newTenantRates() *tenantRates {
-	return &tenantRates{limiters: map[types.TenantName]*rate.Limiter{}}
+	return &tenantRates{limiters: map[types.TenantName]*rate.Limiter{}, inFlight: map[types.JobID]bool{}}
 }
 
+// admitSubmission is admit for a submission, whose OverRate it sets.
+func (t *tenantRates) admitSubmission(now types.MonoTime, s *state.State, to *state.Submission) *apierror.Error {
+	if overRate, isCopy := t.inFlight[to.ID]; isCopy {
+		to.OverRate = overRate
+		return nil
+	}
+	overRate, err := t.admit(now, s, to.Spec.Tenant)
+	to.OverRate = overRate
+	return err
+}
+
+// proposed notes that a submission is in the log.
+func (t *tenantRates) proposed(submission *state.Submission) {
+	if submission.Spec.Tenant != "" {
+		t.inFlight[submission.ID] = submission.OverRate
+	}
+}
+
+// applied notes that a submission is applied.
+func (t *tenantRates) applied(submission *state.Submission) { delete(t.inFlight, submission.ID) }
+
+// abandon forgets what is in flight, as a leader that has stepped down does.
+func (t *tenantRates) abandon() { clear(t.inFlight) }
+
 // admit takes a token for a new job of a tenant. It returns whether the job is over the
 // tenant's rate, or why it is rejected. Jobs without a tenant have no
 // rate, nor have those of one without a weight or that the table has no more.
