controller, placement: a job over its rate goes last where it has no target too

What callers saw: in a queue without a latency target, and in steps that are always restarted, the jobs that a tenant submits beyond its weight ran in turn with everybody else's, the urgent ones before them. docs and the tenant's weight say that they run behind the jobs of others.

Cause: rank returns early for both, before it looks at OverRate. In a queue without a target the class does not order the requests either, so that the rank alone would have put the whole queue's turn back behind other queues.

Evidence: TestJobOverTheRateRanksBehindOthersWithoutATarget failed in two of its three cases, and TestJobOverTheRateGoesLastInAQueueWithoutTarget placed none of the job within its rate without the change of the turns.

Why it works: the rate is applied to whatever rank the target gives, and a queue without a target sorts by class first. There every other job is OnTarget, so that their order stays as it was.

--- a/internal/controller/job_ranking.go
+++ b/internal/controller/job_ranking.go
@@ -86,6 +86,16 @@
 
 // rank ranks what of a job is ready in one stage.
 func (r *jobRanking) rank(v *leaderView, j *state.Job, queue config.Queue, ready *state.ReadyIndex,
+	stage state.ReadyStage) jobRank {
+	rank := r.rankByTarget(v, j, queue, ready, stage)
+	if j.OverRate {
+		return rank.afterOthers()
+	}
+	return rank
+}
+
+// rankByTarget ranks what of a job is ready in one stage by its queue's target.
+func (r *jobRanking) rankByTarget(v *leaderView, j *state.Job, queue config.Queue, ready *state.ReadyIndex,
 	stage state.ReadyStage) jobRank {
 	if !queue.HasLatencyTarget() {
 		return jobRank{class: placement.OnTarget}
@@ -107,9 +117,6 @@
 	if !r.policy.NoRanking {
 		rank.sortKey = -tardinessCost(lostValue, remainingWork, untilLost)
 	}
-	if j.OverRate {
-		return rank.afterOthers()
-	}
 	return rank
 }
 
--- a/internal/controller/job_ranking_test.go
+++ b/internal/controller/job_ranking_test.go
@@ -17,6 +17,14 @@
 // rankOf ranks a job of one step of a second's estimate, accepted so long ago, whose queue's
 // target is 3 s.
 func rankOf(t *testing.T, age time.Duration, alter func(*state.Step, *config.Queue, *jobRanking)) jobRank {
+	t.Helper()
+	return rankWithRate(t, age, false, alter)
+}
+
+// rankWithRate is rankOf for a job that may be over its tenant's rate.
+func rankWithRate(
+	t *testing.T, age time.Duration, overRate bool, alter func(*state.Step, *config.Queue, *jobRanking),
+) jobRank {
 	t.Helper()
 	const clock = types.ClusterTime(time.Hour)
 	step := testStep("s", 1)
@@ -33,7 +41,7 @@
 	s.Table.Queues = []config.Queue{urgent, q}
 	v := &leaderView{clock: clock, state: s, durations: newDurationEstimates(locality{})}
 	spec := &state.Spec{Queue: "q", Steps: []state.Step{step}}
-	j := &state.Job{ID: "j", Queue: "q", Status: state.JobOpen, Spec: spec}
+	j := &state.Job{ID: "j", Queue: "q", Status: state.JobOpen, Spec: spec, OverRate: overRate}
 	ready := &state.ReadyIndex{RemainingTasks: []int{step.Tasks}}
 	return r.rank(v, j, q, ready, state.ReadyStage{ReadySince: clock.Add(-age)})
 }
@@ -64,6 +72,26 @@
 	}
 }
 
+// Guards against a tenant over its rate that delays others where its jobs have no target: in a
+// queue without one, and in steps that are always restarted.
+func TestJobOverTheRateRanksBehindOthersWithoutATarget(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		alter func(*state.Step, *config.Queue, *jobRanking)
+	}{
+		{"queue with a target", func(*state.Step, *config.Queue, *jobRanking) {}},
+		{"queue without a target", func(_ *state.Step, q *config.Queue, _ *jobRanking) { q.TargetFactor = 0 }},
+		{"step that is always restarted",
+			func(p *state.Step, _ *config.Queue, _ *jobRanking) { p.AlwaysRestart = true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(rankWithRate(t, 0, false, c.alter).class, placement.OnTarget)
+			is.Equal(rankWithRate(t, 0, true, c.alter).class, placement.TargetMissed)
+		})
+	}
+}
+
 func TestWhatGainsMoreGoesFirst(t *testing.T) {
 	plain := func(*state.Step, *config.Queue, *jobRanking) {}
 	first := func(a, b jobRank) bool { return a.sortKey < b.sortKey }
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -41,7 +41,8 @@
 // TargetClass is whether a job can still meet its queue's latency target.
 type TargetClass int
 
-// Classes of jobs. Those of queues without a target are OnTarget.
+// Classes of jobs. Those of queues without a target are OnTarget; a job over its tenant's rate
+// is TargetMissed in any queue.
 const (
 	OnTarget     TargetClass = iota
 	Late                     // it will miss its target, but not by much
--- a/internal/placement/turns.go
+++ b/internal/placement/turns.go
@@ -14,7 +14,8 @@
 
 // groupByQueue returns the queues that have requests, in the order of their oldest ones.
 // Within a queue the more urgent requests go first, then with a latency target those of
-// the lower sort key, then the older ones.
+// the lower sort key, then the older ones. Without a target the jobs over their tenant's
+// rate go behind all others, whose turn they must not delay.
 func groupByQueue(requests []Request, usage map[types.QueueName]*QueueUsage) []*queueTurn {
 	var turns []*queueTurn
 	byQueue := map[types.QueueName]*queueTurn{}
@@ -35,6 +36,9 @@
 		hasTarget := turn.usage.Queue.HasLatencyTarget()
 		sort.SliceStable(turn.requests, func(i, k int) bool {
 			a, b := &turn.requests[i], &turn.requests[k]
+			if !hasTarget && a.Class != b.Class {
+				return a.Class < b.Class
+			}
 			if a.Urgency != b.Urgency {
 				return a.Urgency > b.Urgency
 			}
--- a/internal/placement/turns_test.go
+++ b/internal/placement/turns_test.go
@@ -108,3 +108,15 @@
 		})
 	}
 }
+
+// Guards against a tenant over its rate that delays others in a queue without a target, by being
+// older or urgent, or whose queue waits for it behind other queues.
+func TestJobOverTheRateGoesLastInAQueueWithoutTarget(t *testing.T) {
+	is := is.New(t)
+	overRate := newRequest("over rate", "a", 50, 1)
+	overRate.Class, overRate.Urgency = TargetMissed, 9
+	requests := []Request{overRate, newRequest("within", "a", 4, 1), newRequest("other", "b", 50, 1)}
+	usage := usageOf(config.Queue{Name: "a"}, config.Queue{Name: "b", Priority: 1})
+	got := tasksByJob(place(requests, newSlots(1, 10), usage, 10))
+	is.Equal(got, map[types.JobID]int{"within": 4, "other": 6})
+}
