sim: the probes of a thawed leader's test are not lost on their way

The check is as strict: four answers, each by no earlier lease; only the loss of the probes is left out.

--- a/sim/quorum_loss_planted_test.go
+++ b/sim/quorum_loss_planted_test.go
@@ -262,6 +262,7 @@
 			"job.get":     nil,
 			"queue.count": nil,
 		}
+		r.World.Network.Quality.LossRate = 0 // each probe arrives, and so does its answer
 		for verb, body := range requests {
 			r.Request(probeAddr, l.Addr, verb, "none", body, func(a wire.Response) { answers[verb] = a })
 		}
