--- a/internal/server/job_handlers.go
+++ b/internal/server/job_handlers.go
@@ -18,8 +18,10 @@
 
 // tenantOf returns whose request it is, as jobHandler found; empty for nobody's.
 func tenantOf(r *http.Request) types.TenantName {
-	tenant, _ := r.Context().Value(tenantContextKey{}).(types.TenantName)
-	return tenant
+	if tenant, ok := r.Context().Value(tenantContextKey{}).(types.TenantName); ok {
+		return tenant
+	}
+	return ""
 }
 
 // jobHandler returns a handler that has next handle the requests about a job that carry no key,
