--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -30,6 +30,7 @@
 	policy      policy.Policy
 	reservation *placement.Reservation // workers kept for a request that was passed over
 	requests    []placement.Request    // the last list; its memory is reused
+	hindrance   string                 // why the last round placed nothing while another is in flight, or empty
 	lastInput   placement.Input        // of the last round, as Place has left it; empty without one
 }
 
@@ -73,7 +74,7 @@
 
 // plan makes the next round, given the last index applied.
 func (p *planner) plan(v *leaderView, applied types.Index) round {
-	p.lastInput = placement.Input{}
+	p.lastInput, p.hindrance = placement.Input{}, ""
 	if p.rounds.inFlight(applied) {
 		return p.planWhileInFlight(v, applied)
 	}
@@ -108,7 +109,8 @@
 // planWhileInFlight places new work while an earlier round is in flight; applied is the last index
 // applied.
 func (p *planner) planWhileInFlight(v *leaderView, applied types.Index) round {
-	if p.rounds.full(applied) || v.scheduler.InInitialWait() || p.reservation != nil {
+	p.hindrance = p.hindranceInFlight(v, applied)
+	if p.hindrance != "" {
 		return round{}
 	}
 	in := placement.Input{Policy: p.policy}
@@ -119,6 +121,20 @@
 	return round{assignments: p.assign(v.state, p.place(v, in).Assignments)}
 }
 
+// hindranceInFlight returns why nothing may be placed while an earlier round is in flight, or
+// nothing.
+func (p *planner) hindranceInFlight(v *leaderView, applied types.Index) string {
+	switch {
+	case p.rounds.full(applied):
+		return "too many rounds in flight"
+	case v.scheduler.InInitialWait():
+		return "initial wait"
+	case p.reservation != nil:
+		return "a reservation is held while a round is in flight"
+	}
+	return ""
+}
+
 // place chooses workers for the requests.
 func (p *planner) place(v *leaderView, in placement.Input) placement.Output {
 	p.waits.update(v.now, in.Requests)
--- a/internal/controller/standstill.go
+++ b/internal/controller/standstill.go
@@ -158,7 +158,7 @@
 	}
 	request := slices.IndexFunc(p.lastInput.Requests, func(r placement.Request) bool { return r.StageID == stage })
 	if request < 0 {
-		return StandstillNoRound, ""
+		return StandstillNoRound, p.hindrance
 	}
 	diagnosis := placement.Diagnose(p.lastInput, &p.lastInput.Requests[request])
 	detail := workersByObstacle(diagnosis.Workers)
--- a/internal/controller/standstill_test.go
+++ b/internal/controller/standstill_test.go
@@ -100,6 +100,21 @@
 	is.Equal(len(l.review(standstillDelay)), 1)
 }
 
+// Where no round was made beside those in flight, the detail says why.
+func TestStandstillBesideRoundsInFlightSaysWhyThereIsNone(t *testing.T) {
+	is := is.New(t)
+	l := standstillRig(t)
+	step := testStep("s", 1)
+	step.Labels = []string{"none has it"}
+	l.submit(t, "j", state.Spec{Queue: "q", Steps: []state.Step{step}})
+	for index := range types.Index(maxRoundsInFlight) {
+		l.planner.proposed(index+1, nil)
+	}
+	found := l.standsStill(t)
+	is.Equal(found.Reason, StandstillNoRound)
+	is.Equal(found.Detail, "too many rounds in flight")
+}
+
 // Nothing stands still without a reason while half of all cores is in use.
 func TestNoStandstillWhileHalfOfTheCoresIsInUse(t *testing.T) {
 	is := is.New(t)
