server: requests to peers are written by net/http too

The header of a request to a peer was written by hand. It is written by http.Request.Write now, the response was read by http.ReadResponse already; connection and goroutines stay as they are.

--- a/internal/server/peer_connection.go
+++ b/internal/server/peer_connection.go
@@ -2,13 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
+	"net/url"
 	"syscall"
 	"time"
 
@@ -24,21 +25,27 @@
 
 // peerConnection is the HTTP connection to one peer. A request and its response take place on
 // the goroutine that calls post, one after the other, without the goroutines that a connection
-// of http.Transport has: a leader makes thousands of requests a second, each of few bytes. A
-// request is sent once, whatever becomes of it. One goroutine uses a peerConnection.
+// of http.Transport has: a leader makes thousands of requests a second, each of few bytes. Both
+// are encoded and decoded by net/http. A request is sent once, whatever becomes of it. One goroutine uses a peerConnection.
 type peerConnection struct {
 	dialer *net.Dialer
 	addr   types.Addr
-	header []byte // of a request, up to the length of its body
+	url    *url.URL
+	header http.Header
 
 	conn   net.Conn // nil while there is none
 	reader *bufio.Reader
+	writer *bufio.Writer
 	unbind func() bool // keeps conn open when the context that it was dialled with ends
 }
 
 func newPeerConnection(dialer *net.Dialer, addr types.Addr) *peerConnection {
-	const format = "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: "
-	return &peerConnection{dialer: dialer, addr: addr, header: fmt.Appendf(nil, format, messagesPath, addr)}
+	return &peerConnection{
+		dialer: dialer,
+		addr:   addr,
+		url:    &url.URL{Scheme: "http", Host: string(addr), Path: messagesPath},
+		header: http.Header{"Content-Type": {"application/json"}, "User-Agent": {""}}, // an empty one is left out
+	}
 }
 
 // post makes one request, on the open connection if the peer has not closed it. Any response
@@ -77,15 +84,24 @@
 	}
 	pc.conn = conn
 	pc.reader = bufio.NewReaderSize(conn, responseBufferBytes)
+	pc.writer = bufio.NewWriter(conn)
 	pc.unbind = context.AfterFunc(ctx, func() { conn.Close() })
 	return nil
 }
 
 func (pc *peerConnection) writeRequest(body []byte) error {
-	header := append(pc.header[:len(pc.header):len(pc.header)], strconv.Itoa(len(body))...)
-	buffers := net.Buffers{append(header, "\r\n\r\n"...), body}
-	_, err := buffers.WriteTo(pc.conn)
-	return err
+	request := http.Request{
+		Method:        http.MethodPost,
+		URL:           pc.url,
+		Host:          string(pc.addr),
+		Header:        pc.header,
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
+	}
+	if err := request.Write(pc.writer); err != nil {
+		return err
+	}
+	return pc.writer.Flush()
 }
 
 // close closes the connection, if there is one. The next request opens another.
@@ -95,7 +111,7 @@
 	}
 	pc.unbind()
 	pc.conn.Close()
-	pc.conn, pc.reader = nil, nil
+	pc.conn, pc.reader, pc.writer = nil, nil, nil
 }
 
 // discardBody reads the body of a response to its end. It returns an error if the body is
