executor: a start that got no answer is fenced off when the worker's lease has ended

Cause: a start gets no answer; the agent's lease and the worker's end, and both sides count the attempt as lapsed; then a new leader's lease renews the worker's with the same fencing token, and the worker carries the old start out, under the new lease. Only a query raised the token.

Now the token is raised with the lapse of an attempt whose start has the newest one, so that the renewal that gives the next lease excludes the old start. A token that is raised more often excludes nothing else: an agent's calls carry its newest one.

--- a/internal/dispatch/executor/executor.go
+++ b/internal/dispatch/executor/executor.go
@@ -148,10 +148,19 @@
 		ex.endAttempt(attempt, state.OutcomeLost)
 	case ex.link != nil && ex.linkLeaseExpired():
 		ex.link.counters.LeasesExpired++
+		ex.fenceOffStart(attempt)
 		ex.endAttempt(attempt, state.OutcomeLeaseExpired)
 	}
 }
 
+// fenceOffStart keeps the worker from carrying out the start of an attempt late, under a lease
+// that it is given after this one: every later call has a higher fencing token.
+func (ex *Executor) fenceOffStart(attempt *attemptRecord) {
+	if attempt.sentToWorker && attempt.calls.startFence >= ex.link.fence.token {
+		ex.link.fence.raise(ex.link.clock.readingMS)
+	}
+}
+
 var messageHandlers = map[wire.Kind]func(*Executor, wire.Message){
 	wire.HeartbeatReply:    wire.HandlerFor((*Executor).onHeartbeatReply),
 	wire.RunningTasksQuery: wire.HandlerFor((*Executor).onRunningTasksQuery),
--- a/internal/server/peer_connection.go
+++ b/internal/server/peer_connection.go
@@ -26,7 +26,8 @@
 // peerConnection is the HTTP connection to one peer. A request and its response take place on
 // the goroutine that calls post, one after the other, without the goroutines that a connection
 // of http.Transport has: a leader makes thousands of requests a second, each of few bytes. Both
-// are encoded and decoded by net/http. A request is sent once, whatever becomes of it. One goroutine uses a peerConnection.
+// are encoded and decoded by net/http. A request is sent once, whatever becomes of it. One
+// goroutine uses a peerConnection.
 type peerConnection struct {
 	dialer *net.Dialer
 	addr   types.Addr
