controller, placement: tell slow workers, failing workers and blocked rounds apart

Change: the obstacle is `slow` or `failing`. A stall is put down to rounds in flight only if no round was made for a second; else the obstacles of the latest round are reported.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -200,6 +200,9 @@
 		l.wallOffset.propose(v, l.log, l.raft.WallOffsets())
 	}
 	l.proposeRound(l.planner.plan(v, l.log.applied()))
+	if l.planner.blocked() {
+		l.counters.Blocked++
+	}
 }
 
 // stopAttempts stops attempts that the state no longer needs, attempts unknown to the state and
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -31,8 +31,9 @@
 	policy        policy.Policy
 	reservation   *placement.Reservation // workers held for a request that was passed over
 	requests      []placement.Request    // of the last round; the memory is reused
-	blockedReason string                 // why a round placed nothing while an earlier one was in flight, or empty
-	lastInput     placement.Input        // of the last round, as modified by Place; empty if no round called it
+	blockedReason string                 // why the last round placed nothing while an earlier one was in flight, or empty
+	lastInput     placement.Input        // of the last round that was not blocked, as modified by Place; may be empty
+	lastInputAt   types.MonoTime         // when that round was made
 
 	// Results of the last round, for the status.
 	tenants         map[types.TenantName]*placement.TenantUsage
@@ -83,13 +84,23 @@
 
 // plan makes the next round; applied is the last applied index.
 func (p *planner) plan(v *leaderView, applied types.Index) round {
-	p.lastInput, p.blockedReason = placement.Input{}, ""
+	p.blockedReason = ""
 	if p.rounds.inFlight(applied) {
-		return p.planWhileInFlight(v, applied)
+		p.blockedReason = p.blockedReasonInFlight(v, applied)
+	}
+	if p.blockedReason != "" {
+		return round{}
+	}
+	p.lastInput, p.lastInputAt = placement.Input{}, v.now
+	if p.rounds.inFlight(applied) {
+		return p.planWhileInFlight(v)
 	}
 	return p.planFull(v)
 }
 
+// blocked reports whether the last round placed nothing because an earlier one was in flight.
+func (p *planner) blocked() bool { return p.blockedReason != "" }
+
 // planFull makes a full round: the review withdraws attempts, new work is placed, and if neither
 // had any result, preemption frees capacity.
 func (p *planner) planFull(v *leaderView) round {
@@ -115,13 +126,8 @@
 	return result
 }
 
-// planWhileInFlight places new work while an earlier round is in flight; applied is the last
-// applied index.
-func (p *planner) planWhileInFlight(v *leaderView, applied types.Index) round {
-	p.blockedReason = p.blockedReasonInFlight(v, applied)
-	if p.blockedReason != "" {
-		return round{}
-	}
+// planWhileInFlight places new work while an earlier round is in flight.
+func (p *planner) planWhileInFlight(v *leaderView) round {
 	in := p.readyWork(v)
 	if len(in.Requests) == 0 {
 		return round{}
--- a/internal/controller/stalled_jobs.go
+++ b/internal/controller/stalled_jobs.go
@@ -19,6 +19,9 @@
 	stallReportDelay = 3 * time.Second
 	// stallReviewInterval is the minimum time between two reviews.
 	stallReviewInterval = time.Second
+	// maxDiagnosedInputAge is how long the last round may have been made before a stall is put down
+	// to the rounds in flight. At a busy leader some round is nearly always in flight.
+	maxDiagnosedInputAge = time.Second
 	// maxReportedStalls bounds the jobs that one review reports; the longest stalled go first.
 	maxReportedStalls = 4
 )
@@ -160,6 +163,9 @@
 	if usage := p.tenantUsage(v)[j.Tenant]; !tenantAllows(usage, j, ready.Stages[0]) {
 		return StallTenantLimit, fmt.Sprintf("%+v of %+v in use", usage.InUse, usage.Limit)
 	}
+	if p.blocked() && v.now.Sub(p.lastInputAt) >= maxDiagnosedInputAge {
+		return StallNoRound, p.blockedReason
+	}
 	request := slices.IndexFunc(p.lastInput.Requests, func(r placement.Request) bool { return r.StageID == stage })
 	if request < 0 {
 		return StallNoRound, p.blockedReason
--- a/internal/controller/stalled_jobs_test.go
+++ b/internal/controller/stalled_jobs_test.go
@@ -23,14 +23,19 @@
 // reviewAfter sends heartbeats for a duration, then makes a round and a review, and returns the
 // stalled jobs found.
 func (l *leaderRig) reviewAfter(lasts time.Duration) []StalledJob {
-	for until := l.now.Add(lasts); l.now < until; l.advance(10 * time.Millisecond) {
-		l.heartbeatAll()
-	}
+	l.heartbeatFor(lasts)
 	l.plan(0)
 	l.stalledJobs.review(l.view(l.now), &l.planner)
 	return l.stalledJobs.take()
 }
 
+// heartbeatFor sends heartbeats of all workers for a duration.
+func (l *leaderRig) heartbeatFor(lasts time.Duration) {
+	for until := l.now.Add(lasts); l.now < until; l.advance(10 * time.Millisecond) {
+		l.heartbeatAll()
+	}
+}
+
 // awaitStalledJob waits until a stalled job must have been reported, and returns it.
 func (l *leaderRig) awaitStalledJob(t *testing.T) StalledJob {
 	t.Helper()
@@ -117,6 +122,26 @@
 	is.Equal(found.Detail, "too many rounds in flight")
 }
 
+// A round that happens to be blocked during the review does not hide the obstacles that the round
+// before it met: a busy leader nearly always has rounds in flight.
+func TestStalledJobReportsObstaclesWhileRoundsAreInFlight(t *testing.T) {
+	is := is.New(t)
+	l := stalledJobRig(t)
+	step := testStep("s", 1)
+	step.Labels = []string{"none has it"}
+	l.submit(t, "j", state.Spec{Queue: "q", Steps: []state.Step{step}})
+	l.reviewAfter(stallReviewInterval)
+	l.heartbeatFor(stallReportDelay)
+	l.plan(0)
+	for index := range types.Index(maxRoundsInFlight) {
+		l.planner.proposed(index+1, nil)
+	}
+	found := l.reviewAfter(maxDiagnosedInputAge / 2)
+	is.Equal(len(found), 1)
+	is.Equal(found[0].Reason, StallNoWorker)
+	is.Equal(found[0].Detail, "unsuitable: 6")
+}
+
 // No job counts as stalled while half of all cores is in use.
 func TestNoStalledJobWhileHalfOfCoresInUse(t *testing.T) {
 	is := is.New(t)
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -31,6 +31,7 @@
 	InitialWait     string             `json:"initial_wait,omitempty"` // why a new leader does not place work yet
 	Overloaded      bool               `json:"behind,omitempty"`       // see overload.isOverloaded
 	LagMS           int64              `json:"lag_ms"`                 // see overload.controlLag
+	SlowWorkers     int                `json:"slow_workers,omitempty"` // on the leader: see Scheduler.Slowdown
 	ClusterTime     string             `json:"cluster_time"`
 	Tenants         []TenantView       `json:"tenants,omitempty"` // on the leader only; see TenantView
 	Peers           []membership.Peer  `json:"mates"`
@@ -48,6 +49,7 @@
 	Elected           uint64 // leaderships established
 	LeadershipsLost   uint64 `json:"Lost"`
 	Placed            uint64 // placement rounds
+	Blocked           uint64 // placement rounds that could place nothing because earlier ones were in flight
 	Shed              uint64 `json:"TurnedAway"` // requests shed under overload
 	OverloadTransfers uint64 `json:"Relieved"`   // leadership transfers started under overload
 }
@@ -74,6 +76,7 @@
 		InitialWait:    c.leader.initialWait(),
 		Overloaded:     c.overload.isOverloaded(),
 		LagMS:          c.overload.controlLag().Milliseconds(),
+		SlowWorkers:    c.leader.slowWorkerCount(),
 		ClusterTime:    clusterTime.UTC().Format(time.RFC3339Nano),
 		Tenants:        c.leader.tenantViews(),
 		Peers:          c.members.Peers(),
--- a/internal/controller/worker_view.go
+++ b/internal/controller/worker_view.go
@@ -22,6 +22,7 @@
 	Attempts    int             `json:"legs"` // attempts that may be running there
 	FailureRate float64         `json:"bad_ends"`
 	Slowness    float64         `json:"slowness"` // durations of its attempts relative to the usual ones
+	SlowNow     float64         `json:"slow_now"` // the same of its current attempts, or 0 if it is not slow
 }
 
 // workerViews returns a view of each worker, by shard.
@@ -44,11 +45,22 @@
 			Attempts:       attempts[worker.Shard],
 			FailureRate:    worker.Reliability.FailureRate,
 			Slowness:       worker.Reliability.RelativeDuration,
+			SlowNow:        l.scheduler.Slowdown(worker),
 		})
 	}
 	return views
 }
 
+// slowWorkerCount returns how many workers count as slow; 0 unless this controller leads.
+func (l *leader) slowWorkerCount() (count int) {
+	for _, worker := range l.workers() {
+		if l.scheduler.Slowdown(worker) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // DrainView is a drain in force, as shown to operators.
 type DrainView struct {
 	state.Target
--- a/internal/placement/diagnosis.go
+++ b/internal/placement/diagnosis.go
@@ -17,7 +17,8 @@
 	InsufficientCapacity RejectReason = "no room"    // too little of it is free
 	MaxPerWorkerReached  RejectReason = "stage full" // it runs as many tasks of the stage as allowed
 	Reserved             RejectReason = "reserved"   // its free capacity is reserved for another request
-	PerformanceLimit     RejectReason = "distrusted" // its attempts fail too often, or it is slow
+	FailingWorker        RejectReason = "failing"    // its attempts fail too often for it to get more now
+	SlowWorker           RejectReason = "slow"       // it is currently too slow to get more
 )
 
 // Diagnosis explains why a request was not placed in a round.
@@ -68,8 +69,9 @@
 		return InsufficientCapacity
 	case request.MaxPerWorker > 0 && slot.TaskCount(request.StageID) >= request.MaxPerWorker:
 		return MaxPerWorkerReached
-	case !r.performanceAllows(slot, slot.RunningTasks):
-		return PerformanceLimit
+	}
+	if reason := r.performanceLimit(slot, slot.RunningTasks); reason != NotRejected {
+		return reason
 	}
 	return Reserved
 }
--- a/internal/placement/diagnosis_test.go
+++ b/internal/placement/diagnosis_test.go
@@ -17,18 +17,19 @@
 	usage := usageOf(config.Queue{Name: "q"})
 	request := newRequest("j", "q", 1, 4)
 	request.MaxPerWorker = 1
-	slots := newSlots(6, 8)
+	slots := newSlots(7, 8)
 	slots[0].Capacity.Cores, slots[0].Free.Cores = 2*types.Core, 2*types.Core
 	slots[1].Free.Cores = 3 * types.Core
 	slots[2].TasksByStage[request.StageID] = 1
 	slots[3].reserved = types.Resources{Cores: 8 * types.Core}
 	request.TimeLimit = time.Second
 	slots[4].CurrentDurationFactor = maxDurationFactor + 1
+	slots[5].FailureRate, slots[5].RunningTasks = 1, 1
 	diagnosis := Diagnose(Input{Slots: slots, Usage: usage}, &request)
 	is.Equal(diagnosis.Queue, NotRejected)
 	is.Equal(diagnosis.Workers, map[RejectReason]int{
-		Infeasible: 1, InsufficientCapacity: 1, MaxPerWorkerReached: 1, Reserved: 1, PerformanceLimit: 1,
-		NotRejected: 1,
+		Infeasible: 1, InsufficientCapacity: 1, MaxPerWorkerReached: 1, Reserved: 1, SlowWorker: 1,
+		FailingWorker: 1, NotRejected: 1,
 	})
 }
 
--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -167,7 +167,7 @@
 			continue
 		case request.MaxPerWorker > 0 && slot.TaskCount(request.StageID) >= request.MaxPerWorker:
 			continue
-		case !r.performanceAllows(slot, slot.RunningTasks):
+		case r.performanceLimit(slot, slot.RunningTasks) != NotRejected:
 			continue
 		}
 		if best == nil || slot.Free.Cores > best.Free.Cores {
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -125,23 +125,23 @@
 	case !free.Sub(slot.reserved).Contains(request.Resources) && request.TimeLimit > slot.IdleIn:
 		return false // it could delay the request for which the slot is reserved
 	}
-	return r.performanceAllows(slot, slot.RunningTasks+added)
+	return r.performanceLimit(slot, slot.RunningTasks+added) == NotRejected
 }
 
-// performanceAllows reports whether a worker that runs a number of tasks may run one more, by its
-// failure rate and by how slow it currently is.
-func (r *round) performanceAllows(slot *Slot, running int) bool {
+// performanceLimit returns why a worker that runs a number of tasks may not run one more, by its
+// failure rate and by how slow it currently is, or NotRejected.
+func (r *round) performanceLimit(slot *Slot, running int) RejectReason {
 	switch {
 	case running > 0 && slot.FailureRate > r.meanFailureRate+failureRateMargin && !r.Policy.NoFailureRate:
-		return false
+		return FailingWorker
 	case r.Policy.NoSlowdown:
-		return true
+		return NotRejected
 	case slot.CurrentDurationFactor > maxDurationFactor:
-		return false
+		return SlowWorker
 	case slot.CurrentDurationFactor > 0 && running >= probationTasks && !r.Policy.NoProbation:
-		return false
+		return SlowWorker
 	}
-	return true
+	return NotRejected
 }
 
 // score rates a slot for a task of a request. Workers score higher with more free cores, a lower
