--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -31,7 +31,7 @@
 	policy        policy.Policy
 	reservation   *placement.Reservation // workers held for a request that was passed over
 	requests      []placement.Request    // of the last round; the memory is reused
-	blockedReason string                 // why the last round placed nothing while an earlier one was in flight, or empty
+	blockedReason string                 // why the last round placed nothing beside one in flight, or empty
 	lastInput     placement.Input        // of the last round that was not blocked, as modified by Place; may be empty
 	lastInputAt   types.MonoTime         // when that round was made
 
--- a/internal/controller/slot_cache.go
+++ b/internal/controller/slot_cache.go
@@ -84,6 +84,7 @@
 		FailureRate:           worker.Reliability.FailureRate,
 		DurationFactor:        worker.Reliability.RelativeDuration,
 		CurrentDurationFactor: v.scheduler.Slowdown(worker),
+		ProbeDue:              v.scheduler.ProbeDue(worker),
 		RunningTasks:          occupied.attempts,
 		TasksByStage:          occupied.byStage,
 	}
--- a/internal/dispatch/scheduler/remote_worker.go
+++ b/internal/dispatch/scheduler/remote_worker.go
@@ -29,7 +29,7 @@
 	runningTasksQueriedAt types.MonoTime
 	queries               unsureQueries
 	sets                  setMembership
-	slowdown              slowdown
+	slowness              slowness
 }
 
 // heartbeatTimes are the arrival of a heartbeat on the scheduler's clock and its sending on the
--- a/internal/dispatch/scheduler/scheduler.go
+++ b/internal/dispatch/scheduler/scheduler.go
@@ -10,7 +10,8 @@
 // Each file covers one concern: the workers and their association (remote_worker, association,
 // running_tasks), worker health (health_check, initial_wait, worker_set), the attempts that may be
 // running (outstanding_attempt, attempt_index, run_task, unsure, ends), and the performance of
-// workers derived from the ends and durations of attempts (reliability, stage_durations, slowdown).
+// workers derived from the ends and durations of attempts (reliability, stage_durations, straggler,
+// slow_workers).
 package scheduler
 
 import (
@@ -79,6 +80,9 @@
 	baselines  baselines
 	stages     stageDurations
 
+	slowReviewedAt types.MonoTime
+	means          []workerMean // of the last review; the memory is reused
+
 	lastSweepAt types.MonoTime
 	messages    []wire.OutboundMessage // to send
 	ends        []state.AttemptEnd     // to commit
@@ -126,6 +130,7 @@
 	}
 	sc.resolveUnsure()
 	sc.stages.prune(now)
+	sc.reviewSlowWorkers()
 	if !sc.wait.leasesExpired {
 		sc.advanceInitialWait()
 	}
--- a/internal/dispatch/scheduler/stage_durations.go
+++ b/internal/dispatch/scheduler/stage_durations.go
@@ -52,6 +52,15 @@
 	return durations[len(durations)/2], true
 }
 
+// currentMedian returns the median of all of the stage's durations so far.
+func (s *stageSamples) currentMedian() time.Duration {
+	if s.median == 0 {
+		durations := s.sortedDurations(func(durationSample) bool { return true })
+		s.median = durations[len(durations)/2]
+	}
+	return s.median
+}
+
 func (s *stageSamples) sortedDurations(include func(durationSample) bool) []time.Duration {
 	var durations []time.Duration
 	for _, sample := range s.list {
@@ -122,9 +131,5 @@
 	if samples == nil {
 		return 0, false
 	}
-	if samples.median == 0 {
-		durations := samples.sortedDurations(func(durationSample) bool { return true })
-		samples.median = durations[len(durations)/2]
-	}
-	return samples.median, true
+	return samples.currentMedian(), true
 }
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -11,13 +11,6 @@
 	// that it gets one task at a time, so that a success can lower the rate again.
 	failureRateMargin = 0.35
 
-	// maxDurationFactor is the CurrentDurationFactor above which a worker gets no tasks.
-	maxDurationFactor = 2.0
-
-	// probationTasks is the maximum number of concurrent tasks on a worker that is currently slow,
-	// up to maxDurationFactor.
-	probationTasks = 2
-
 	// minDurationFactor bounds the advantage of a worker that is faster than usual.
 	minDurationFactor = 0.2
 
@@ -134,11 +127,9 @@
 	switch {
 	case running > 0 && slot.FailureRate > r.meanFailureRate+failureRateMargin && !r.Policy.NoFailureRate:
 		return FailingWorker
-	case r.Policy.NoSlowdown:
+	case slot.CurrentDurationFactor == 0 || r.Policy.NoSlowdown:
 		return NotRejected
-	case slot.CurrentDurationFactor > maxDurationFactor:
-		return SlowWorker
-	case slot.CurrentDurationFactor > 0 && running >= probationTasks && !r.Policy.NoProbation:
+	case running > 0 || !slot.ProbeDue:
 		return SlowWorker
 	}
 	return NotRejected
--- a/internal/placement/search_test.go
+++ b/internal/placement/search_test.go
@@ -65,6 +65,28 @@
 	is.True(onUnreliable <= 1)
 }
 
+// A slow worker gets nothing, or one task if it is due to show whether it is still slow.
+func TestSlowWorkerGetsAtMostOneTask(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		running  int
+		probeDue bool
+		want     int
+	}{
+		{"just found", 0, false, 0},
+		{"due, idle", 0, true, 1},
+		{"due, busy", 1, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			slots := newSlots(1, 10)
+			slots[0].CurrentDurationFactor, slots[0].ProbeDue = 1.5, c.probeDue
+			slots[0].RunningTasks = c.running
+			is.Equal(len(place([]Request{newRequest("a", "a", 5, 1)}, slots, oneQueue(500), 10)), c.want)
+		})
+	}
+}
+
 // No task starts on a worker that could run longer than the worker is available.
 func TestTasksFitIntoAvailableTime(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/placement/slot.go
+++ b/internal/placement/slot.go
@@ -27,6 +27,8 @@
 	// CurrentDurationFactor is the same ratio for the attempts that run there now, or 0 if it is
 	// not slow.
 	CurrentDurationFactor float64
+	// ProbeDue allows one task on a slow worker, to find out whether it is still slow.
+	ProbeDue bool
 
 	reserved types.Resources // part of Free that is reserved for a request
 	assigned []types.StageID // stages of the tasks assigned since TasksByStage was computed
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -25,7 +25,6 @@
 	NoWorkerSpeed    bool // ignores how fast a worker has recently been
 	NoFailureRate    bool // ignores how often its attempts have failed
 	NoSlowdown       bool // ignores how slow it currently is
-	NoProbation      bool // a slightly slow worker gets as many tasks as any other
 	NoDataRack       bool // ignores where the data of a task is
 	NoDataRackWait   bool // a task does not wait for the rack of its data
 	NoLocalityFactor bool // a task away from its data counts as slow
@@ -64,7 +63,6 @@
 		{"worker-speed", func(p *Policy) *bool { return &p.NoWorkerSpeed }},
 		{"failure-rate", func(p *Policy) *bool { return &p.NoFailureRate }},
 		{"slowdown", func(p *Policy) *bool { return &p.NoSlowdown }},
-		{"probation", func(p *Policy) *bool { return &p.NoProbation }},
 		{"data-rack", func(p *Policy) *bool { return &p.NoDataRack }},
 		{"data-rack-wait", func(p *Policy) *bool { return &p.NoDataRackWait }},
 		{"locality-factor", func(p *Policy) *bool { return &p.NoLocalityFactor }},
