placement: reservations and preemption pass over slow workers

A slow worker gets no task, but a reservation named it (its cores are free, so it went first), and the gang waited for it while the other reserved workers stayed idle; and a request that would fit on a slow worker counted as placed, so that nothing was preempted for it.

Change: Slot.Reservable serves both. A scheduler without the mechanism (policy) names nobody slow, so that placement needs no exception.

Tests, each failed before: TestReservationAvoidsSlowWorkers (k0 was reserved), TestSlowWorkersAreNoRoomForPreemption (no victim chosen).

--- a/internal/controller/preemption.go
+++ b/internal/controller/preemption.go
@@ -156,7 +156,7 @@
 	missing := request.MinTasks()
 	for i := range slots {
 		slot := &slots[i]
-		if !slot.Feasible(&request) {
+		if !slot.Reservable(&request) {
 			continue
 		}
 		free := slot.Free
--- a/internal/controller/preemption_test.go
+++ b/internal/controller/preemption_test.go
@@ -130,3 +130,21 @@
 	again, _ = l.preemptFor(request, 0, 96_000)
 	is.Equal(len(again), 0)
 }
+
+// Guards against requests that wait beside idle slow workers: placement gives these no task, but
+// they counted as room, so that nothing was preempted.
+func TestSlowWorkersAreNoRoomForPreemption(t *testing.T) {
+	is := is.New(t)
+	resources := types.Resources{Cores: 10 * types.Core, MemoryMB: 100}
+	slot := func(shard types.Shard, free types.Resources) placement.Slot {
+		return placement.Slot{Shard: shard, Kinds: []types.ServiceKind{"x"}, Capacity: resources, Free: free}
+	}
+	slots := []placement.Slot{slot("slow", resources), slot("full", types.Resources{})}
+	request := placement.Request{Kind: "x", Tasks: []int{0}, Resources: resources}
+	running := newVictim(0, time.Second)
+	running.freed["full"] = resources
+	is.Equal(len(chooseVictims(request, slots, []*victim{running})), 0) // there is room
+	slots[0].CurrentDurationFactor = 3
+	is.Equal(chooseVictims(request, slots, []*victim{running}), []*victim{running})
+	is.Equal(fit(request, slots, []*victim{running}), []placement.ReservedWorker{{Shard: "full", Tasks: 1}})
+}
--- a/internal/dispatch/scheduler/slow_workers.go
+++ b/internal/dispatch/scheduler/slow_workers.go
@@ -133,7 +133,7 @@
 
 // reviewSlowWorkers decides which workers count as slow, if a review is due.
 func (sc *Scheduler) reviewSlowWorkers() {
-	if sc.now.Sub(sc.slowReviewedAt) < slowReviewInterval {
+	if sc.policy.NoSlowdown || sc.now.Sub(sc.slowReviewedAt) < slowReviewInterval {
 		return
 	}
 	sc.slowReviewedAt = sc.now
--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -30,7 +30,7 @@
 
 // honorReservation places the request that holds the reservation, or keeps the reservation in
 // force. The reservation is dropped when the request no longer exists, when its queue or its tenant
-// may not run it, or when one of the workers is no longer feasible.
+// may not run it, or when one of the workers can no longer be reserved for it.
 func (r *round) honorReservation() {
 	if r.Reservation == nil {
 		return
@@ -45,7 +45,7 @@
 	}
 	for _, worker := range r.Reservation.Workers {
 		slot := r.slotOf(worker.Shard)
-		if slot == nil || !slot.Feasible(request) {
+		if slot == nil || !slot.Reservable(request) {
 			r.clearReserved()
 			return
 		}
@@ -84,13 +84,13 @@
 	}
 }
 
-// reserve returns a reservation on the feasible workers with the most free cores, or nil if all of
+// reserve returns a reservation on the usable workers with the most free cores, or nil if all of
 // them together could not run the request.
 func (r *round) reserve(request *Request) *Reservation {
 	reservation := &Reservation{StageID: request.StageID}
 	var fits []int // how many tasks each reserved worker could run
 	missing := request.MinTasks()
-	for _, slot := range r.feasibleSlots(request) { // one task on each worker first
+	for _, slot := range r.reservableSlots(request) { // one task on each worker first
 		if missing == 0 {
 			break
 		}
@@ -111,23 +111,23 @@
 	return reservation
 }
 
-// feasibleSlots returns the slots that are feasible for a request, those with the most free cores
-// first and then those that become idle soonest.
-func (r *round) feasibleSlots(request *Request) []*Slot {
-	var feasible []*Slot
+// reservableSlots returns the slots that can be reserved for a request, those with the most free
+// cores first and then those that become idle soonest.
+func (r *round) reservableSlots(request *Request) []*Slot {
+	var reservable []*Slot
 	for i := range r.Slots {
-		if r.Slots[i].Feasible(request) {
-			feasible = append(feasible, &r.Slots[i])
+		if r.Slots[i].Reservable(request) {
+			reservable = append(reservable, &r.Slots[i])
 		}
 	}
-	sort.SliceStable(feasible, func(i, k int) bool {
-		a, b := feasible[i], feasible[k]
+	sort.SliceStable(reservable, func(i, k int) bool {
+		a, b := reservable[i], reservable[k]
 		if a.Free.Cores != b.Free.Cores {
 			return a.Free.Cores > b.Free.Cores
 		}
 		return a.IdleIn < b.IdleIn
 	})
-	return feasible
+	return reservable
 }
 
 // reserveForRound reserves, for this round only, the slots that a request without a slot will be
--- a/internal/placement/reservation_test.go
+++ b/internal/placement/reservation_test.go
@@ -161,3 +161,33 @@
 	is.Equal(len(output.Assignments), 0)
 	is.True(output.Reservation == nil)
 }
+
+// Guards against a gang that waits for a slow worker: it was reserved for the gang, which could not
+// use it, and the other reserved workers stayed idle.
+func TestReservationAvoidsSlowWorkers(t *testing.T) {
+	is := is.New(t)
+	slots := newSlots(4, 10)
+	for i := range slots {
+		slots[i].Free.Cores = 5 * types.Core
+	}
+	slots[0].Free.Cores, slots[0].CurrentDurationFactor = 8*types.Core, 3
+	gang := newRequest("gang", "a", 3, 10)
+	gang.Gang, gang.WaitingFor = true, ReserveAfter
+	place := func(reservation *Reservation) Output {
+		return Place(Input{
+			Requests: []Request{gang, newRequest("small", "b", 1, 1)}, Slots: slots, TotalCores: 40 * types.Core,
+			Reservation: reservation,
+			Usage:       map[types.QueueName]*QueueUsage{"a": newUsage(9, 0, 500), "b": newUsage(1, 0, 500)},
+		})
+	}
+	made := place(nil).Reservation
+	is.True(made != nil)
+	for _, worker := range made.Workers {
+		is.True(worker.Shard != "k0")
+	}
+	slots[1].CurrentDurationFactor = 3 // one of the reserved workers
+	for i := range slots {
+		slots[i].reserved = types.Resources{}
+	}
+	is.True(place(made).Reservation == nil) // it is dropped, and two workers are too few for another
+}
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -127,9 +127,7 @@
 	switch {
 	case running > 0 && slot.FailureRate > r.meanFailureRate+failureRateMargin && !r.Policy.NoFailureRate:
 		return FailingWorker
-	case slot.CurrentDurationFactor == 0 || r.Policy.NoSlowdown:
-		return NotRejected
-	case running > 0 || !slot.ProbeDue:
+	case slot.CurrentDurationFactor > 0 && (running > 0 || !slot.ProbeDue):
 		return SlowWorker
 	}
 	return NotRejected
--- a/internal/placement/slot.go
+++ b/internal/placement/slot.go
@@ -68,6 +68,12 @@
 	return types.HasLabels(s.Labels, request.Labels)
 }
 
+// Reservable reports whether the worker could run a task of a request if it were idle, and is not
+// too slow to get one.
+func (s *Slot) Reservable(request *Request) bool {
+	return s.Feasible(request) && (s.CurrentDurationFactor == 0 || s.ProbeDue)
+}
+
 // maxTasks returns how many tasks of a request the worker could run at once if it were idle.
 func (s *Slot) maxTasks(request *Request) int {
 	n := s.Capacity.FitCount(request.Resources)
