--- a/internal/dispatch/scheduler/slow_workers.go
+++ b/internal/dispatch/scheduler/slow_workers.go
@@ -24,7 +24,7 @@
 	// minEvidence is how many attempts a worker must have for a comparison.
 	minEvidence = 2
 	// evidenceRetention is how long the duration of an attempt is evidence.
-	evidenceRetention = stageRetention
+	evidenceRetention = 10 * time.Second
 	// minStageSamples is how many attempts of a stage are needed for a comparison with its median.
 	minStageSamples = 3
 	// maxDurationRatio bounds the ratio that one attempt contributes, and 1/maxDurationRatio is the
--- a/internal/dispatch/scheduler/slow_workers_test.go
+++ b/internal/dispatch/scheduler/slow_workers_test.go
@@ -28,6 +28,7 @@
 // Guards against the loss of most workers to the limit on slow ones: the tasks of a stage differ
 // and the shortest end first, so that most attempts took longer than those that had ended before.
 func TestEqualWorkersDoNotCountAsSlow(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name  string
 		mixes []taskMix
@@ -38,6 +39,7 @@
 		{"stages of two tasks", []taskMix{pairs}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			const workers, warmUp, observed = 100, 3 * time.Second, 20 * time.Second
 			for seed := range int64(5) {
 				fleet := newSimulatedFleet(seed, workers, test.mixes...)
@@ -47,9 +49,8 @@
 					slow += len(fleet.slow(nil))
 					observations++
 				})
-				share := float64(slow) / float64(workers*observations)
-				if share > maxFalseAlarms {
-					t.Errorf("seed %d: %.3f of the workers count as slow, want at most %.2f", seed, share, maxFalseAlarms)
+				if share := float64(slow) / float64(workers*observations); share > maxFalseAlarms {
+					t.Errorf("seed %d: %.3f of the workers are slow, want at most %.2f", seed, share, maxFalseAlarms)
 				}
 			}
 		})
@@ -58,6 +59,7 @@
 
 // A worker that turns slow is found within two seconds, and no other worker is taken for slow.
 func TestSlowedWorkersAreFound(t *testing.T) {
+	t.Parallel()
 	const workers, slowed, factor, minFound = 240, 27, 6.5, 0.9
 	for seed := range int64(5) {
 		fleet := newSimulatedFleet(seed, workers, scaledMix(shortTasks, 2.4), scaledMix(longTasks, 2.4))
