--- a/internal/dispatch/scheduler/slow_workers.go
+++ b/internal/dispatch/scheduler/slow_workers.go
@@ -46,6 +46,11 @@
 	probeInterval = 2 * time.Second
 )
 
+var (
+	maxLogRatio      = math.Log(maxDurationRatio)
+	slowLogThreshold = math.Log(slowThreshold)
+)
+
 // evidence is the duration of an attempt, or the latest estimate.
 type evidence struct {
 	attempt      types.AttemptID
@@ -73,9 +78,8 @@
 	if now.Sub(e.recordedAt) > evidenceRetention || len(e.samples.list) < minStageSamples {
 		return 0, false
 	}
-	bound := math.Log(maxDurationRatio)
 	ratio := e.logDuration - math.Log(float64(e.samples.currentMedian()))
-	return max(-bound, min(bound, ratio)), true
+	return max(-maxLogRatio, min(maxLogRatio, ratio)), true
 }
 
 // slowness is what is known of the current speed of a worker.
@@ -131,31 +135,40 @@
 	return result
 }
 
+// isSlow reports whether the mean exceeds a center by more than the threshold, with confidence;
+// deviation is the standard deviation of the attempts on one worker.
+func (m *workerMean) isSlow(center, deviation float64) bool {
+	standardError := deviation / math.Sqrt(float64(m.count))
+	return m.mean-center-confidenceDeviations*standardError > slowLogThreshold
+}
+
 // reviewSlowWorkers decides which workers count as slow, if a review is due.
 func (sc *Scheduler) reviewSlowWorkers() {
 	if sc.policy.NoSlowdown || sc.now.Sub(sc.slowReviewedAt) < slowReviewInterval {
 		return
 	}
 	sc.slowReviewedAt = sc.now
-	means := sc.means[:0]
+	sc.means = sc.means[:0]
 	for _, worker := range sc.workers.sorted {
 		worker.slowness.factor = 0
 		if mean := newWorkerMean(sc.now, worker); mean.count >= minEvidence {
-			means = append(means, mean)
+			sc.means = append(sc.means, mean)
 		}
 	}
-	sc.means = means
+	markSlow(sc.means, len(sc.workers.sorted)/maxSlowDivisor)
+}
+
+// markSlow sets the factors of the workers that count as slow, at most limit. It sorts the means.
+func markSlow(means []workerMean, limit int) {
+	if len(means) == 0 {
+		return
+	}
 	slices.SortFunc(means, func(a, b workerMean) int { return cmp.Compare(a.mean, b.mean) })
-	maxSlow := len(sc.workers.sorted) / maxSlowDivisor
-	deviation := standardDeviation(means)
-	for i := len(means) - 1; i >= 0 && maxSlow > 0; i-- {
-		excess := means[i].mean - means[len(means)/2].mean
-		if excess < math.Log(slowThreshold) {
-			return
-		}
-		if excess-confidenceDeviations*deviation/math.Sqrt(float64(means[i].count)) > math.Log(slowThreshold) {
-			means[i].worker.slowness.factor = math.Exp(excess)
-			maxSlow--
+	center, deviation := means[len(means)/2].mean, standardDeviation(means)
+	for i := len(means) - 1; i >= 0 && limit > 0 && means[i].mean > center; i-- {
+		if means[i].isSlow(center, deviation) {
+			means[i].worker.slowness.factor = math.Exp(means[i].mean - center)
+			limit--
 		}
 	}
 }
