coppersim soak: real processes, connections that stay open, faults that overlap

Clients of a fleet opened a connection for each request. Those of a soak run keep their gateway, ready or not, until a request gets no response. Faults come closer together than they last: kills, freezes, cuts, and restarts by SIGTERM that other faults run beside. Two faults at once do not signal one process (claim).

A process counts as killed from before the signal on: a request that the kill drops was counted as dropped by a running gateway in a short moment between. restart waits for the end of the killed process.

--- a/cmd/coppersim/main.go
+++ b/cmd/coppersim/main.go
@@ -1,5 +1,5 @@
 // Coppersim tests coppercourse under failure. The command sweep runs the simulator with many
-// seeds, fleet runs a deployment of real processes on loopback, capacity measures the resource
+// seeds, fleet and soak run a deployment of real processes on loopback, capacity measures the resource
 // usage of the daemons at several fleet sizes, experiment compares scheduling policies and losses
 // summarizes scored days. Daemons never start processes; this program starts those of a fleet.
 package main
@@ -21,6 +21,7 @@
 	commands := commandline.Commands{}
 	addSweep(app, commands)
 	addFleet(app, commands)
+	addSoak(app, commands)
 	addWorker(app, commands)
 	addCapacity(app, commands)
 	addExperiment(app, commands)
--- a/sim/fleet/doc.go
+++ b/sim/fleet/doc.go
@@ -7,7 +7,7 @@
 // pair of processes.
 //
 // process.go manages one process, fleet.go the whole fleet, faults.go defines the faults,
-// scenario.go runs a scenario of traffic and faults and reports on it, workload.go has the
-// clients, worker_process.go the worker process, and idle_usage.go measures the resource usage of
-// the daemons without traffic.
+// scenario.go runs a scenario of traffic and faults and reports on it, soak.go draws faults that
+// overlap, workload.go and callers.go have the clients, worker_process.go the worker process, and
+// idle_usage.go measures the resource usage of the daemons without traffic.
 package fleet
--- a/sim/fleet/faults.go
+++ b/sim/fleet/faults.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -87,7 +88,13 @@
 	"cut-agent":       partitionFault(randomWithRole(agentRole), anyProcess),
 	"cut-worker":      partitionFault(randomWithRole(workerRole), anyProcess),
 	"stop-leader":     restartLeader,
-	"roll-all":        restartAll,
+
+	"restart-leader":     restartFault(currentLeader),
+	"restart-controller": restartFault(randomWithRole(controllerRole)),
+	"restart-gateway":    restartFault(randomWithRole(gatewayRole)),
+	"restart-agent":      restartFault(randomWithRole(agentRole)),
+
+	"roll-all": restartAll,
 }
 
 // lookupFault returns the fault with the given name, or nil if there is none. The name is a key of
@@ -141,11 +148,48 @@
 	return err == nil && i >= 1 && i <= counts[role]
 }
 
+// claim returns those of the processes that no other fault signals at the moment, and reserves them
+// until release.
+func claim(list []*process) (claimed []*process) {
+	for _, p := range list {
+		if p.affected.CompareAndSwap(false, true) {
+			claimed = append(claimed, p)
+		}
+	}
+	return claimed
+}
+
+func release(claimed []*process) {
+	for _, p := range claimed {
+		p.affected.Store(false)
+	}
+}
+
+// restartFault restarts processes with SIGTERM while other faults go on. The end of the fault waits
+// for the restarts.
+func restartFault(pick targetPicker) fault {
+	return func(f *Fleet, w *Workload) func() {
+		affected := claim(pick(f, w))
+		var restarts sync.WaitGroup
+		for _, p := range affected {
+			restarts.Add(1)
+			go func() {
+				defer restarts.Done()
+				f.restart(p)
+			}()
+		}
+		return func() {
+			restarts.Wait()
+			release(affected)
+		}
+	}
+}
+
 // killFault kills processes and restarts them when the fault ends. If wipe is set, it deletes their
 // data before the restart.
 func killFault(pick targetPicker, wipe bool) fault {
 	return func(f *Fleet, w *Workload) func() {
-		affected := pick(f, w)
+		affected := claim(pick(f, w))
 		for _, p := range affected {
 			f.kill(p)
 		}
@@ -156,6 +200,7 @@
 				}
 				f.launch(p)
 			}
+			release(affected)
 		}
 	}
 }
@@ -163,7 +208,7 @@
 // pauseFault pauses processes with SIGSTOP and resumes them when the fault ends.
 func pauseFault(pick targetPicker) fault {
 	return func(f *Fleet, w *Workload) func() {
-		affected := pick(f, w)
+		affected := claim(pick(f, w))
 		for _, p := range affected {
 			f.pause(p)
 		}
@@ -171,6 +216,7 @@
 			for _, p := range affected {
 				f.resume(p)
 			}
+			release(affected)
 		}
 	}
 }
@@ -256,12 +302,15 @@
 
 // restart stops a daemon with SIGTERM, as the platform does, and starts it again.
 func (f *Fleet) restart(p *process) {
+	p.restarting.Store(true)
+	defer p.restarting.Store(false)
 	p.signal(syscall.SIGTERM)
 	select {
 	case <-p.exited:
 	case <-time.After(gracefulStopTimeout):
 	}
 	p.signal(syscall.SIGKILL)
+	<-p.exited
 	f.Record(history.Event{Kind: history.DaemonStopped, Process: p.address})
 	f.launch(p)
 }
@@ -274,8 +323,8 @@
 }
 
 func (f *Fleet) kill(p *process) {
+	p.down.Store(true) // before the signal: a request that this drops must not count
 	p.signal(syscall.SIGKILL)
-	p.down.Store(true)
 	f.Record(history.Event{Kind: history.DaemonStopped, Process: p.address})
 	if p.role == workerRole {
 		f.recordWorker(history.WorkerDied, p)
--- a/sim/fleet/fleet.go
+++ b/sim/fleet/fleet.go
@@ -105,6 +105,9 @@
 	return nil
 }
 
+// ProcessCount returns how many processes the fleet has.
+func (f *Fleet) ProcessCount() int { return len(f.processes) }
+
 func processName(role string, i int) string { return role + strconv.Itoa(i+1) }
 
 func processIP(net, i int) string { return fmt.Sprintf("127.0.%d.%d", net, i+1) }
--- a/sim/fleet/process.go
+++ b/sim/fleet/process.go
@@ -36,6 +36,8 @@
 	exited      chan struct{} // closed when the process has exited
 	down        atomic.Bool   // set while the process is killed
 	paused      atomic.Bool
+	restarting  atomic.Bool // from the signal until it has been started again
+	affected    atomic.Bool // by a fault that signals it; see claim
 }
 
 // number returns the number in the process's name.
