coppersim: fleet and soak share one run of a fleet

The start, the traffic and the report stood twice. fleetRun has them; a soak seed prints its line after the run, with its violations.

--- a/cmd/coppersim/fleet_command.go
+++ b/cmd/coppersim/fleet_command.go
@@ -5,35 +5,19 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"coppercourse/internal/commandline"
-	"coppercourse/sim/deployment"
 	"coppercourse/sim/fleet"
 )
 
-// Limits of a fleet run.
-const (
-	startTimeout         = 30 * time.Second // until all daemons are ready
-	extraTime            = 4 * time.Minute  // in addition to the traffic: start, settling, report
-	maxPrintedViolations = 20               // rule violations that are printed
-)
-
 // fleetCommand implements the fleet command: it runs a deployment of real processes on loopback
 // with traffic and faults, and checks the history.
 type fleetCommand struct {
-	deployment string
-	bin, dir   string
-	port       int
-	traffic    time.Duration // duration of the traffic
-	speed      float64       // multiple of the deployment's usual rates
-	idle       time.Duration // duration of the idle measurement before the traffic; 0 for none
-	seed       int64
-	faults     string
+	fleetRun
+	faultList string
 }
 
 func addFleet(app *kingpin.Application, commands commandline.Commands) {
@@ -50,86 +34,30 @@
 	command.Flag("idle", "Time without traffic at the start, in which the daemons' resource usage is measured.").
 		DurationVar(&r.idle)
 	command.Flag("seed", "Random seed of the callers.").Default("1").Int64Var(&r.seed)
-	command.Flag("faults", "Faults, comma-separated, as NAME@START+DURATION.").StringVar(&r.faults)
+	command.Flag("faults", "Faults, comma-separated, as NAME@START+DURATION.").StringVar(&r.faultList)
 	commands["fleet"] = r.run
 }
 
 // run starts the fleet, runs the traffic and faults, and reports the result.
-func (fr *fleetCommand) run() error {
-	faults, err := fleet.ParseFaults(fr.faults)
-	if err != nil {
+func (fc *fleetCommand) run() error {
+	var err error
+	if fc.faults, err = fleet.ParseFaults(fc.faultList); err != nil {
 		return err
 	}
+	if fc.dir == "" {
+		if fc.dir, err = os.MkdirTemp("", "fleet"); err != nil {
+			return err
+		}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	ctx, end := context.WithTimeout(ctx, fr.traffic+fr.idle+extraTime)
-	defer end()
-	f, err := fr.startFleet(ctx)
+	violations, err := fc.execute(ctx)
 	if err != nil {
 		return err
 	}
-	defer f.Stop()
-	workload := fleet.NewWorkload(f, fr.seed, fr.speed)
-	if _, err := workload.PutTable(f.Deployment.Table()); err != nil {
-		return err
-	}
-	if err := fr.measureIdle(f); err != nil {
-		return err
-	}
-	runErr := f.RunScenario(workload, fr.traffic, faults)
-	violations, err := f.Report(workload)
-	if err != nil {
-		return err
-	}
-	for _, violation := range violations[:min(len(violations), maxPrintedViolations)] {
-		fmt.Println(violation)
-	}
-	if runErr != nil {
-		return runErr
-	}
 	if len(violations) > 0 {
 		return fmt.Errorf("%d rule violations", len(violations))
 	}
 	fmt.Println("no rule violations")
 	return nil
 }
-
-// startFleet starts the processes and waits until all daemons are ready.
-func (fr *fleetCommand) startFleet(ctx context.Context) (*fleet.Fleet, error) {
-	self, err := os.Executable()
-	if err != nil {
-		return nil, err
-	}
-	if fr.dir == "" {
-		if fr.dir, err = os.MkdirTemp("", "fleet"); err != nil {
-			return nil, err
-		}
-	}
-	f := &fleet.Fleet{
-		Deployment: deployment.Named(fr.deployment), Dir: fr.dir, Bin: fr.bin, WorkerBin: self, Port: fr.port,
-	}
-	if err := f.Start(ctx); err != nil {
-		f.Stop()
-		return nil, err
-	}
-	startedAt := time.Now()
-	if err := f.AwaitReady(startTimeout); err != nil {
-		f.Stop()
-		return nil, err
-	}
-	fmt.Printf("ready after %s; logs in %s\n", time.Since(startedAt).Round(10*time.Millisecond), filepath.Clean(fr.dir))
-	return f, nil
-}
-
-// measureIdle prints the resource usage of the daemons without traffic.
-func (fr *fleetCommand) measureIdle(f *fleet.Fleet) error {
-	if fr.idle <= 0 {
-		return nil
-	}
-	text, err := f.MeasureIdle(fr.idle)
-	if err != nil {
-		return err
-	}
-	fmt.Print(text)
-	return nil
-}
--- a/cmd/coppersim/soak_command.go
+++ b/cmd/coppersim/soak_command.go
@@ -7,31 +7,23 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"coppercourse/internal/commandline"
-	"coppercourse/sim/checker"
-	"coppercourse/sim/deployment"
 	"coppercourse/sim/fleet"
 )
 
 // soakCommand implements the soak command: for each seed it runs a fleet of real processes whose
 // clients keep their connections open, with a drawn series of faults that overlap.
 type soakCommand struct {
-	deployment string
-	bin, dir   string
-	port       int
-	first      int64
-	seeds      int
-	traffic    time.Duration
-	speed      float64
-	workers    int // 0 for the deployment's own number
+	fleetRun
+	first int64
+	seeds int
 }
 
 func addSoak(app *kingpin.Application, commands commandline.Commands) {
-	r := &soakCommand{}
+	r := &soakCommand{fleetRun: fleetRun{keepConnections: true}}
 	command := app.Command("soak", "Run fleets of real processes with open connections and overlapping faults.")
 	command.Flag("deployment", "kingston or romania.").Default("kingston").
 		EnumVar(&r.deployment, "kingston", "romania")
@@ -48,65 +40,37 @@
 	commands["soak"] = r.run
 }
 
-// run runs all seeds, prints a line for each and fails if any of them broke a rule.
-func (sr *soakCommand) run() error {
+// run runs all seeds and fails if any of them broke a rule or did not finish.
+func (sc *soakCommand) run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	broken := 0
-	for seed := sr.first; seed < sr.first+int64(sr.seeds) && ctx.Err() == nil; seed++ {
-		dir := filepath.Join(sr.dir, fmt.Sprint("seed-", seed))
-		violations, err := sr.runSeed(ctx, seed, dir)
-		if err == nil && len(violations) == 0 {
-			os.RemoveAll(dir)
-			continue
-		}
-		broken++
-		fmt.Printf("seed %d: %d rule violations, error: %v; logs in %s\n", seed, len(violations), err, dir)
-		for _, violation := range violations[:min(len(violations), maxPrintedViolations)] {
-			fmt.Println(violation)
+	failed := 0
+	for seed := sc.first; seed < sc.first+int64(sc.seeds) && ctx.Err() == nil; seed++ {
+		if !sc.runSeed(ctx, seed) {
+			failed++
 		}
 	}
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	fmt.Printf("%d seeds, %d with violations or errors\n", sr.seeds, broken)
-	if broken > 0 {
-		return fmt.Errorf("%d seeds failed", broken)
+	fmt.Printf("%d seeds, %d with violations or errors\n", sc.seeds, failed)
+	if failed > 0 {
+		return fmt.Errorf("%d seeds failed", failed)
 	}
 	return nil
 }
 
-// runSeed runs one fleet and returns the violations of the checker's rules.
-func (sr *soakCommand) runSeed(ctx context.Context, seed int64, dir string) ([]checker.Violation, error) {
-	ctx, end := context.WithTimeout(ctx, sr.traffic+extraTime)
-	defer end()
-	self, err := os.Executable()
-	if err != nil {
-		return nil, err
-	}
-	d := deployment.Named(sr.deployment)
-	if sr.workers > 0 {
-		d.Size.Workers = sr.workers
-	}
-	f := &fleet.Fleet{Deployment: d, Dir: dir, Bin: sr.bin, WorkerBin: self, Port: sr.port}
-	defer f.Stop()
-	if err := f.Start(ctx); err != nil {
-		return nil, err
-	}
-	if err := f.AwaitReady(startTimeout); err != nil {
-		return nil, err
-	}
-	workload := fleet.NewWorkload(f, seed, sr.speed)
-	workload.KeepConnections()
-	if _, err := workload.PutTable(f.Deployment.Table()); err != nil {
-		return nil, err
-	}
-	faults := fleet.SoakFaults(seed, sr.traffic)
-	fmt.Printf("seed %d: %d processes, %d faults\n", seed, f.ProcessCount(), len(faults))
-	runErr := f.RunScenario(workload, sr.traffic, faults)
-	violations, err := f.Report(workload)
-	if err != nil {
-		return nil, err
+// runSeed runs one fleet and reports whether it finished and broke no rule.
+func (sc *soakCommand) runSeed(ctx context.Context, seed int64) bool {
+	seedRun := sc.fleetRun
+	seedRun.seed = seed
+	seedRun.dir = filepath.Join(sc.dir, fmt.Sprint("seed-", seed))
+	seedRun.faults = fleet.SoakFaults(seed, sc.traffic)
+	violations, err := seedRun.execute(ctx)
+	fmt.Printf("seed %d: %d faults, %d rule violations, error: %v\n", seed, len(seedRun.faults), len(violations), err)
+	if err != nil || len(violations) > 0 {
+		return false
 	}
-	return violations, runErr
+	os.RemoveAll(seedRun.dir)
+	return true
 }
