--- a/internal/controller/stalled_jobs_test.go
+++ b/internal/controller/stalled_jobs_test.go
@@ -20,6 +20,14 @@
 	return l
 }
 
+// submitUnplaceable submits job j, whose tasks need a label that no worker has.
+func (l *leaderRig) submitUnplaceable(t *testing.T, tasks int) {
+	t.Helper()
+	step := testStep("s", tasks)
+	step.Labels = []string{"none has it"}
+	l.submit(t, "j", state.Spec{Queue: "q", Steps: []state.Step{step}})
+}
+
 // reviewAfter sends heartbeats for a duration, then makes a round and a review, and returns the
 // stalled jobs found.
 func (l *leaderRig) reviewAfter(lasts time.Duration) []StalledJob {
@@ -50,9 +58,7 @@
 func TestStalledJobWithoutWorkerReportsObstacles(t *testing.T) {
 	is := is.New(t)
 	l := stalledJobRig(t)
-	step := testStep("s", 3)
-	step.Labels = []string{"none has it"}
-	l.submit(t, "j", state.Spec{Queue: "q", Steps: []state.Step{step}})
+	l.submitUnplaceable(t, 3)
 	found := l.awaitStalledJob(t)
 	is.Equal(found.Job, types.JobID("j"))
 	is.Equal(found.Reason, StallNoWorker)
@@ -99,9 +105,7 @@
 func TestStalledJobIsReportedOncePerDelay(t *testing.T) {
 	is := is.New(t)
 	l := stalledJobRig(t)
-	step := testStep("s", 1)
-	step.Labels = []string{"none has it"}
-	l.submit(t, "j", state.Spec{Queue: "q", Steps: []state.Step{step}})
+	l.submitUnplaceable(t, 1)
 	l.awaitStalledJob(t)
 	is.Equal(len(l.reviewAfter(stallReviewInterval)), 0)
 	is.Equal(len(l.reviewAfter(stallReportDelay)), 1)
@@ -111,9 +115,7 @@
 func TestStalledJobReportsWhyNoRoundWasMade(t *testing.T) {
 	is := is.New(t)
 	l := stalledJobRig(t)
-	step := testStep("s", 1)
-	step.Labels = []string{"none has it"}
-	l.submit(t, "j", state.Spec{Queue: "q", Steps: []state.Step{step}})
+	l.submitUnplaceable(t, 1)
 	for index := range types.Index(maxRoundsInFlight) {
 		l.planner.proposed(index+1, nil)
 	}
@@ -127,9 +129,7 @@
 func TestStalledJobReportsObstaclesWhileRoundsAreInFlight(t *testing.T) {
 	is := is.New(t)
 	l := stalledJobRig(t)
-	step := testStep("s", 1)
-	step.Labels = []string{"none has it"}
-	l.submit(t, "j", state.Spec{Queue: "q", Steps: []state.Step{step}})
+	l.submitUnplaceable(t, 1)
 	l.reviewAfter(stallReviewInterval)
 	l.heartbeatFor(stallReportDelay)
 	l.plan(0)
@@ -150,9 +150,7 @@
 	for task := range 48 {
 		l.runAttempt(t, attemptID("busy", task, 1), types.Shard("k"+string(rune('0'+task%6))))
 	}
-	step := testStep("s", 1)
-	step.Labels = []string{"none has it"}
-	l.submit(t, "j", state.Spec{Queue: "q", Steps: []state.Step{step}})
+	l.submitUnplaceable(t, 1)
 	l.reviewAfter(stallReviewInterval)
 	is.Equal(len(l.reviewAfter(stallReportDelay)), 0)
 }
--- a/internal/dispatch/scheduler/slow_workers_test.go
+++ b/internal/dispatch/scheduler/slow_workers_test.go
@@ -217,3 +217,30 @@
 	sc.now++
 	is.True(sc.ProbeDue(sc.Worker("s")))
 }
+
+// BenchmarkSlowWorkerReview measures one review of a fleet of the size to design for, in which every
+// stage has a new duration since the review before.
+func BenchmarkSlowWorkerReview(b *testing.B) {
+	const workers, tasksPerStage = 5300, 31
+	fleet := newSimulatedFleet(1, workers)
+	mix := taskMix{tasks: tasksPerStage, duration: time.Second, deviation: 0.9}
+	for range workers * maxTasksPerWorker / tasksPerStage {
+		fleet.startStage(mix)
+	}
+	for range 10 {
+		fleet.scheduler.Tick(fleet.scheduler.now.Add(fleetStep), time.Minute)
+		for _, shard := range fleet.shards {
+			fleet.advance(shard)
+		}
+	}
+	sc := fleet.scheduler
+	for b.Loop() {
+		b.StopTimer()
+		for _, samples := range sc.stages.byStage {
+			samples.median = 0
+		}
+		sc.now = sc.now.Add(slowReviewInterval)
+		b.StartTimer()
+		sc.reviewSlowWorkers()
+	}
+}
