--- a/sim/fleet/fleet.go
+++ b/sim/fleet/fleet.go
@@ -181,8 +181,9 @@
 	return fmt.Errorf("the fleet is not ready after %s; see the logs in %s", timeout, f.Dir)
 }
 
-// Stop sends SIGTERM to all processes, and SIGKILL after stopGracePeriod. It resumes paused processes
-// first, so that they can handle SIGTERM.
+// Stop sends SIGTERM to all processes, and SIGKILL after stopGracePeriod, and waits until they are
+// gone, so that another fleet may use their addresses. It resumes paused processes first, so that
+// they can handle SIGTERM.
 func (f *Fleet) Stop() {
 	for _, p := range f.processes {
 		p.signal(syscall.SIGCONT)
@@ -191,6 +192,9 @@
 	time.Sleep(stopGracePeriod)
 	for _, p := range f.processes {
 		p.signal(syscall.SIGKILL)
+		if p.exited != nil {
+			<-p.exited
+		}
 	}
 }
 
