--- a/sim/fleet/fleet.go
+++ b/sim/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -13,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"coppercourse/internal/wire"
 	"coppercourse/sim/deployment"
 	"coppercourse/sim/history"
 )
@@ -262,6 +264,16 @@
 	return nil
 }
 
+// saveHistory writes the history as a JSON document for each event, one on a line.
+func (f *Fleet) saveHistory(path string) error {
+	var lines bytes.Buffer
+	for _, event := range f.history.Events {
+		lines.Write(wire.EncodeBody(event))
+		lines.WriteByte('\n')
+	}
+	return os.WriteFile(path, lines.Bytes(), 0o644)
+}
+
 func (f *Fleet) loadHistory(path string) error {
 	file, err := os.Open(path)
 	if err != nil {
--- a/sim/fleet/scenario.go
+++ b/sim/fleet/scenario.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"path/filepath"
 	"sort"
 	"time"
 
@@ -70,12 +71,19 @@
 	return nil
 }
 
-// Report prints a report on the scenario and returns the violations of the checker's rules.
+// historyFile is the name of the merged history in the fleet's folder.
+const historyFile = "fleet.history"
+
+// Report writes the merged history to the fleet's folder, prints a report on the scenario and
+// returns the violations of the checker's rules.
 func (f *Fleet) Report(w *Workload) ([]checker.Violation, error) {
 	end := time.Since(f.startedAt).Nanoseconds()
 	if err := f.loadHistories(); err != nil {
 		return nil, err
 	}
+	if err := f.saveHistory(filepath.Join(f.Dir, historyFile)); err != nil {
+		return nil, err
+	}
 	violations, coverage := checker.Check(&f.history, checker.DefaultBounds, end, unresolvedTimeout)
 	for _, event := range f.history.Events {
 		if event.Kind == history.RequestDropped {
--- a/sim/fleet/soak_test.go
+++ b/sim/fleet/soak_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"os/exec"
@@ -88,4 +89,7 @@
 		t.Error(violation)
 	}
 	is.True(len(w.CompletionLatencies) > 0)
+	saved, err := os.ReadFile(filepath.Join(f.Dir, historyFile))
+	is.NoErr(err)
+	is.Equal(bytes.Count(saved, []byte("\n")), len(f.history.Events))
 }
