sim: a partitioned leader in TestNoRedirectToUnreachableLeader; one function to submit a job

The third case gave SetPartition its last two arguments in the wrong order, so that nothing was partitioned; now no peer receives from the leader, as its name says. SubmitPregenerated had the body of SubmitNew.

--- a/sim/clients/submissions.go
+++ b/sim/clients/submissions.go
@@ -95,13 +95,6 @@
 	g.Submit(id, encodeSpec(spec), g.ReadyGateway(g.world.Random.Intn(callerZones)))
 }
 
-// SubmitPregenerated submits a job that was generated before the run, through the gateway of a
-// random zone.
-func (g *Group) SubmitPregenerated(id types.JobID, spec state.Spec) {
-	g.world.Record(history.Event{Kind: history.JobSubmitted, Job: id, Spec: &spec})
-	g.Submit(id, encodeSpec(spec), g.ReadyGateway(g.world.Random.Intn(callerZones)))
-}
-
 func encodeSpec(spec state.Spec) json.RawMessage { return wire.EncodeBody(spec) }
 
 // Submit submits an encoded job. Once it is accepted, its caller polls its status and may cancel it.
--- a/sim/redirect_test.go
+++ b/sim/redirect_test.go
@@ -100,7 +100,7 @@
 			r.RunUntil(8 * time.Second)
 			l := r.leader()
 			a, b := c.sides(r, l)
-			r.Network.SetPartition(a, b, true, c.bothWays)
+			r.Network.SetPartition(a, b, c.bothWays, true)
 			from := r.Now()
 			for r.Now() < from+int64(20*time.Second) {
 				r.RunUntil(time.Duration(r.Now()) + 250*time.Millisecond)
--- a/sim/workload.go
+++ b/sim/workload.go
@@ -82,7 +82,7 @@
 func (r *Run) ExecuteWorkload(workload []Submission, faults []TimedFault, until time.Duration) *Run {
 	r.scheduleFirstTable()
 	for _, s := range workload {
-		r.After(s.At, func() { r.Clients.SubmitPregenerated(s.ID, s.Spec) })
+		r.After(s.At, func() { r.Clients.SubmitNew(s.ID, s.Spec) })
 	}
 	for _, f := range faults {
 		r.After(TrafficStart+f.At, func() { r.injectFault(f.Name, f.Duration) })
