--- a/internal/dispatch/scheduler/slow_workers_test.go
+++ b/internal/dispatch/scheduler/slow_workers_test.go
@@ -23,6 +23,7 @@
 	shortTasks = taskMix{stagesPerSecond: 60, tasks: 31, duration: 240 * time.Millisecond, deviation: 0.9}
 	longTasks  = taskMix{stagesPerSecond: 0.6, tasks: 100, duration: 4800 * time.Millisecond, deviation: 0.9}
 	pairs      = taskMix{stagesPerSecond: 200, tasks: 2, duration: 240 * time.Millisecond, deviation: 0.9}
+	fours      = taskMix{stagesPerSecond: 200, tasks: 4, duration: 240 * time.Millisecond, deviation: 0.9}
 )
 
 // Guards against the loss of most workers to the limit on slow ones: the tasks of a stage differ
@@ -37,6 +38,7 @@
 		{"long tasks", []taskMix{longTasks}},
 		{"short and long tasks", []taskMix{shortTasks, longTasks}},
 		{"stages of two tasks", []taskMix{pairs}},
+		{"stages of four tasks", []taskMix{fours}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
