--- a/review/standins/gang_test.go
+++ b/review/standins/gang_test.go
@@ -11,11 +11,14 @@
 	{prefix: "/lohu930/", priority: 0, maxAttempts: 4, stretch: 1.5, targetMS: 250},
 	{prefix: "/pufi791/", priority: 2, maxAttempts: 3, stretch: 3.2, targetMS: 3000},
 	{prefix: "/pule252/", priority: 1, maxAttempts: 3, stretch: 2.2, targetMS: 1000},
+	{prefix: "/fewa640/", priority: 2, maxAttempts: 3, stretch: 2.2, targetMS: 2500},
 }
 
 const (
 	quotePrefix  = "/lohu930/"
 	settlePrefix = "/pule252/"
+	menusPrefix  = "/pufi791/"
+	watchPrefix  = "/fewa640/" // jobs that last
 )
 
 // prepare starts a deployment and brings its first configuration.
--- a/review/standins/main_test.go
+++ b/review/standins/main_test.go
@@ -18,6 +18,7 @@
 
 var cases = map[string]func(r *rig, trouble bool) int{
 	"gang":    starvedGang,
+	"lasting": lastingTask,
 	"waiting": waitingCount,
 }
 
--- a/review/standins/rig_test.go
+++ b/review/standins/rig_test.go
@@ -374,6 +374,9 @@
 	if kind.Gang {
 		stage["gangScheduled"] = true
 	}
+	if kind.Lasts {
+		stage["longRunning"] = true
+	}
 	for k, v := range more {
 		stage[k] = v
 	}
--- a/review/standins/worker_test.go
+++ b/review/standins/worker_test.go
@@ -23,15 +23,17 @@
 	Gang   bool
 	WorkMS int
 	Fails  bool // the task fails by its own fault each time
+	Lasts  bool // the task keeps running until it is stopped or told to fail
 }
 
 // world is what all workers of a deployment share: the jobs that clients handed in, and the gangs.
 type world struct {
-	mu     sync.Mutex
-	record *record
-	jobs   map[string][]taskKind
-	gangs  map[string]*gang
-	starts map[string]int // accepted starts, by job
+	mu      sync.Mutex
+	record  *record
+	jobs    map[string][]taskKind
+	gangs   map[string]*gang
+	starts  map[string]int  // accepted starts, by job
+	failing map[string]bool // jobs whose running task that lasts fails now
 }
 
 // gang is one run of a gang-scheduled stage.
@@ -91,7 +93,7 @@
 }
 
 func newWorld(record *record) *world {
-	return &world{record: record, jobs: map[string][]taskKind{}, gangs: map[string]*gang{}, starts: map[string]int{}}
+	return &world{record: record, jobs: map[string][]taskKind{}, gangs: map[string]*gang{}, starts: map[string]int{}, failing: map[string]bool{}}
 }
 
 func (w *worker) clock() int64 { return w.clockBase + time.Since(w.startedAt).Milliseconds() }
@@ -331,6 +333,11 @@
 		case r.ended:
 		case r.gang != nil:
 			r.gang.advance(r, work, w.gangWait)
+		case r.kind.Lasts:
+			if job := r.task[:16]; w.world.failing[job] {
+				delete(w.world.failing, job)
+				w.end(r, "failed")
+			}
 		case time.Since(r.arrived) >= work && r.kind.Fails:
 			w.end(r, "failed")
 		case time.Since(r.arrived) >= work:
