--- a/review/standins/waiting_test.go
+++ b/review/standins/waiting_test.go
@@ -57,8 +57,9 @@
 	only.sick = false
 	r.world.mu.Unlock()
 	r.record.add("%s is sound again", only.name)
+	until := time.Now().Add(20 * time.Second)
 	for _, id := range ids {
-		if state, ok := awaitState(r, settlePrefix, id, 20*time.Second, "completed"); !ok {
+		if state, ok := awaitState(r, settlePrefix, id, time.Until(until), "completed"); !ok {
 			r.record.add("job %s is %s", id, state)
 		}
 	}
