--- a/review/standins2/clients_test.go
+++ b/review/standins2/clients_test.go
@@ -90,14 +90,15 @@
 
 // step is one step of a job, as on the users' pages.
 type step struct {
-	TaskCount     int   `json:"taskCount"`
-	CPU           int   `json:"cpu,omitempty"`
-	MemMB         int   `json:"memMb,omitempty"`
-	EstimateMS    int64 `json:"estimateMs,omitempty"`
-	DependsOn     []int `json:"dependsOn,omitempty"`
-	GangScheduled bool  `json:"gangScheduled,omitempty"`
-	LongRunning   bool  `json:"longRunning,omitempty"`
-	AntiAffinity  int   `json:"antiAffinity,omitempty"`
+	TaskCount     int    `json:"taskCount"`
+	CPU           int    `json:"cpu,omitempty"`
+	MemMB         int    `json:"memMb,omitempty"`
+	EstimateMS    int64  `json:"estimateMs,omitempty"`
+	DependsOn     []int  `json:"dependsOn,omitempty"`
+	GangScheduled bool   `json:"gangScheduled,omitempty"`
+	LongRunning   bool   `json:"longRunning,omitempty"`
+	AntiAffinity  int    `json:"antiAffinity,omitempty"`
+	Constraints   string `json:"constraints,omitempty"`
 }
 
 // job is a job, as on the users' pages. The text is how long each of its tasks runs, in
--- a/review/standins2/system_test.go
+++ b/review/standins2/system_test.go
@@ -15,10 +15,11 @@
 )
 
 // The deployment: a zone has one front machine with a disk, which runs a controller and a gateway,
-// and two side machines, each with an agent and its worker.
+// and three side machines, each with an agent and its worker. The last two workers are of kind b.
 const (
 	zoneCount        = 3
-	sidesPerZone     = 2
+	sidesPerZone     = 3
+	workersOfKindB   = 2
 	innerPorts       = 16
 	beatInterval     = 1500 * time.Millisecond
 	readyTimeout     = 30 * time.Second
@@ -212,7 +213,11 @@
 		s.commonYAML(ip, zone)+limitsYAML(0.24, 152, 4096, 0)+fmt.Sprintf(
 		"role: \"agent\"\nserves:\n  - \"side\"\nlistenAddrs:\n  control: \"%s:%d\"\ndataDir: null\napp: \"%s:%d\"\nservice: %q\n",
 		ip, s.ports.control, ip, s.ports.app, serviceName))
-	s.workers = append(s.workers, newWorker(s.rec, name, zoneName(zone), fmt.Sprintf("r%d", i/3+1),
+	kind := "a"
+	if i >= zoneCount*sidesPerZone-workersOfKindB {
+		kind = "b"
+	}
+	s.workers = append(s.workers, newWorker(s.rec, name, zoneName(zone), kind, fmt.Sprintf("r%d", i/3+1),
 		fmt.Sprintf("%s:%d", ip, s.ports.app), fmt.Sprintf("%s:%d", ip, s.ports.control)))
 }
 
--- a/review/standins2/waiting_gang_test.go
+++ b/review/standins2/waiting_gang_test.go
@@ -14,7 +14,6 @@
 const (
 	lastingCPU   = 7000
 	memberCPU    = 10000
-	lastingTime  = 200 * time.Second
 	smallCPU     = 300
 	quoteMS      = 300
 	refreshMS    = 6000
@@ -30,7 +29,7 @@
 // may have nothing running for 3 s.
 func waitingGang(s *system, trouble bool) (bool, error) {
 	lasting := newJobID()
-	if !s.submit(refreshPrefix, lasting, job{JobSpec: spec(int(lastingTime.Milliseconds()), lastingCPU, 1024),
+	if !s.submit(refreshPrefix, lasting, job{JobSpec: spec(0, lastingCPU, 1024),
 		StageList: []step{{TaskCount: len(s.workers), CPU: lastingCPU, MemMB: 1024, LongRunning: true, AntiAffinity: 1}}}) {
 		return false, errors.New("the lasting job is not accepted")
 	}
--- a/review/standins2/worker_test.go
+++ b/review/standins2/worker_test.go
@@ -31,11 +31,12 @@
 
 // taskRun is one run of a task on a worker.
 type taskRun struct {
-	task     string
-	run      int
-	cpu, mem int
-	endsAt   time.Time
-	stopping bool
+	task      string
+	run       int
+	cpu, mem  int
+	startedAt time.Time
+	length    time.Duration // 0 for a task that lasts
+	stopping  bool
 }
 
 // taskEnd is the end of a run that a worker lists.
@@ -56,29 +57,29 @@
 
 // worker is a sound worker of the users' platform.
 type worker struct {
-	rec                *record
-	name, zone, rack   string
-	addr, agent        string
-	id                 string
-	startedAt          time.Time
-	server             *http.Server
-	cancel             context.CancelFunc
-	seq                int
-	mu                 sync.Mutex
-	changed            chan struct{} // closed and replaced when an end is added
-	fence              uint64
-	expiry             int64 // reading of the clock at which all that runs is killed
-	running            map[string]*taskRun
-	last               map[string]int // highest run of a task that ended or was stopped here
-	ended              []taskEnd
-	endCount           int
-	starts             []startEvent
-	cpuInUse, memInUse int
+	rec                    *record
+	name, zone, kind, rack string
+	addr, agent            string
+	id                     string
+	startedAt              time.Time
+	server                 *http.Server
+	cancel                 context.CancelFunc
+	seq                    int
+	mu                     sync.Mutex
+	changed                chan struct{} // closed and replaced when an end is added
+	fence                  uint64
+	expiry                 int64 // reading of the clock at which all that runs is killed
+	running                map[string]*taskRun
+	last                   map[string]int // highest run of a task that ended or was stopped here
+	ended                  []taskEnd
+	endCount               int
+	starts                 []startEvent
+	cpuInUse, memInUse     int
 }
 
-func newWorker(rec *record, name, zone, rack, addr, agent string) *worker {
+func newWorker(rec *record, name, zone, kind, rack, addr, agent string) *worker {
 	return &worker{
-		rec: rec, name: name, zone: zone, rack: rack, addr: addr, agent: agent,
+		rec: rec, name: name, zone: zone, kind: kind, rack: rack, addr: addr, agent: agent,
 		id: fmt.Sprintf("i-%08x", rand.Uint32()), startedAt: time.Now(),
 		changed: make(chan struct{}), running: map[string]*taskRun{}, last: map[string]int{},
 	}
@@ -124,7 +125,7 @@
 			"service": serviceName, "address": w.addr, "zone": w.zone, "configVersion": "v1", "slots": 8,
 			"state": "ready", "coldLeftMs": 0, "clockMs": w.clock(), "callSeq": w.seq,
 			"capacity": map[string]int{"cpu": workerCPU, "memMb": workerMemMB, "gpu": 0},
-			"labels":   []string{"a", w.rack},
+			"labels":   []string{w.kind, w.rack},
 		})
 		call(http.MethodPost, "http://"+w.agent+"/coppercourse/Instances.Heartbeat/"+w.id, "", nil, body, time.Second)
 		select {
@@ -153,7 +154,7 @@
 				w.end(r, "lapsed")
 			case r.stopping:
 				w.end(r, "stopped")
-			case !now.Before(r.endsAt):
+			case r.length > 0 && now.Sub(r.startedAt) >= r.length:
 				w.end(r, "done")
 			}
 		}
@@ -227,7 +228,27 @@
 	w.expiry = max(w.expiry, min(expiry, w.clock()+holdLimit.Milliseconds()))
 }
 
-// runStart starts a task. The job's text is "MS CPU MEM": how long it runs, and what it asks for.
+// percent returns how much of a run is done. A task that lasts has no end to count towards.
+func (r *taskRun) percent() int {
+	if r.length == 0 {
+		return 0
+	}
+	return int(min(99, 100*time.Since(r.startedAt)/r.length))
+}
+
+// fail ends the runs of a job's tasks on this worker as failed.
+func (w *worker) fail(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.running {
+		if strings.HasPrefix(r.task, id+".") {
+			w.end(r, "failed")
+		}
+	}
+}
+
+// runStart starts a task. The job's text is "MS CPU MEM": how long it runs, 0 if it lasts, and what
+// it asks for.
 func (w *worker) runStart(o order) (int, map[string]any) {
 	var ms, cpu, mem int
 	if n, _ := fmt.Sscanf(o.JobSpec, "%d %d %d", &ms, &cpu, &mem); n != 3 {
@@ -251,7 +272,7 @@
 	w.cpuInUse, w.memInUse = w.cpuInUse+cpu, w.memInUse+mem
 	now := time.Now()
 	w.running[o.Task] = &taskRun{
-		task: o.Task, run: o.RunID, cpu: cpu, mem: mem, endsAt: now.Add(time.Duration(ms) * time.Millisecond),
+		task: o.Task, run: o.RunID, cpu: cpu, mem: mem, startedAt: now, length: time.Duration(ms) * time.Millisecond,
 	}
 	w.starts = append(w.starts, startEvent{now, w.name, o.Task, o.RunID})
 	w.rec.line("worker %s: run %d of %s started", w.name, o.RunID, o.Task)
@@ -283,7 +304,7 @@
 	}
 	running, ended := [][]any{}, [][]any{}
 	for _, r := range w.running {
-		running = append(running, []any{r.task, r.run, "", 0})
+		running = append(running, []any{r.task, r.run, "", r.percent()})
 	}
 	for _, e := range w.ended[:min(len(w.ended), maxEndedAtOnce)] {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
