--- a/internal/controller/slot_cache.go
+++ b/internal/controller/slot_cache.go
@@ -10,9 +10,6 @@
 	"coppercourse/internal/types"
 )
 
-// assumedUnlimitedRemaining is the assumed remaining run time of attempts without a time limit.
-const assumedUnlimitedRemaining = time.Hour
-
 // slotCache builds the placement slots of the workers. The occupancy of a worker is summed up once
 // and cached across rounds until an attempt is added or removed there, so that the cost of a round
 // depends on the number of changes. A worker's own reports and everything that depends on the
@@ -28,10 +25,10 @@
 type occupancy struct {
 	revision  uint64 // of the scheduler's attempt list that it sums up
 	used      types.Resources
-	attempts  int // number of attempts that use resources
+	unlimited types.Resources // the part of used that attempts without a time limit use
+	attempts  int             // number of attempts that use resources
 	byStage   map[types.StageID]int
 	lastEnd   types.MonoTime // the latest time at which an attempt reaches its time limit
-	unlimited bool           // whether an attempt has no time limit
 }
 
 // reset empties the cache for a new leadership.
@@ -79,6 +76,7 @@
 		Labels:                worker.Labels,
 		Free:                  worker.Capacity.Sub(worker.Shortfall).Sub(occupied.used),
 		Capacity:              worker.Capacity,
+		Unavailable:           worker.Shortfall.Add(occupied.unlimited),
 		AvailableFor:          sc.windows.of(v, worker).remaining,
 		IdleIn:                occupied.remaining(v.now),
 		FailureRate:           worker.Reliability.FailureRate,
@@ -119,21 +117,17 @@
 		o.used = o.used.Add(attempt.Resources)
 		o.attempts++
 	}
-	if attempt.TimeLimit == 0 {
-		o.unlimited = true
-	} else {
+	if attempt.TimeLimit > 0 {
 		o.lastEnd = max(o.lastEnd, attempt.DispatchedAt.Add(attempt.TimeLimit))
 	}
-	if attempt.Stage != scheduler.StageUnknown {
-		o.byStage[attempt.StageID()]++
+	if attempt.Stage == scheduler.StageUnknown {
+		return // it is about to be stopped
 	}
-}
-
-// remaining returns how long until all attempts there have ended, by their time limits.
-func (o *occupancy) remaining(now types.MonoTime) time.Duration {
-	longest := max(0, o.lastEnd.Sub(now))
-	if o.unlimited {
-		longest = max(longest, assumedUnlimitedRemaining)
+	o.byStage[attempt.StageID()]++
+	if attempt.TimeLimit == 0 && !released {
+		o.unlimited = o.unlimited.Add(attempt.Resources)
 	}
-	return longest
 }
+
+// remaining returns how long until all attempts there that have a time limit have ended.
+func (o *occupancy) remaining(now types.MonoTime) time.Duration { return max(0, o.lastEnd.Sub(now)) }
--- a/internal/controller/slot_cache_test.go
+++ b/internal/controller/slot_cache_test.go
@@ -38,6 +38,7 @@
 			Labels:                worker.Labels,
 			Free:                  worker.Capacity.Sub(worker.Shortfall),
 			Capacity:              worker.Capacity,
+			Unavailable:           worker.Shortfall,
 			AvailableFor:          l.planner.slots.windows.of(v, worker).remaining,
 			FailureRate:           worker.Reliability.FailureRate,
 			DurationFactor:        worker.Reliability.RelativeDuration,
@@ -70,11 +71,11 @@
 		slot.Free = slot.Free.Sub(attempt.Resources)
 		slot.RunningTasks++
 	}
-	remaining := time.Hour
 	if attempt.TimeLimit != 0 {
-		remaining = max(0, attempt.TimeLimit-now.Sub(attempt.DispatchedAt))
+		slot.IdleIn = max(slot.IdleIn, attempt.TimeLimit-now.Sub(attempt.DispatchedAt))
+	} else if attempt.Stage >= 0 && !released {
+		slot.Unavailable = slot.Unavailable.Add(attempt.Resources)
 	}
-	slot.IdleIn = max(slot.IdleIn, remaining)
 	if attempt.Stage >= 0 {
 		slot.TasksByStage[types.StageID{Job: attempt.ID.Job, Stage: attempt.Stage}]++
 	}
@@ -178,7 +179,7 @@
 		}
 	}
 	return []any{counts, s.Shard, s.Rack, s.Kinds, s.Labels, s.Free, s.Capacity, s.RunningTasks, s.FailureRate,
-		s.DurationFactor, s.CurrentDurationFactor, s.ProbeDue, s.AvailableFor, s.IdleIn}
+		s.DurationFactor, s.CurrentDurationFactor, s.ProbeDue, s.AvailableFor, s.IdleIn, s.Unavailable}
 }
 
 // After any sequence of changes, the cached slots equal those of a full scan, and placement has the
--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -45,7 +45,7 @@
 	}
 	for _, worker := range r.Reservation.Workers {
 		slot := r.slotOf(worker.Shard)
-		if slot == nil || !slot.Reservable(request) {
+		if slot == nil || r.reservableTasks(slot, request) < worker.Tasks {
 			r.clearReserved()
 			return
 		}
@@ -84,6 +84,18 @@
 	}
 }
 
+// canReserve reports whether reserve would find workers for a request.
+func (r *round) canReserve(request *Request) bool {
+	missing := request.MinTasks()
+	for i := range r.Slots {
+		missing -= r.reservableTasks(&r.Slots[i], request)
+		if missing <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // reserve returns a reservation on the usable workers with the most free cores, or nil if all of
 // them together could not run the request.
 func (r *round) reserve(request *Request) *Reservation {
@@ -94,7 +106,7 @@
 		if missing == 0 {
 			break
 		}
-		if n := slot.maxTasks(request); n > 0 {
+		if n := r.reservableTasks(slot, request); n > 0 {
 			reservation.Workers = append(reservation.Workers, ReservedWorker{Shard: slot.Shard, Tasks: 1})
 			fits = append(fits, n)
 			missing--
@@ -111,12 +123,28 @@
 	return reservation
 }
 
+// reservableTasks returns for how many tasks of a request a worker can be reserved: those that it
+// could run once all its tasks with a time limit have ended, or one if it is failing or slow.
+func (r *round) reservableTasks(slot *Slot, request *Request) int {
+	if !slot.Reservable(request) {
+		return 0
+	}
+	tasks := max(0, slot.maxTasks(request))
+	if r.performanceLimit(slot, 1) == NotRejected {
+		return tasks
+	}
+	if slot.Unavailable != (types.Resources{}) {
+		return 0 // what remains there already keeps it from getting that one
+	}
+	return min(tasks, 1)
+}
+
 // reservableSlots returns the slots that can be reserved for a request, those with the most free
 // cores first and then those that become idle soonest.
 func (r *round) reservableSlots(request *Request) []*Slot {
 	var reservable []*Slot
 	for i := range r.Slots {
-		if r.Slots[i].Reservable(request) {
+		if r.reservableTasks(&r.Slots[i], request) > 0 {
 			reservable = append(reservable, &r.Slots[i])
 		}
 	}
--- a/internal/placement/reservation_test.go
+++ b/internal/placement/reservation_test.go
@@ -191,3 +191,35 @@
 	}
 	is.True(place(made).Reservation == nil) // it is dropped, and two workers are too few for another
 }
+
+// Guards against a reservation of room that no end of a task frees, for which the request would
+// wait without an end.
+func TestReservationCountsOnlyObtainableRoom(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		cores   int // of each task of the gang
+		change  func(slot *Slot)
+		reserve bool
+	}{
+		{"room beside a task that lasts", 9, func(*Slot) {}, true},
+		{"room that a task that lasts uses", 10, func(*Slot) {}, false},
+		{"failing worker that is never idle", 9, func(s *Slot) { s.FailureRate = 1 }, false},
+		{"slow worker that is never idle", 9, func(s *Slot) { s.CurrentDurationFactor, s.ProbeDue = 3, true }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			slots := newSlots(4, 16)
+			for i := range slots {
+				slots[i].Free.Cores = 5 * types.Core
+				slots[i].Unavailable.Cores = 7 * types.Core
+			}
+			c.change(&slots[0])
+			gang := newRequest("gang", "a", 4, c.cores)
+			gang.Gang, gang.WaitingFor = true, ReserveAfter
+			output := Place(Input{
+				Requests: []Request{gang, newRequest("small", "b", 1, 1)}, Slots: slots, TotalCores: 64 * types.Core,
+				Usage: map[types.QueueName]*QueueUsage{"a": newUsage(9, 0, 500), "b": newUsage(1, 0, 500)},
+			})
+			is.New(t).Equal(output.Reservation != nil, c.reserve)
+		})
+	}
+}
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -11,8 +11,9 @@
 	meanFailureRate float64               // of all slots
 	infeasible      map[requestShape]bool // shapes for which this round found no slot
 
-	passedOver *Request // first request that has waited for ReserveAfter and found no slot, or nil
-	bypassed   bool     // later requests took slots that passedOver could have used
+	passedOver   *Request              // first request that is due for a reservation, or nil
+	bypassed     bool                  // later requests took slots that passedOver could have used
+	unreservable map[requestShape]bool // shapes for which canReserve was false in this round
 
 	roundReservations int // number of slots reserved by reserveForRound
 	starvedPlaced     int // number of starved requests placed after the round was full
@@ -23,7 +24,7 @@
 }
 
 func newRound(input Input) *round {
-	r := &round{Input: input, infeasible: map[requestShape]bool{}}
+	r := &round{Input: input, infeasible: map[requestShape]bool{}, unreservable: map[requestShape]bool{}}
 	for i := range r.Slots {
 		r.meanFailureRate += r.Slots[i].FailureRate / float64(len(r.Slots))
 	}
@@ -82,19 +83,36 @@
 	if usage.Queue.HasLatencyTarget() {
 		r.reserveForRound(request)
 	}
-	if r.passedOver == nil && r.output.Reservation == nil &&
-		request.WaitingFor >= ReserveAfter && request.Class == OnTarget {
+	if r.passedOver == nil && r.output.Reservation == nil && r.dueForReservation(request) {
 		r.passedOver = request
 	}
 }
 
+// dueForReservation reports whether a request has been passed over for so long that workers are
+// reserved for it, and there are such workers. A request without them does not keep later ones from
+// getting a reservation.
+func (r *round) dueForReservation(request *Request) bool {
+	if request.WaitingFor < ReserveAfter || request.Class != OnTarget {
+		return false
+	}
+	if request.Gang {
+		return r.canReserve(request)
+	}
+	shape := request.shape()
+	if r.unreservable[shape] {
+		return false
+	}
+	r.unreservable[shape] = !r.canReserve(request)
+	return !r.unreservable[shape]
+}
+
 // recordBypass sets bypassed if the request that was passed over could have used one of the slots.
 func (r *round) recordBypass(slots []int) {
 	if r.passedOver == nil || r.bypassed {
 		return
 	}
 	for _, i := range slots {
-		if r.Slots[i].Feasible(r.passedOver) {
+		if r.reservableTasks(&r.Slots[i], r.passedOver) > 0 {
 			r.bypassed = true
 			return
 		}
--- a/internal/placement/slot.go
+++ b/internal/placement/slot.go
@@ -15,12 +15,13 @@
 	Labels []string
 
 	Capacity     types.Resources       // total
+	Unavailable  types.Resources       // part of Capacity that no end of a task will free, see Obtainable
 	Free         types.Resources       // currently; negative if the worker is overcommitted
 	RunningTasks int                   // current number
 	TasksByStage map[types.StageID]int // RunningTasks by stage; shared between rounds and read-only
 
 	AvailableFor time.Duration // time until it may run nothing, 0 for unlimited
-	IdleIn       time.Duration // time until all its running tasks have ended, by their time limits
+	IdleIn       time.Duration // time until all its running tasks that have a time limit have ended
 
 	FailureRate    float64 // fraction of its attempts that fail, 0 to 1
 	DurationFactor float64 // ratio of its attempts' durations to the usual ones
@@ -74,9 +75,14 @@
 	return s.Feasible(request) && (s.CurrentDurationFactor == 0 || s.ProbeDue)
 }
 
-// maxTasks returns how many tasks of a request the worker could run at once if it were idle.
+// Obtainable returns the resources that are free once all tasks with a time limit have ended. Tasks
+// without one run until their job is cancelled.
+func (s *Slot) Obtainable() types.Resources { return s.Capacity.Sub(s.Unavailable) }
+
+// maxTasks returns how many tasks of a request the worker could run at once if all tasks with a
+// time limit had ended.
 func (s *Slot) maxTasks(request *Request) int {
-	n := s.Capacity.FitCount(request.Resources)
+	n := s.Obtainable().FitCount(request.Resources)
 	if request.MaxPerWorker > 0 {
 		n = min(n, request.MaxPerWorker-s.TaskCount(request.StageID))
 	}
