--- a/internal/controller/job_ranking.go
+++ b/internal/controller/job_ranking.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"coppercourse/internal/config"
@@ -62,7 +63,8 @@
 func (r *jobRanking) recordJob(v *leaderView, j *state.Job) {
 	work := 0.0
 	for i := range j.Spec.Steps {
-		work += float64(j.Spec.Steps[i].Tasks) * taskWork(v, j, i)
+		step := &j.Spec.Steps[i]
+		work += float64(step.Tasks) * taskWork(step, v.expectedDuration(j, i))
 	}
 	if len(j.Spec.Steps) > 0 && !j.Spec.Steps[0].AlwaysRestart {
 		updateMean(r.meanTaskSeconds, j.Queue, v.expectedDuration(j, 0).Seconds())
@@ -79,15 +81,39 @@
 }
 
 // taskWork returns the work of one task of a step, in core-seconds.
-func taskWork(v *leaderView, j *state.Job, step int) float64 {
-	cores := float64(j.Spec.Steps[step].Resources.Cores)
-	return v.expectedDuration(j, step).Seconds() * cores / float64(types.Core)
+func taskWork(step *state.Step, duration time.Duration) float64 {
+	return duration.Seconds() * float64(step.Resources.Cores) / float64(types.Core)
+}
+
+// jobEstimate is what is expected of a job in one round; it is the same for all its stages.
+type jobEstimate struct {
+	durations     []time.Duration // of a task, by step
+	paths         []time.Duration // of the longest chain of steps that starts with a step, by step
+	remainingWork float64         // core-seconds
+	totalWork     float64         // core-seconds
+}
+
+// estimate estimates a job. It returns nil for a queue without a latency target, for which rank
+// needs no estimate.
+func (r *jobRanking) estimate(v *leaderView, j *state.Job, queue config.Queue, ready *state.ReadyIndex) *jobEstimate {
+	if !queue.HasLatencyTarget() {
+		return nil
+	}
+	e := &jobEstimate{durations: make([]time.Duration, len(j.Spec.Steps))}
+	for i := range j.Spec.Steps {
+		e.durations[i] = v.expectedDuration(j, i)
+		work := taskWork(&j.Spec.Steps[i], e.durations[i])
+		e.remainingWork += float64(ready.RemainingTasks[i]) * work
+		e.totalWork += float64(j.Spec.Steps[i].Tasks) * work
+	}
+	e.paths = j.StepGraph().LongestPaths(e.durations)
+	return e
 }
 
 // rank ranks the ready tasks of one stage of a job.
-func (r *jobRanking) rank(v *leaderView, j *state.Job, queue config.Queue, ready *state.ReadyIndex,
+func (r *jobRanking) rank(v *leaderView, j *state.Job, queue config.Queue, estimate *jobEstimate,
 	stage state.ReadyStage) jobRank {
-	rank := r.rankByTarget(v, j, queue, ready, stage)
+	rank := r.rankByTarget(v, j, queue, estimate, stage)
 	if j.OverRate {
 		return rank.demoted()
 	}
@@ -95,27 +121,25 @@
 }
 
 // rankByTarget ranks the ready tasks of one stage of a job by its queue's latency target.
-func (r *jobRanking) rankByTarget(v *leaderView, j *state.Job, queue config.Queue, ready *state.ReadyIndex,
+func (r *jobRanking) rankByTarget(v *leaderView, j *state.Job, queue config.Queue, estimate *jobEstimate,
 	stage state.ReadyStage) jobRank {
 	if !queue.HasLatencyTarget() {
 		return jobRank{class: placement.OnTarget}
 	}
-	remainingWork, totalWork := jobWork(v, j, ready)
-	value := r.jobValue(j.Queue, totalWork)
+	value := r.jobValue(j.Queue, estimate.totalWork)
 	step := stage.Stage.Step()
 	if j.Spec.Steps[step].AlwaysRestart {
-		return jobRank{class: placement.OnTarget, sortKey: -value / (1 + remainingWork)}
+		return jobRank{class: placement.OnTarget, sortKey: -value / (1 + estimate.remainingWork)}
 	}
-	duration := func(step int) time.Duration { return v.expectedDuration(j, step) }
-	target := latencyTarget(queue, j.Spec.CriticalPath(-1, duration))
-	slack := stage.ReadySince.Add(target).Sub(v.clock) - j.Spec.CriticalPath(step, duration)
+	target := latencyTarget(queue, slices.Max(estimate.paths))
+	slack := stage.ReadySince.Add(target).Sub(v.clock) - estimate.paths[step]
 	class, lostValue, untilLost := r.classify(value, slack, target)
 	rank := jobRank{
 		class:           class,
-		headroomPercent: r.headroom(v.state, j.Queue, queue, duration(step), slack, target),
+		headroomPercent: r.headroom(v.state, j.Queue, queue, estimate.durations[step], slack, target),
 	}
 	if !r.policy.NoRanking {
-		rank.sortKey = -tardinessCost(lostValue, remainingWork, untilLost)
+		rank.sortKey = -tardinessCost(lostValue, estimate.remainingWork, untilLost)
 	}
 	return rank
 }
@@ -128,16 +152,6 @@
 	return jr
 }
 
-// jobWork returns the remaining and the total work of a job, in core-seconds.
-func jobWork(v *leaderView, j *state.Job, ready *state.ReadyIndex) (remaining, total float64) {
-	for i := range j.Spec.Steps {
-		work := taskWork(v, j, i)
-		remaining += float64(ready.RemainingTasks[i]) * work
-		total += float64(j.Spec.Steps[i].Tasks) * work
-	}
-	return remaining, total
-}
-
 // jobValue returns the value of a job with the given work, relative to the mean job of its queue.
 func (r *jobRanking) jobValue(queue types.QueueName, totalWork float64) float64 {
 	if r.policy.NoJobValue {
@@ -148,10 +162,11 @@
 }
 
 // latencyTarget returns the latency target of a queue's job, given the duration of its critical
-// path.
+// path; at most state.MaxPathDuration, of which small multiples do not overflow.
 func latencyTarget(queue config.Queue, criticalPath time.Duration) time.Duration {
-	return time.Duration(queue.TargetFactor*float64(criticalPath)) +
-		time.Duration(queue.TargetMarginMillis)*time.Millisecond
+	margin := float64(queue.TargetMarginMillis) * float64(time.Millisecond)
+	target := queue.TargetFactor*float64(criticalPath) + margin
+	return time.Duration(min(target, float64(state.MaxPathDuration)))
 }
 
 // tardinessCost returns the gain of running a job now: the value that is lost otherwise per
--- a/internal/controller/job_ranking_test.go
+++ b/internal/controller/job_ranking_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -43,7 +44,7 @@
 	spec := &state.Spec{Queue: "q", Steps: []state.Step{step}}
 	j := &state.Job{ID: "j", Queue: "q", Status: state.JobOpen, Spec: spec, OverRate: overRate}
 	ready := &state.ReadyIndex{RemainingTasks: []int{step.Tasks}}
-	return r.rank(v, j, q, ready, state.ReadyStage{ReadySince: clock.Add(-age)})
+	return r.rank(v, j, q, r.estimate(v, j, q, ready), state.ReadyStage{ReadySince: clock.Add(-age)})
 }
 
 func TestJobsAreClassifiedBySlack(t *testing.T) {
@@ -139,3 +140,54 @@
 	is.True(math.Abs(r.meanWork["q"]-(4+356.0/16)) < 1e-9)
 	is.Equal(r.meanTaskSeconds["q"], 3.0)
 }
+
+// TestJobWithHugeEstimatesDoesNotHangTheLeader guards against one accepted job that hangs one leader
+// after the other: the estimates of its steps overflowed the duration of its longest chain of steps,
+// which was then computed again for each of the paths through them.
+func TestJobWithHugeEstimatesDoesNotHangTheLeader(t *testing.T) {
+	const taskDuration = 200 * time.Millisecond
+	for _, estimateMillis := range []int{900_000_000_000, 1 << 40} {
+		t.Run(fmt.Sprint(estimateMillis), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorkloadRig(t, 24*time.Hour)
+			spec := state.Spec{Queue: "target"}
+			for i := range 40 {
+				step := testStep(fmt.Sprint("s", i), 1)
+				step.EstimateMillis = estimateMillis
+				for _, earlier := range spec.Steps {
+					step.DependsOn = append(step.DependsOn, earlier.Name)
+				}
+				spec.Steps = append(spec.Steps, step)
+			}
+			huge := w.addSpec("huge", spec, taskDuration)
+			sound := state.Spec{Queue: "target", Steps: []state.Step{testStep("s", 1)}}
+			w.run(20*time.Second, func(time.Duration) { w.addSpec("sound", sound, taskDuration) })
+			longest, _ := w.longestWait("sound")
+			is.True(longest < time.Second)
+			is.Equal(huge.starts, 40) // one step after the other
+		})
+	}
+}
+
+// Guards against ranks that overflow: estimates, targets and stretches beyond any duration rank like
+// the longest ones.
+func TestRankOfHugeEstimatesAndTargets(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		alter func(*state.Step, *config.Queue, *jobRanking)
+	}{
+		{"estimate", func(p *state.Step, _ *config.Queue, _ *jobRanking) { p.EstimateMillis = 1 << 40 }},
+		{"target", func(_ *state.Step, q *config.Queue, _ *jobRanking) { q.TargetMarginMillis = 1 << 40 }},
+		{"factor", func(_ *state.Step, q *config.Queue, _ *jobRanking) { q.TargetFactor = 1e9 }},
+		{"all of them", func(p *state.Step, q *config.Queue, _ *jobRanking) {
+			p.EstimateMillis, q.TargetMarginMillis, q.TargetFactor = 1<<40, 1<<40, 1e9
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			rank := rankOf(t, time.Second, c.alter)
+			is.Equal(rank.class, placement.OnTarget)
+			is.True(rank.sortKey <= 0)
+		})
+	}
+}
--- a/internal/controller/locality.go
+++ b/internal/controller/locality.go
@@ -51,5 +51,5 @@
 	if step.DataRack == "" || step.AlwaysRestart || l.remoteSlowdown <= 1 || l.policy.NoDataRackWait {
 		return 0
 	}
-	return min(maxDataRackWait, time.Duration((l.remoteSlowdown-1)*float64(usual)))
+	return time.Duration(min(float64(maxDataRackWait), (l.remoteSlowdown-1)*float64(usual)))
 }
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"coppercourse/internal/config"
 	"coppercourse/internal/placement"
 	"coppercourse/internal/policy"
 	"coppercourse/internal/state"
@@ -193,6 +192,7 @@
 		ready := v.state.ReadyIndex(j, v.clock)
 		used.RunningTasks += ready.OutstandingAttempts
 		used.CoresInUse += ready.InUse.Cores
+		var estimate *jobEstimate
 		for _, stage := range ready.Stages {
 			if stage.Tasks = p.unassigned(j, stage, used); len(stage.Tasks) == 0 {
 				continue
@@ -201,7 +201,11 @@
 				p.waitingForLimit[j.Tenant] += len(stage.Tasks)
 				continue
 			}
-			list = append(list, p.request(v, j, used.Queue, ready, stage))
+			if estimate == nil {
+				estimate = p.ranking.estimate(v, j, used.Queue, ready)
+			}
+			rank := p.ranking.rank(v, j, used.Queue, estimate, stage)
+			list = append(list, p.request(v, j, ready, stage, rank))
 		}
 	}
 	p.tenants = in.Tenants
@@ -222,10 +226,9 @@
 }
 
 // request returns the request for workers for the ready tasks of one stage of a job.
-func (p *planner) request(v *leaderView, j *state.Job, queue config.Queue, ready *state.ReadyIndex,
-	stage state.ReadyStage) placement.Request {
+func (p *planner) request(v *leaderView, j *state.Job, ready *state.ReadyIndex, stage state.ReadyStage,
+	rank jobRank) placement.Request {
 	step := &j.Spec.Steps[stage.Stage.Step()]
-	rank := p.ranking.rank(v, j, queue, ready, stage)
 	request := stageRequest(j, stage.Stage)
 	request.Tasks = stage.Tasks
 	request.TimeLimit = placementTimeLimit(v.state, j, stage.Stage)
--- a/internal/controller/workload_rig_test.go
+++ b/internal/controller/workload_rig_test.go
@@ -40,14 +40,17 @@
 	starts      int
 }
 
-// newWorkloadRig returns a rig whose queue q has the given time limit on attempts.
+// newWorkloadRig returns a rig with two queues that have the given time limit on attempts: q, and
+// target, which has a latency target.
 func newWorkloadRig(t *testing.T, timeLimit time.Duration) *workloadRig {
 	t.Helper()
 	l := newLeaderRig(rand.New(rand.NewSource(1)))
 	l.endInitialWait(t)
 	queue := testQueue("q")
 	queue.TaskTimeoutMillis = int(timeLimit.Milliseconds())
-	l.setTable(t, queue)
+	withTarget := queue
+	withTarget.Name, withTarget.TargetFactor, withTarget.TargetMarginMillis = "target", 2, 1000
+	l.setTable(t, queue, withTarget)
 	return &workloadRig{leaderRig: l, t: t, jobs: map[types.JobID]*workloadJob{}}
 }
 
@@ -61,10 +64,16 @@
 // add submits a job of one step whose tasks have the given duration.
 func (w *workloadRig) add(name string, step state.Step, duration time.Duration) *workloadJob {
 	w.t.Helper()
-	id := types.JobID(fmt.Sprint(name, len(w.submitted)))
 	step.AlwaysRestart = duration == 0
 	step.EstimateMillis = int(duration.Milliseconds())
-	w.submit(w.t, id, state.Spec{Queue: "q", Steps: []state.Step{step}})
+	return w.addSpec(name, state.Spec{Queue: "q", Steps: []state.Step{step}}, duration)
+}
+
+// addSpec submits a job whose tasks have the given duration.
+func (w *workloadRig) addSpec(name string, spec state.Spec, duration time.Duration) *workloadJob {
+	w.t.Helper()
+	id := types.JobID(fmt.Sprint(name, len(w.submitted)))
+	w.submit(w.t, id, spec)
 	j := &workloadJob{duration: duration, submittedAt: w.now}
 	w.jobs[id], w.submitted = j, append(w.submitted, id)
 	return j
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -44,6 +44,7 @@
 
 	snapshotNumber uint64      // the last snapshot that includes the job, or that began before it was accepted
 	readyIndex     *ReadyIndex // cached; nil after the job has changed
+	stepGraph      *StepGraph  // cached; nil until it is needed
 }
 
 // Ended reports whether the job has a final status. None of its attempts can still be
@@ -215,5 +216,5 @@
 	if j.Status == JobDone {
 		j.Reason = ""
 	}
-	j.Spec, j.Tasks, j.BrokenGangs = nil, nil, nil
+	j.Spec, j.Tasks, j.BrokenGangs, j.stepGraph = nil, nil, nil, nil
 }
--- a/internal/state/job_spec_check.go
+++ b/internal/state/job_spec_check.go
@@ -38,38 +38,7 @@
 	if len(errs.List()) > 0 {
 		return
 	}
-	if step := s.findCycle(stepIndex); step >= 0 {
+	if step := s.StepGraph().firstInCycle(); step >= 0 {
 		errs.Add(apierror.BadField, fmt.Sprintf("steps[%d].after", step), "the dependencies of the steps form a cycle")
 	}
 }
-
-// findCycle returns the first step that is part of a dependency cycle or depends on one, or
-// -1.
-func (s Spec) findCycle(stepIndex map[string]int) int {
-	const (
-		notVisited = iota
-		visiting
-		visited
-	)
-	marks := make([]int, len(s.Steps))
-	var visit func(step int) (acyclic bool)
-	visit = func(step int) bool {
-		if marks[step] != notVisited {
-			return marks[step] == visited
-		}
-		marks[step] = visiting
-		for _, name := range s.Steps[step].DependsOn {
-			if !visit(stepIndex[name]) {
-				return false
-			}
-		}
-		marks[step] = visited
-		return true
-	}
-	for step := range s.Steps {
-		if !visit(step) {
-			return step
-		}
-	}
-	return -1
-}
--- a/internal/state/ready_index.go
+++ b/internal/state/ready_index.go
@@ -171,15 +171,10 @@
 // dependenciesMet reports whether all steps on which a stage depends are done in the stage's
 // occurrence.
 func (j *Job) dependenciesMet(stage jobStage) bool {
-	for _, name := range stage.step.DependsOn {
-		for i := range j.Spec.Steps {
-			if j.Spec.Steps[i].Name != name {
-				continue
-			}
-			dependency := types.StageOf(types.TaskNumber(stage.id.Occurrence(), i, 0))
-			if !allDone(j.StageTasks(dependency)) {
-				return false
-			}
+	for _, step := range j.StepGraph().dependencies[stage.id.Step()] {
+		dependency := types.StageOf(types.TaskNumber(stage.id.Occurrence(), step, 0))
+		if !allDone(j.StageTasks(dependency)) {
+			return false
 		}
 	}
 	return true
--- a/sim/experiment/worth.go
+++ b/sim/experiment/worth.go
@@ -249,10 +249,12 @@
 	if len(j.unfinished) > 0 {
 		return 0
 	}
-	chain := j.spec.CriticalPath(-1, func(step int) time.Duration {
-		work := workOf(&j.spec.Steps[step])
-		return time.Duration(float64(work.DurationMS) * (1 + work.Variation) * float64(time.Millisecond))
-	})
+	durations := make([]time.Duration, len(j.spec.Steps))
+	for i := range durations {
+		work := workOf(&j.spec.Steps[i])
+		durations[i] = time.Duration(float64(work.DurationMS) * (1 + work.Variation) * float64(time.Millisecond))
+	}
+	chain := slices.Max(j.spec.StepGraph().LongestPaths(durations))
 	target := time.Duration(queue.TargetFactor*float64(chain)) +
 		time.Duration(queue.TargetMarginMillis)*time.Millisecond
 	switch took := time.Duration(j.endedAt - j.submittedAt); {
