--- a/internal/maintenance/event.go
+++ b/internal/maintenance/event.go
@@ -30,8 +30,8 @@
 		end := start.Add(length)
 		if end.After(e.now) {
 			windows = append(windows, state.CalendarWindow{
-				Start: types.WallTime(start.UnixNano()),
-				End:   types.WallTime(end.UnixNano()),
+				Start: types.WallTimeOf(start),
+				End:   types.WallTimeOf(end),
 			})
 		}
 	}
--- a/internal/state/job_spec.go
+++ b/internal/state/job_spec.go
@@ -5,7 +5,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"slices"
-	"time"
 
 	"coppercourse/internal/types"
 )
@@ -68,8 +67,7 @@
 
 // start returns when an occurrence starts.
 func (s *Schedule) start(occurrence int) types.WallTime {
-	unixMillis := s.FirstUnixMillis + int64(occurrence)*s.IntervalMillis
-	return types.WallTime(unixMillis) * types.WallTime(time.Millisecond)
+	return types.WallTimeOfMillis(s.FirstUnixMillis + int64(occurrence)*s.IntervalMillis)
 }
 
 // Occurrences returns the number of times that the steps run.
--- a/internal/state/ready_index.go
+++ b/internal/state/ready_index.go
@@ -162,7 +162,7 @@
 	if err != nil {
 		return 0
 	}
-	return types.WallTime(t.UnixNano())
+	return types.WallTimeOf(t)
 }
 
 // milliseconds returns a duration of n milliseconds.
--- a/internal/state/step_graph_test.go
+++ b/internal/state/step_graph_test.go
@@ -38,7 +38,8 @@
 // TestLongestPathsOfHugeDurations guards against one job that hangs each leader: the durations of its
 // steps overflowed their sum, and a negative sum was computed again for each path through the steps.
 func TestLongestPathsOfHugeDurations(t *testing.T) {
-	for _, duration := range []time.Duration{math.MaxInt64, math.MaxInt64 / types.MaxSteps, 1 << 40 * time.Millisecond} {
+	const maxEstimate = 1 << 40 * time.Millisecond
+	for _, duration := range []time.Duration{math.MaxInt64, math.MaxInt64 / types.MaxSteps, maxEstimate} {
 		t.Run(duration.String(), func(t *testing.T) {
 			is := is.New(t)
 			durations := make([]time.Duration, types.MaxSteps)
--- a/internal/types/times.go
+++ b/internal/types/times.go
@@ -19,6 +19,33 @@
 // happen.
 const DistantFuture = ClusterTime(1 << 62)
 
+// distantWall is after every time that a wall clock shows, and its negative is before them. Differences
+// and small sums of these do not overflow.
+const distantWall = WallTime(1 << 62)
+
+// distantWallMillis is distantWall in milliseconds since 1970 (UTC).
+const distantWallMillis = int64(distantWall) / int64(time.Millisecond)
+
+// WallTimeOfMillis returns the time that is a number of milliseconds after 1970 (UTC). It rounds
+// times before 1824 and after 2116 towards 1970, to distantWall or its negative.
+func WallTimeOfMillis(milliseconds int64) WallTime {
+	switch {
+	case milliseconds >= distantWallMillis:
+		return distantWall
+	case milliseconds <= -distantWallMillis:
+		return -distantWall
+	}
+	return WallTime(milliseconds * int64(time.Millisecond))
+}
+
+// WallTimeOf returns a time of the calendar, rounded as by WallTimeOfMillis if it is distant.
+func WallTimeOf(t time.Time) WallTime {
+	if milliseconds := t.UnixMilli(); max(milliseconds, -milliseconds) >= distantWallMillis {
+		return WallTimeOfMillis(milliseconds)
+	}
+	return WallTime(t.UnixNano())
+}
+
 // Now is the current time that is passed to a state machine with each step.
 type Now struct {
 	Mono MonoTime
