placement: reserve for a round only room that ends of tasks free

Change: slotToReserve leaves out workers on which the task does not fit once all tasks with a time limit have ended, as reservations do since. maxTasks includes the limit of tasks on one worker that was checked apart.

Evidence: TestRoundReservationsLeaveOutUnobtainableRoom failed before: 27 of 36 small tasks were placed where there is room for all.

--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -189,12 +189,10 @@
 	for i := range r.Slots {
 		slot := &r.Slots[i]
 		switch {
-		case slot.reserved != (types.Resources{}) || !slot.Feasible(request):
+		case slot.reserved != (types.Resources{}) || !slot.Feasible(request) || slot.maxTasks(request) <= 0:
 			continue
 		case waitsForDataRack && slot.Rack != request.DataRack:
 			continue
-		case request.MaxPerWorker > 0 && slot.TaskCount(request.StageID) >= request.MaxPerWorker:
-			continue
 		case r.performanceLimit(slot, slot.RunningTasks) != NotRejected:
 			continue
 		}
--- a/internal/placement/reservation_test.go
+++ b/internal/placement/reservation_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"coppercourse/internal/config"
 	"coppercourse/internal/types"
 )
 
@@ -223,3 +224,27 @@
 		})
 	}
 }
+
+// Guards against a task for which there is no room beside tasks that last: in each round it reserved
+// what is left beside them, which it cannot use.
+func TestRoundReservationsLeaveOutUnobtainableRoom(t *testing.T) {
+	for _, unavailable := range []types.MilliCores{0, 7 * types.Core} {
+		t.Run(fmt.Sprint(unavailable), func(t *testing.T) {
+			slots := newSlots(4, 16)
+			for i := range slots {
+				slots[i].Free.Cores, slots[i].Unavailable.Cores = 9*types.Core, unavailable
+			}
+			large := newRequest("large", "a", 1, 10)
+			large.SortKey = -1
+			small := newRequest("small", "a", 36, 1)
+			small.TimeLimit = time.Hour
+			usage := usageOf(config.Queue{Name: "a", TargetFactor: 1})
+			reserved := 9 // on one worker
+			if unavailable > 0 {
+				reserved = 0
+			}
+			placed := place([]Request{large, small}, slots, usage, 64)
+			is.New(t).Equal(len(placed), 36-reserved)
+		})
+	}
+}
