--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -29,10 +29,11 @@
 	locality      locality
 	policy        policy.Policy
 	reservation   *placement.Reservation // workers held for a request that was passed over
-	requests      []placement.Request    // of the last round; the memory is reused
-	blockedReason string                 // why the last round placed nothing beside one in flight, or empty
-	lastInput     placement.Input        // of the last round that was not blocked, as modified by Place; may be empty
-	lastInputAt   types.MonoTime         // when that round was made
+	hold          reservationHold
+	requests      []placement.Request // of the last round; the memory is reused
+	blockedReason string              // why the last round placed nothing beside one in flight, or empty
+	lastInput     placement.Input     // of the last round that was not blocked, as modified by Place; may be empty
+	lastInputAt   types.MonoTime      // when that round was made
 
 	// Results of the last round, for the status.
 	tenants         map[types.TenantName]*placement.TenantUsage
@@ -63,6 +64,7 @@
 	p.waits.reset()
 	p.slots.reset()
 	p.reservation = nil
+	p.hold.reset()
 	p.lastInput = placement.Input{}
 	p.tenants = nil
 }
@@ -109,22 +111,35 @@
 		return result
 	}
 	in := p.readyWork(v)
-	in.Reservation = p.reservation
 	if len(in.Requests) == 0 {
 		p.reservation = nil
 		p.waits.reset()
+		p.hold.reset()
 		return result
 	}
 	in.Slots, in.TotalCores = p.slots.list(v, p.ends, &p.rounds)
+	in.Reservation = p.hold.limit(v, in, p.reservation)
+	p.hold.mark(v.now, in.Requests)
+	p.hold.describe(v, &p.slots, p.ends, in.Reservation, in.Slots)
 	out := p.place(v, in)
-	p.reservation = out.Reservation
+	p.reservation = p.hold.admit(v, in, out.Reservation)
 	result.assignments = p.assign(v.state, out.Assignments)
 	if result.empty() && p.reservation == nil && !p.policy.NoPreemption {
-		result.withdrawals, p.reservation = p.preemption.find(v, in)
+		result.withdrawals = p.preempt(v, in)
 	}
 	return result
 }
 
+// preempt withdraws attempts for a waiting request and reserves what they free.
+func (p *planner) preempt(v *leaderView, in placement.Input) []state.Withdrawal {
+	withdrawals, reservation := p.preemption.find(v, in)
+	if reservation != nil {
+		p.reservation = reservation
+		p.hold.begin(v.now, reservation, 0)
+	}
+	return withdrawals
+}
+
 // planWhileInFlight places new work while an earlier round is in flight.
 func (p *planner) planWhileInFlight(v *leaderView) round {
 	in := p.readyWork(v)
--- a/internal/controller/reservation_test.go
+++ b/internal/controller/reservation_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"coppercourse/internal/state"
+	"coppercourse/internal/types"
 )
 
 // Workload of the tests below: small jobs that arrive for as long as the test runs, and gangs of
@@ -108,3 +109,92 @@
 		is.Equal(gang.starts, 6)
 	})
 }
+
+// TestOthersRunBesideAReservation guards against a gang that waits for longer tasks to end and that
+// keeps all others from the room that it will not need.
+func TestOthersRunBesideAReservation(t *testing.T) {
+	const longDuration = 15 * time.Second
+	forTimeLimits(t, func(is *is.I, w *workloadRig) {
+		w.add("long", lastingStep(7), longDuration)
+		w.run(time.Second, nil)
+		gang := w.add("gang", workloadGang(10), gangDuration)
+		w.runWithSmallJobs(30 * time.Second)
+		longest, _ := w.longestWait("small")
+		w.t.Logf("the gang waited for %v, small jobs for %v at most", gang.startedAt.Sub(gang.submittedAt), longest)
+		is.True(longest <= maxSmallJobWait)
+		is.Equal(gang.starts, 6)
+		is.True(gang.startedAt.Sub(gang.submittedAt) <= longDuration) // they have not delayed it
+	})
+}
+
+// TestReservationInVainLeavesRoomToOthers guards against a gang that waits for tasks that take far
+// longer, or far longer than expected, and keeps others that do not fit beside it from running although
+// less than half of the room is in use.
+func TestReservationInVainLeavesRoomToOthers(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		estimateMillis int
+		maxWait        time.Duration
+	}{
+		{"expected to take long", 3_600_000, maxSmallJobWait},
+		{"expected to end soon", 1000, reservationSlack + maxSmallJobWait},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorkloadRig(t, 24*time.Hour)
+			long := lastingStep(7)
+			long.EstimateMillis = c.estimateMillis
+			w.addSpec("long", state.Spec{Queue: "q", Steps: []state.Step{long}}, time.Hour)
+			w.run(time.Second, nil)
+			w.add("gang", workloadGang(10), gangDuration)
+			next := time.Duration(0)
+			w.run(3*time.Minute, func(elapsed time.Duration) {
+				if elapsed >= next {
+					w.add("medium", workloadStep(1, 8), time.Second)
+					next += time.Second
+				}
+			})
+			longest, count := w.longestWait("medium")
+			w.t.Logf("%d jobs, the longest wait is %v", count, longest)
+			is.True(count > 150)
+			is.True(longest <= c.maxWait)
+		})
+	}
+}
+
+// TestGangStartsAmongTasksThatDoNotFitBesideIt guards against the opposite fault: a gang that never
+// gets its room while tasks arrive that do not fit beside it, whether their durations are known or not
+// and whether less than half of the room is in use or nearly all.
+func TestGangStartsAmongTasksThatDoNotFitBesideIt(t *testing.T) {
+	const mediumDuration = 12 * time.Second
+	for _, c := range []struct {
+		name     string
+		interval time.Duration
+		cores    types.MilliCores
+		maxWait  time.Duration
+	}{
+		{"less than half in use", 2 * time.Second, 7, 2 * time.Minute},
+		{"nearly all in use", time.Second, 8, 2 * time.Minute},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorkloadRig(t, 24*time.Hour)
+			next := time.Duration(0)
+			addMedium := func(elapsed time.Duration) {
+				if elapsed >= next {
+					w.add("medium", workloadStep(1, c.cores), mediumDuration)
+					next += c.interval
+				}
+			}
+			w.run(20*time.Second, addMedium)
+			gang := w.add("gang", workloadGang(10), gangDuration)
+			next = 0
+			w.run(4*time.Minute, addMedium)
+			longest, count := w.longestWait("medium")
+			wait := gang.startedAt.Sub(gang.submittedAt)
+			w.t.Logf("the gang waited for %v, %d other jobs for %v at most", wait, count, longest)
+			is.Equal(gang.starts, 6)
+			is.True(wait <= c.maxWait)
+		})
+	}
+}
--- a/internal/controller/slot_cache.go
+++ b/internal/controller/slot_cache.go
@@ -117,9 +117,7 @@
 		o.used = o.used.Add(attempt.Resources)
 		o.attempts++
 	}
-	if attempt.TimeLimit > 0 {
-		o.lastEnd = max(o.lastEnd, attempt.DispatchedAt.Add(attempt.TimeLimit))
-	}
+	o.addTimeLimit(attempt)
 	if attempt.Stage == scheduler.StageUnknown {
 		return // it is about to be stopped
 	}
@@ -129,5 +127,12 @@
 	}
 }
 
+// addTimeLimit adds the time at which an attempt reaches its time limit, if it has one.
+func (o *occupancy) addTimeLimit(attempt *scheduler.OutstandingAttempt) {
+	if attempt.TimeLimit > 0 {
+		o.lastEnd = max(o.lastEnd, attempt.DispatchedAt.Add(attempt.TimeLimit))
+	}
+}
+
 // remaining returns how long until all attempts there that have a time limit have ended.
 func (o *occupancy) remaining(now types.MonoTime) time.Duration { return max(0, o.lastEnd.Sub(now)) }
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -36,6 +36,9 @@
 	HeadroomPercent int              // upper bound of the cores kept free for higher priorities; see MaxQueueCores
 	MaxQueueCores   types.MilliCores // maximum cores of its queue including the request, 0 for no limit
 	JobIdle         bool             // no task of its job is running
+
+	ReservationPaused bool // no workers are reserved for it now
+	ReservedBefore    bool // workers were reserved for it in vain; it gets them again even if it is late by now
 }
 
 // TargetClass says whether a job can still meet its queue's latency target.
--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -49,7 +49,7 @@
 			r.clearReserved()
 			return
 		}
-		slot.reserved = request.Resources.Scale(worker.Tasks)
+		slot.reserve(request.Resources.Scale(worker.Tasks))
 	}
 	r.output.Reservation = r.Reservation
 }
@@ -80,7 +80,7 @@
 
 func (r *round) clearReserved() {
 	for i := range r.Slots {
-		r.Slots[i].reserved = types.Resources{}
+		r.Slots[i].reserved, r.Slots[i].besideReserved = types.Resources{}, types.Resources{}
 	}
 }
 
--- a/internal/placement/reservation_test.go
+++ b/internal/placement/reservation_test.go
@@ -225,6 +225,60 @@
 	}
 }
 
+// A request gets a reservation while it is on target, and again after one in vain even if it is late by
+// then, but not while that is paused.
+func TestRequestsThatGetReservations(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		change  func(request *Request)
+		reserve bool
+	}{
+		{"on target", func(*Request) {}, true},
+		{"has not waited long enough", func(r *Request) { r.WaitingFor-- }, false},
+		{"late", func(r *Request) { r.Class = Late }, false},
+		{"late after a reservation in vain", func(r *Request) { r.Class, r.ReservedBefore = Late, true }, true},
+		{"paused after a reservation in vain",
+			func(r *Request) { r.ReservedBefore, r.ReservationPaused = true, true }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			slots := newSlots(2, 16)
+			for i := range slots {
+				slots[i].Free.Cores = 8 * types.Core
+			}
+			gang := newRequest("gang", "a", 2, 10)
+			gang.Gang, gang.WaitingFor = true, ReserveAfter
+			c.change(&gang)
+			less := newUsage(1, 0, 500)
+			less.Queue.Priority = 9 // it goes after late requests, too
+			output := Place(Input{
+				Requests: []Request{gang, newRequest("small", "b", 1, 1)}, Slots: slots, TotalCores: 32 * types.Core,
+				Usage: map[types.QueueName]*QueueUsage{"a": newUsage(9, 0, 500), "b": less},
+			})
+			is.New(t).Equal(output.Reservation != nil, c.reserve)
+		})
+	}
+}
+
+// Tasks that start after a reservation share what the reserved tasks leave, also within one round, and
+// what is reserved for one round is room that the request can get.
+func TestTasksShareWhatAReservationLeaves(t *testing.T) {
+	is := is.New(t)
+	slots := newSlots(1, 16)
+	slots[0].Free.Cores = 9 * types.Core // not enough for the large task yet
+	slots[0].Unavailable.Cores, slots[0].StartedSince.Cores = 2*types.Core, types.Core
+	large := newRequest("large", "a", 1, 10)
+	large.TimeLimit = time.Hour
+	small := newRequest("small", "b", 9, 1)
+	small.TimeLimit = time.Hour
+	reservation := &Reservation{StageID: large.StageID, Workers: []ReservedWorker{{Shard: "k0", Tasks: 1}}}
+	output := Place(Input{
+		Requests: []Request{large, small}, Slots: slots, TotalCores: 16 * types.Core, Reservation: reservation,
+		Usage: map[types.QueueName]*QueueUsage{"a": newUsage(1, 0, 500), "b": newUsage(1, 0, 500)},
+	})
+	is.Equal(output.Reservation, reservation)
+	is.Equal(tasksByJob(output.Assignments), map[types.JobID]int{"small": 3}) // 16, less 2, 10 and 1
+}
+
 // Guards against a task for which there is no room beside tasks that last: in each round it reserved
 // what is left beside them, which it cannot use.
 func TestRoundReservationsLeaveOutUnobtainableRoom(t *testing.T) {
--- a/internal/placement/round.go
+++ b/internal/placement/round.go
@@ -92,7 +92,10 @@
 // reserved for it, and there are such workers. A request without them does not keep later ones from
 // getting a reservation.
 func (r *round) dueForReservation(request *Request) bool {
-	if request.WaitingFor < ReserveAfter || request.Class != OnTarget {
+	switch {
+	case request.WaitingFor < ReserveAfter || request.ReservationPaused:
+		return false
+	case request.Class != OnTarget && !request.ReservedBefore:
 		return false
 	}
 	if request.Gang {
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -115,8 +115,8 @@
 		return false
 	case request.MaxPerWorker > 0 && slot.TaskCount(request.StageID)+added >= request.MaxPerWorker:
 		return false
-	case !free.Sub(slot.reserved).Contains(request.Resources) && request.TimeLimit > slot.IdleIn:
-		return false // it could delay the request for which the slot is reserved
+	case slot.delaysReserved(request, free, added):
+		return false
 	}
 	return r.performanceLimit(slot, slot.RunningTasks+added) == NotRejected
 }
--- a/internal/placement/slot.go
+++ b/internal/placement/slot.go
@@ -21,7 +21,11 @@
 	TasksByStage map[types.StageID]int // RunningTasks by stage; shared between rounds and read-only
 
 	AvailableFor time.Duration // time until it may run nothing, 0 for unlimited
-	IdleIn       time.Duration // time until all its running tasks that have a time limit have ended
+	// IdleIn is the time until all its running tasks that have a time limit have reached it. On a
+	// worker that is reserved, tasks that were started since then do not count.
+	IdleIn time.Duration
+	// StartedSince is what tasks with a time limit use that were started since the worker was reserved.
+	StartedSince types.Resources
 
 	FailureRate    float64 // fraction of its attempts that fail, 0 to 1
 	DurationFactor float64 // ratio of its attempts' durations to the usual ones
@@ -31,8 +35,9 @@
 	// ProbeDue allows one task on a slow worker, to find out whether it is still slow.
 	ProbeDue bool
 
-	reserved types.Resources // part of Free that is reserved for a request
-	assigned []types.StageID // stages of the tasks assigned since TasksByStage was computed
+	reserved       types.Resources // part of Free that is reserved for a request
+	besideReserved types.Resources // what others may use for longer than the request must wait, see reserve
+	assigned       []types.StageID // stages of the tasks assigned since TasksByStage was computed
 }
 
 // TaskCount returns how many tasks of a stage run on the worker or are assigned to it in this
@@ -50,10 +55,26 @@
 // Assign adds a task of a stage to the worker and subtracts its resources from Free.
 func (s *Slot) Assign(stage types.StageID, resources types.Resources) {
 	s.Free = s.Free.Sub(resources)
+	s.besideReserved = s.besideReserved.Sub(resources)
 	s.RunningTasks++
 	s.assigned = append(s.assigned, stage)
 }
 
+// reserve reserves resources that the worker can give to a request once the tasks that ran before the
+// reservation have ended. Tasks that start after it share the rest.
+func (s *Slot) reserve(resources types.Resources) {
+	s.reserved = resources
+	s.besideReserved = s.Obtainable().Sub(resources).Sub(s.StartedSince)
+}
+
+// delaysReserved reports whether another task of a request could delay the request for which the
+// worker is reserved, given the free resources and the number of tasks added in this search.
+func (s *Slot) delaysReserved(request *Request, free types.Resources, added int) bool {
+	return !free.Sub(s.reserved).Contains(request.Resources) &&
+		!s.besideReserved.Contains(request.Resources.Scale(added+1)) &&
+		request.TimeLimit > s.IdleIn
+}
+
 // Feasible reports whether the worker could run a task of a request if it were idle.
 func (s *Slot) Feasible(request *Request) bool {
 	switch {
