--- a/internal/controller/leader_rig_test.go
+++ b/internal/controller/leader_rig_test.go
@@ -29,6 +29,7 @@
 type leaderRig struct {
 	*leader
 	now    types.MonoTime
+	clock  types.ClusterTime // of the commands that it applies, unless they have a later one
 	agents []protocol.Heartbeat
 }
 
@@ -116,7 +117,7 @@
 // apply applies a command to the state; a rejection fails the test.
 func (l *leaderRig) apply(t *testing.T, command state.Command) {
 	t.Helper()
-	command.Time = max(command.Time, l.log.state().Time, types.ClusterTime(time.Second))
+	command.Time = max(command.Time, l.log.state().Time, l.clock, types.ClusterTime(time.Second))
 	if _, rejection := l.log.apply(command); rejection != nil {
 		t.Fatal(rejection)
 	}
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -119,7 +119,7 @@
 	}
 	in.Slots, in.TotalCores = p.slots.list(v, p.ends, &p.rounds)
 	in.Reservation = p.hold.limit(v, in, p.reservation)
-	p.hold.mark(v.now, in.Requests)
+	p.hold.markVain(v.now, in.Requests)
 	p.hold.describe(v, &p.slots, p.ends, in.Reservation, in.Slots)
 	out := p.place(v, in)
 	p.reservation = p.hold.admit(v, in, out.Reservation)
@@ -167,6 +167,7 @@
 // place chooses workers for the requests.
 func (p *planner) place(v *leaderView, in placement.Input) placement.Output {
 	p.waits.update(v.now, in.Requests)
+	markOverdue(v, in)
 	p.limits.apply(v.now, in)
 	p.lastInput = in
 	return placement.Place(in)
--- a/internal/controller/reservation_hold.go
+++ b/internal/controller/reservation_hold.go
@@ -13,9 +13,12 @@
 	reservationSlack = 10 * time.Second
 	// maxReservationSlack bounds the slack, which doubles each time that a reservation was in vain.
 	maxReservationSlack = 5 * time.Minute
-	// maxIdleReservation is the longest time for which tasks may be expected to run on while workers
-	// are reserved, if less than half of all cores is in use.
-	maxIdleReservation = 20 * time.Second
+	// maxReservationDelay is by how long reservations may delay a job while less than half of all cores
+	// is in use. It is within the 14 s after which users expect every job to run.
+	maxReservationDelay = 12 * time.Second
+	// maxOverdueIdle is by how long they may delay a job that is older. It is within the 3 s for which
+	// such a job may have nothing running.
+	maxOverdueIdle = 2 * time.Second
 )
 
 // reservationHold limits how long workers are reserved for a request. Other requests that do not fit
@@ -24,7 +27,8 @@
 // held; meanwhile others start, and other requests get reservations.
 //
 // While less than half of all cores is in use, capacity is not what the others lack. Then workers are
-// reserved only if the tasks there are expected to end soon, and for no longer each time.
+// reserved only if the tasks there are expected to end within maxReservationDelay, the slack stays, and
+// jobs that are older than that use reserved capacity.
 type reservationHold struct {
 	stage     types.StageID  // that holds the current reservation
 	since     types.MonoTime // when it was made
@@ -61,12 +65,12 @@
 	if halfInUse(in) {
 		return v.now >= h.until
 	}
-	return v.now >= h.idleUntil || expectedIdleIn(v, reservation, h.since) > maxIdleReservation
+	return v.now >= h.idleUntil || expectedIdleIn(v, reservation, h.since) > maxReservationDelay
 }
 
-// mark marks the requests that get no reservation now and those that had one in vain, and forgets the
-// stages that no longer wait.
-func (h *reservationHold) mark(now types.MonoTime, requests []placement.Request) {
+// markVain marks the requests that had a reservation in vain and those that get none now, and forgets
+// the stages that no longer wait.
+func (h *reservationHold) markVain(now types.MonoTime, requests []placement.Request) {
 	if len(h.vain) == 0 {
 		return
 	}
@@ -81,6 +85,21 @@
 	h.vain = waiting
 }
 
+// markOverdue marks the requests that may use reserved capacity.
+func markOverdue(v *leaderView, in placement.Input) {
+	if halfInUse(in) {
+		return
+	}
+	for i := range in.Requests {
+		request := &in.Requests[i]
+		if !request.JobIdle || request.WaitingFor < maxOverdueIdle {
+			continue
+		}
+		j := v.state.Jobs[request.Job]
+		request.UsesReserved = j != nil && v.clock.Sub(j.AcceptedAt) >= maxReservationDelay
+	}
+}
+
 // admit returns the reservation that a round has made or kept, or nil if a new one is refused.
 func (h *reservationHold) admit(
 	v *leaderView, in placement.Input, reservation *placement.Reservation,
@@ -93,7 +112,7 @@
 		return reservation
 	}
 	expected := expectedIdleIn(v, reservation, v.now)
-	if !halfInUse(in) && expected > maxIdleReservation {
+	if !halfInUse(in) && expected > maxReservationDelay {
 		h.pause(v.now, reservation.StageID, reservationSlack, h.slackOf(reservation.StageID))
 		return nil
 	}
@@ -105,7 +124,7 @@
 func (h *reservationHold) begin(now types.MonoTime, reservation *placement.Reservation, expected time.Duration) {
 	h.stage, h.since = reservation.StageID, now
 	h.until = now.Add(expected + h.slackOf(h.stage))
-	h.idleUntil = now.Add(min(expected, maxIdleReservation) + reservationSlack)
+	h.idleUntil = now.Add(min(expected, maxReservationDelay) + reservationSlack)
 }
 
 // pause records that a reservation of a stage was in vain or was refused. slack is that of its next one.
--- a/internal/controller/reservation_test.go
+++ b/internal/controller/reservation_test.go
@@ -198,3 +198,29 @@
 		})
 	}
 }
+
+// TestOldIdleJobUsesReservedRoom guards against a job that has nothing running for over 3 s, long after
+// it was accepted, beside room for it that is reserved while less than half of all room is in use.
+func TestOldIdleJobUsesReservedRoom(t *testing.T) {
+	const stepDuration = 13 * time.Second
+	is := is.New(t)
+	w := newWorkloadRig(t, 24*time.Hour)
+	first, second := workloadStep(1, 1), workloadStep(1, 8)
+	second.Name, second.DependsOn = "second", []string{first.Name}
+	old := w.addSpec("old", state.Spec{Queue: "q", Steps: []state.Step{first, second}}, stepDuration)
+	w.run(6*time.Second, nil)
+	w.add("long", lastingStep(7), 11*time.Second) // leaves 9 cores free on each worker
+	gang := w.add("gang", workloadGang(10), gangDuration)
+	secondStart := time.Duration(0)
+	w.run(40*time.Second, func(time.Duration) {
+		w.add("small", workloadStep(1, 1), time.Second/10)
+		if old.starts == 2 && secondStart == 0 {
+			secondStart = w.now.Sub(old.submittedAt)
+			is.Equal(gang.starts, 0) // it waits for the second step as well
+		}
+	})
+	w.t.Logf("the second step started %v after the first had ended", secondStart-stepDuration)
+	is.True(secondStart > stepDuration+maxOverdueIdle)
+	is.True(secondStart < stepDuration+3*time.Second)
+	is.Equal(gang.starts, 6)
+}
--- a/internal/controller/workload_rig_test.go
+++ b/internal/controller/workload_rig_test.go
@@ -87,14 +87,22 @@
 		for next := w.now.Add(workloadRoundInterval); w.now < next; {
 			w.heartbeatAll()
 		}
+		w.clock = types.ClusterTime(w.now)
 		w.endDueAttempts()
 		if beforeRound != nil {
 			beforeRound(w.now.Sub(start))
 		}
-		w.start(w.plan(0).assignments)
+		w.start(w.planner.plan(w.view(), 0).assignments)
 	}
 }
 
+// view returns the view of the leader, whose cluster clock runs with its own.
+func (w *workloadRig) view() *leaderView {
+	v := w.leaderRig.view(w.now)
+	v.clock = types.ClusterTime(w.now)
+	return v
+}
+
 // endDueAttempts ends the attempts that have run for their duration.
 func (w *workloadRig) endDueAttempts() {
 	w.t.Helper()
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -39,6 +39,7 @@
 
 	ReservationPaused bool // no workers are reserved for it now
 	ReservedBefore    bool // workers were reserved for it in vain; it gets them again even if it is late by now
+	UsesReserved      bool // it may use capacity that is reserved for other requests
 }
 
 // TargetClass says whether a job can still meet its queue's latency target.
@@ -77,11 +78,13 @@
 	labels    string
 	resources types.Resources
 	timeLimit time.Duration
+
+	usesReserved bool
 }
 
 func (r *Request) shape() requestShape {
 	return requestShape{
 		kind: r.Kind, rack: r.Rack, labels: strings.Join(r.Labels, " "),
-		resources: r.Resources, timeLimit: r.TimeLimit,
+		resources: r.Resources, timeLimit: r.TimeLimit, usesReserved: r.UsesReserved,
 	}
 }
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -115,7 +115,7 @@
 		return false
 	case request.MaxPerWorker > 0 && slot.TaskCount(request.StageID)+added >= request.MaxPerWorker:
 		return false
-	case slot.delaysReserved(request, free, added):
+	case !request.UsesReserved && slot.delaysReserved(request, free, added):
 		return false
 	}
 	return r.performanceLimit(slot, slot.RunningTasks+added) == NotRejected
