--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -9,9 +9,11 @@
 // them.
 //
 // A request that is passed over for ReserveAfter while others take capacity that it could use gets
-// a reservation: capacity on named workers, on which other requests may start only tasks that are
-// certain to end before the reserved request could start anyway. There is at most one reservation
-// at a time. It is passed from the output of one round to the input of the next.
+// a reservation: capacity on named workers, which is free now or once tasks with a time limit have
+// ended. There other requests may start only tasks that leave this capacity, or that are certain to
+// end before the reserved request could start anyway. There is at most one reservation at a time. It
+// is passed from the output of one round to the input of the next; the caller decides for how long,
+// and which requests may use reserved capacity.
 package placement
 
 import (
