--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -118,28 +118,19 @@
 		return result
 	}
 	in.Slots, in.TotalCores = p.slots.list(v, p.ends, &p.rounds)
-	in.Reservation = p.hold.limit(v, in, p.reservation)
+	in.Reservation = p.hold.limit(v, p.ends, in, p.reservation)
 	p.hold.markVain(v.now, in.Requests)
-	p.hold.describe(v, &p.slots, p.ends, in.Reservation, in.Slots)
+	p.hold.describe(v, p.ends, in, in.Reservation)
 	out := p.place(v, in)
-	p.reservation = p.hold.admit(v, in, out.Reservation)
+	p.reservation = out.Reservation
 	result.assignments = p.assign(v.state, out.Assignments)
 	if result.empty() && p.reservation == nil && !p.policy.NoPreemption {
-		result.withdrawals = p.preempt(v, in)
+		result.withdrawals, p.reservation = p.preemption.find(v, in)
 	}
+	p.hold.update(p.reservation)
 	return result
 }
 
-// preempt withdraws attempts for a waiting request and reserves what they free.
-func (p *planner) preempt(v *leaderView, in placement.Input) []state.Withdrawal {
-	withdrawals, reservation := p.preemption.find(v, in)
-	if reservation != nil {
-		p.reservation = reservation
-		p.hold.begin(v.now, reservation, 0)
-	}
-	return withdrawals
-}
-
 // planWhileInFlight places new work while an earlier round is in flight.
 func (p *planner) planWhileInFlight(v *leaderView) round {
 	in := p.readyWork(v)
--- a/internal/controller/reservation_hold.go
+++ b/internal/controller/reservation_hold.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// reservationSlack is how long a reservation is held beyond the expected end of the tasks that it
-	// waits for.
+	// reservationSlack is how long a reservation is held beyond the time when the reserved tasks are
+	// expected to fit.
 	reservationSlack = 10 * time.Second
 	// maxReservationSlack bounds the slack, which doubles each time that a reservation was in vain.
 	maxReservationSlack = 5 * time.Minute
@@ -27,12 +27,12 @@
 // held; meanwhile others start, and other requests get reservations.
 //
 // While less than half of all cores is in use, capacity is not what the others lack. Then workers are
-// reserved only if the tasks there are expected to end within maxReservationDelay, the slack stays, and
+// reserved only if the reserved tasks are expected to fit within maxReservationDelay, the slack stays, and
 // jobs that are older than that use reserved capacity.
 type reservationHold struct {
 	stage     types.StageID  // that holds the current reservation
-	since     types.MonoTime // when it was made
-	until     types.MonoTime // when it ends at the latest
+	since     types.MonoTime // its first round: tasks that were started earlier may have to end for it
+	until     types.MonoTime // when it ends at the latest; 0 before its first round
 	idleUntil types.MonoTime // when it ends at the latest while less than half of all cores is in use
 	vain      map[types.StageID]vainReservation
 }
@@ -48,24 +48,42 @@
 
 // limit returns the reservation of the previous round, or nil if it must not be held any longer.
 func (h *reservationHold) limit(
-	v *leaderView, in placement.Input, reservation *placement.Reservation,
+	v *leaderView, ends *endTracker, in placement.Input, reservation *placement.Reservation,
 ) *placement.Reservation {
 	if reservation == nil || reservation.StageID != h.stage {
 		return reservation
 	}
-	if !h.isOver(v, in, reservation) {
-		return reservation
+	isNew := h.until == 0
+	if isNew {
+		h.since = v.now
+	}
+	expected := expectedWait(v, ends, in, reservation, h.since)
+	if isNew {
+		h.until = v.now.Add(expected + h.slackOf(h.stage))
+		h.idleUntil = v.now.Add(min(expected, maxReservationDelay) + reservationSlack)
+	}
+	idle := !halfInUse(in)
+	switch {
+	case v.now >= h.until || idle && v.now >= h.idleUntil:
+		h.pause(v.now, 2*h.slackOf(h.stage))
+		return nil
+	case idle && expected > maxReservationDelay:
+		h.pause(v.now, h.slackOf(h.stage))
+		return nil
 	}
-	h.pause(v.now, h.stage, v.now.Sub(h.since), 2*h.slackOf(h.stage))
-	return nil
+	return reservation
 }
 
-// isOver reports whether the current reservation must not be held any longer.
-func (h *reservationHold) isOver(v *leaderView, in placement.Input, reservation *placement.Reservation) bool {
-	if halfInUse(in) {
-		return v.now >= h.until
+// pause pauses the reservations of the current stage for as long as the one that ends now was held.
+// slack is that of its next one.
+func (h *reservationHold) pause(now types.MonoTime, slack time.Duration) {
+	if h.vain == nil {
+		h.vain = map[types.StageID]vainReservation{}
+	}
+	h.vain[h.stage] = vainReservation{
+		pausedUntil: now.Add(max(now.Sub(h.since), reservationSlack)),
+		slack:       min(slack, maxReservationSlack),
 	}
-	return v.now >= h.idleUntil || expectedIdleIn(v, reservation, h.since) > maxReservationDelay
 }
 
 // markVain marks the requests that had a reservation in vain and those that get none now, and forgets
@@ -100,41 +118,14 @@
 	}
 }
 
-// admit returns the reservation that a round has made or kept, or nil if a new one is refused.
-func (h *reservationHold) admit(
-	v *leaderView, in placement.Input, reservation *placement.Reservation,
-) *placement.Reservation {
-	if reservation == nil {
+// update records the reservation that a round has made or kept. How long a new one is held is determined
+// in the next round, when the tasks that this one has started are known.
+func (h *reservationHold) update(reservation *placement.Reservation) {
+	switch {
+	case reservation == nil:
 		h.stage = types.StageID{}
-		return nil
-	}
-	if reservation.StageID == h.stage {
-		return reservation
-	}
-	expected := expectedIdleIn(v, reservation, v.now)
-	if !halfInUse(in) && expected > maxReservationDelay {
-		h.pause(v.now, reservation.StageID, reservationSlack, h.slackOf(reservation.StageID))
-		return nil
-	}
-	h.begin(v.now, reservation, expected)
-	return reservation
-}
-
-// begin starts to hold a new reservation, for which tasks are expected to run on for some time.
-func (h *reservationHold) begin(now types.MonoTime, reservation *placement.Reservation, expected time.Duration) {
-	h.stage, h.since = reservation.StageID, now
-	h.until = now.Add(expected + h.slackOf(h.stage))
-	h.idleUntil = now.Add(min(expected, maxReservationDelay) + reservationSlack)
-}
-
-// pause records that a reservation of a stage was in vain or was refused. slack is that of its next one.
-func (h *reservationHold) pause(now types.MonoTime, stage types.StageID, pause, slack time.Duration) {
-	if h.vain == nil {
-		h.vain = map[types.StageID]vainReservation{}
-	}
-	h.vain[stage] = vainReservation{
-		pausedUntil: now.Add(max(pause, reservationSlack)),
-		slack:       min(slack, maxReservationSlack),
+	case reservation.StageID != h.stage:
+		h.stage, h.until = reservation.StageID, 0
 	}
 }
 
@@ -144,47 +135,39 @@
 }
 
 // describe sets what the slots of the reserved workers say of the current reservation.
-func (h *reservationHold) describe(v *leaderView, sc *slotCache, ends *endTracker,
-	reservation *placement.Reservation, slots []placement.Slot) {
+func (h *reservationHold) describe(
+	v *leaderView, ends *endTracker, in placement.Input, reservation *placement.Reservation,
+) {
 	if reservation == nil || reservation.StageID != h.stage {
 		return
 	}
-	for _, worker := range reservation.Workers {
-		i, ok := sc.position[worker.Shard]
-		if !ok {
-			continue
-		}
-		var earlier occupancy
-		attempts, _ := v.scheduler.AttemptsOn(worker.Shard)
-		for _, attempt := range attempts {
-			switch {
-			case attempt.DispatchedAt < h.since:
-				earlier.addTimeLimit(attempt)
-			case attempt.TimeLimit > 0 && !ends.isReleased(attempt.ID):
-				slots[i].StartedSince = slots[i].StartedSince.Add(attempt.Resources)
-			}
-		}
-		slots[i].IdleIn = earlier.remaining(v.now)
-	}
+	eachReserved(v, in, reservation, func(slot *placement.Slot, needed types.Resources) {
+		forecast := forecastFit(v, ends, slot, needed, h.since)
+		slot.IdleIn, slot.FreeWhenIdle = forecast.limitIn, forecast.free
+	})
 }
 
-// expectedIdleIn returns how long until all tasks with a time limit that were started on the reserved
-// workers before a time are expected to have ended.
-func expectedIdleIn(
-	v *leaderView, reservation *placement.Reservation, before types.MonoTime,
-) (longest time.Duration) {
+// expectedWait returns how long until all reserved tasks are expected to fit on their workers, for a
+// reservation that was made at a time.
+func expectedWait(v *leaderView, ends *endTracker, in placement.Input, reservation *placement.Reservation,
+	since types.MonoTime) (longest time.Duration) {
+	eachReserved(v, in, reservation, func(slot *placement.Slot, needed types.Resources) {
+		longest = max(longest, forecastFit(v, ends, slot, needed, since).expectedIn)
+	})
+	return longest
+}
+
+// eachReserved calls visit for each reserved worker, with what is reserved there.
+func eachReserved(v *leaderView, in placement.Input, reservation *placement.Reservation,
+	visit func(slot *placement.Slot, needed types.Resources)) {
+	resources := taskResources(v.state, reservation.StageID)
 	for _, worker := range reservation.Workers {
-		attempts, _ := v.scheduler.AttemptsOn(worker.Shard)
-		for _, attempt := range attempts {
-			j := openJob(v.state, attempt.ID.Job)
-			if j == nil || attempt.TimeLimit == 0 || attempt.DispatchedAt >= before {
-				continue
+		for i := range in.Slots {
+			if in.Slots[i].Shard == worker.Shard {
+				visit(&in.Slots[i], resources.Scale(worker.Tasks))
 			}
-			expected := v.expectedDuration(j, types.StageOf(attempt.ID.TaskNumber).Step())
-			longest = max(longest, expected-v.now.Sub(attempt.DispatchedAt))
 		}
 	}
-	return longest
 }
 
 // halfInUse reports whether at least half of all cores is in use.
--- a/internal/controller/reservation_test.go
+++ b/internal/controller/reservation_test.go
@@ -224,3 +224,27 @@
 	is.True(secondStart < stepDuration+3*time.Second)
 	is.Equal(gang.starts, 6)
 }
+
+// TestGangWaitsOnlyForTasksInItsWay guards against a gang that gets no reservation because of tasks that
+// take long, beside which it fits, while shorter ones that keep arriving are in its way.
+func TestGangWaitsOnlyForTasksInItsWay(t *testing.T) {
+	const mediumDuration = 4 * time.Second
+	is := is.New(t)
+	w := newWorkloadRig(t, 24*time.Hour)
+	w.add("long", lastingStep(3), time.Hour)
+	next := time.Duration(0)
+	addMedium := func(elapsed time.Duration) {
+		if elapsed >= next {
+			w.add("medium", workloadStep(1, 6), mediumDuration)
+			next += time.Second
+		}
+	}
+	w.run(10*time.Second, addMedium)
+	gang := w.add("gang", workloadGang(10), gangDuration)
+	next = 0
+	w.run(30*time.Second, addMedium)
+	wait := gang.startedAt.Sub(gang.submittedAt)
+	w.t.Logf("the gang waited for %v", wait)
+	is.Equal(gang.starts, 6)
+	is.True(wait <= 3*time.Second+2*mediumDuration)
+}
--- a/internal/controller/slot_cache.go
+++ b/internal/controller/slot_cache.go
@@ -117,7 +117,9 @@
 		o.used = o.used.Add(attempt.Resources)
 		o.attempts++
 	}
-	o.addTimeLimit(attempt)
+	if attempt.TimeLimit > 0 {
+		o.lastEnd = max(o.lastEnd, attempt.DispatchedAt.Add(attempt.TimeLimit))
+	}
 	if attempt.Stage == scheduler.StageUnknown {
 		return // it is about to be stopped
 	}
@@ -127,12 +129,5 @@
 	}
 }
 
-// addTimeLimit adds the time at which an attempt reaches its time limit, if it has one.
-func (o *occupancy) addTimeLimit(attempt *scheduler.OutstandingAttempt) {
-	if attempt.TimeLimit > 0 {
-		o.lastEnd = max(o.lastEnd, attempt.DispatchedAt.Add(attempt.TimeLimit))
-	}
-}
-
 // remaining returns how long until all attempts there that have a time limit have ended.
 func (o *occupancy) remaining(now types.MonoTime) time.Duration { return max(0, o.lastEnd.Sub(now)) }
--- a/internal/placement/slot.go
+++ b/internal/placement/slot.go
@@ -22,10 +22,11 @@
 
 	AvailableFor time.Duration // time until it may run nothing, 0 for unlimited
 	// IdleIn is the time until all its running tasks that have a time limit have reached it. On a
-	// worker that is reserved, tasks that were started since then do not count.
+	// reserved worker only the tasks count that must end before the reserved ones fit.
 	IdleIn time.Duration
-	// StartedSince is what tasks with a time limit use that were started since the worker was reserved.
-	StartedSince types.Resources
+	// FreeWhenIdle is what is free on a reserved worker once the tasks have ended that must end
+	// before the reserved ones fit. Zero if it is not known.
+	FreeWhenIdle types.Resources
 
 	FailureRate    float64 // fraction of its attempts that fail, 0 to 1
 	DurationFactor float64 // ratio of its attempts' durations to the usual ones
@@ -36,7 +37,7 @@
 	ProbeDue bool
 
 	reserved       types.Resources // part of Free that is reserved for a request
-	besideReserved types.Resources // what others may use for longer than the request must wait, see reserve
+	besideReserved types.Resources // part of FreeWhenIdle that other requests may use
 	assigned       []types.StageID // stages of the tasks assigned since TasksByStage was computed
 }
 
@@ -60,11 +61,11 @@
 	s.assigned = append(s.assigned, stage)
 }
 
-// reserve reserves resources that the worker can give to a request once the tasks that ran before the
-// reservation have ended. Tasks that start after it share the rest.
+// reserve reserves resources, which may be free only once other tasks have ended. Tasks that start
+// before that share what is left then.
 func (s *Slot) reserve(resources types.Resources) {
 	s.reserved = resources
-	s.besideReserved = s.Obtainable().Sub(resources).Sub(s.StartedSince)
+	s.besideReserved = s.FreeWhenIdle.Sub(resources)
 }
 
 // delaysReserved reports whether another task of a request could delay the request for which the
