controller: forecast of a reservation once a round, workers by their position

Two passes over the attempts of the reserved workers and a search of all slots for each of them would take a quadratic time with thousands of workers.

--- a/internal/controller/fit_forecast.go
+++ b/internal/controller/fit_forecast.go
@@ -25,13 +25,50 @@
 	freed      types.Resources
 }
 
-// forecastFit forecasts when resources will be free on a worker that was reserved at a time. The tasks
-// that ran then end first, in the order of their expected ends.
-func forecastFit(
-	v *leaderView, ends *endTracker, slot *placement.Slot, needed types.Resources, since types.MonoTime,
-) fitForecast {
+// workerForecast is the forecast for one reserved worker.
+type workerForecast struct {
+	slot *placement.Slot
+	fitForecast
+}
+
+// reservationForecast is the forecast for all workers of a reservation.
+type reservationForecast []workerForecast
+
+// expectedIn returns when all reserved tasks are expected to fit.
+func (rf reservationForecast) expectedIn() (latest time.Duration) {
+	for _, worker := range rf {
+		latest = max(latest, worker.fitForecast.expectedIn)
+	}
+	return latest
+}
+
+// describe sets what the slots of the reserved workers say of the reservation.
+func (rf reservationForecast) describe() {
+	for _, worker := range rf {
+		worker.slot.IdleIn, worker.slot.FreeWhenIdle = worker.limitIn, worker.free
+	}
+}
+
+// forecastReservation forecasts when the tasks of a reservation will fit on each of its workers. since
+// is when they were reserved.
+func forecastReservation(
+	v *leaderView, ends *endTracker, sc *slotCache, reservation *placement.Reservation, since types.MonoTime,
+) reservationForecast {
+	var list reservationForecast
+	resources := taskResources(v.state, reservation.StageID)
+	for _, worker := range reservation.Workers {
+		if slot := sc.slotOf(worker.Shard); slot != nil {
+			forecast := forecastFit(slot, resources.Scale(worker.Tasks), attemptEnds(v, ends, worker.Shard, since))
+			list = append(list, workerForecast{slot: slot, fitForecast: forecast})
+		}
+	}
+	return list
+}
+
+// forecastFit forecasts when resources will be free on a worker whose tasks end in the given order.
+func forecastFit(slot *placement.Slot, needed types.Resources, ends []attemptEnd) fitForecast {
 	forecast := fitForecast{free: slot.Free}
-	for _, end := range attemptEnds(v, ends, slot.Shard, since) {
+	for _, end := range ends {
 		if forecast.free.Contains(needed) {
 			break
 		}
@@ -42,8 +79,8 @@
 	return forecast
 }
 
-// attemptEnds returns the ends of the attempts on a worker that have a time limit and use resources, in
-// the order in which forecastFit expects them.
+// attemptEnds returns the ends of the attempts on a worker that have a time limit and use resources:
+// those that ran when it was reserved go first, then those that are expected to end first.
 func attemptEnds(v *leaderView, ends *endTracker, shard types.Shard, since types.MonoTime) []attemptEnd {
 	attempts, _ := v.scheduler.AttemptsOn(shard)
 	list := make([]attemptEnd, 0, len(attempts))
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -118,9 +118,8 @@
 		return result
 	}
 	in.Slots, in.TotalCores = p.slots.list(v, p.ends, &p.rounds)
-	in.Reservation = p.hold.limit(v, p.ends, in, p.reservation)
+	in.Reservation = p.hold.limit(v, p.ends, &p.slots, in, p.reservation)
 	p.hold.markVain(v.now, in.Requests)
-	p.hold.describe(v, p.ends, in, in.Reservation)
 	out := p.place(v, in)
 	p.reservation = out.Reservation
 	result.assignments = p.assign(v.state, out.Assignments)
--- a/internal/controller/reservation_hold.go
+++ b/internal/controller/reservation_hold.go
@@ -46,19 +46,20 @@
 // reset drops the state of the previous leadership.
 func (h *reservationHold) reset() { *h = reservationHold{} }
 
-// limit returns the reservation of the previous round, or nil if it must not be held any longer.
+// limit returns the reservation of the previous round, or nil if it must not be held any longer. If it
+// is held, limit sets what the slots of the reserved workers say of it.
 func (h *reservationHold) limit(
-	v *leaderView, ends *endTracker, in placement.Input, reservation *placement.Reservation,
+	v *leaderView, ends *endTracker, sc *slotCache, in placement.Input, reservation *placement.Reservation,
 ) *placement.Reservation {
 	if reservation == nil || reservation.StageID != h.stage {
 		return reservation
 	}
-	isNew := h.until == 0
-	if isNew {
+	if h.until == 0 {
 		h.since = v.now
 	}
-	expected := expectedWait(v, ends, in, reservation, h.since)
-	if isNew {
+	forecast := forecastReservation(v, ends, sc, reservation, h.since)
+	expected := forecast.expectedIn()
+	if h.until == 0 {
 		h.until = v.now.Add(expected + h.slackOf(h.stage))
 		h.idleUntil = v.now.Add(min(expected, maxReservationDelay) + reservationSlack)
 	}
@@ -71,6 +72,7 @@
 		h.pause(v.now, h.slackOf(h.stage))
 		return nil
 	}
+	forecast.describe()
 	return reservation
 }
 
@@ -134,42 +136,6 @@
 	return max(reservationSlack, h.vain[stage].slack)
 }
 
-// describe sets what the slots of the reserved workers say of the current reservation.
-func (h *reservationHold) describe(
-	v *leaderView, ends *endTracker, in placement.Input, reservation *placement.Reservation,
-) {
-	if reservation == nil || reservation.StageID != h.stage {
-		return
-	}
-	eachReserved(v, in, reservation, func(slot *placement.Slot, needed types.Resources) {
-		forecast := forecastFit(v, ends, slot, needed, h.since)
-		slot.IdleIn, slot.FreeWhenIdle = forecast.limitIn, forecast.free
-	})
-}
-
-// expectedWait returns how long until all reserved tasks are expected to fit on their workers, for a
-// reservation that was made at a time.
-func expectedWait(v *leaderView, ends *endTracker, in placement.Input, reservation *placement.Reservation,
-	since types.MonoTime) (longest time.Duration) {
-	eachReserved(v, in, reservation, func(slot *placement.Slot, needed types.Resources) {
-		longest = max(longest, forecastFit(v, ends, slot, needed, since).expectedIn)
-	})
-	return longest
-}
-
-// eachReserved calls visit for each reserved worker, with what is reserved there.
-func eachReserved(v *leaderView, in placement.Input, reservation *placement.Reservation,
-	visit func(slot *placement.Slot, needed types.Resources)) {
-	resources := taskResources(v.state, reservation.StageID)
-	for _, worker := range reservation.Workers {
-		for i := range in.Slots {
-			if in.Slots[i].Shard == worker.Shard {
-				visit(&in.Slots[i], resources.Scale(worker.Tasks))
-			}
-		}
-	}
-}
-
 // halfInUse reports whether at least half of all cores is in use.
 func halfInUse(in placement.Input) bool {
 	inUse := types.MilliCores(0)
--- a/internal/controller/slot_cache.go
+++ b/internal/controller/slot_cache.go
@@ -67,6 +67,14 @@
 	return slots, total
 }
 
+// slotOf returns the slot of a worker in the last list, or nil.
+func (sc *slotCache) slotOf(shard types.Shard) *placement.Slot {
+	if i, ok := sc.position[shard]; ok {
+		return &sc.slots[i]
+	}
+	return nil
+}
+
 // slot returns the slot of one worker with its occupancy.
 func (sc *slotCache) slot(v *leaderView, worker *scheduler.RemoteWorker, occupied *occupancy) placement.Slot {
 	return placement.Slot{
