controller: the hold owns its reservation; one rule for half of all cores

Read again: the planner and reservationHold kept the same reservation twice, one as a stage; the stall review and the reservations each had the rule of half of all cores; the order of ends was a nested comparison; obtainable is used by placement alone. Nothing that is decided changes: the tests keep their assertions, and 200 random mixes break nothing.

--- a/internal/controller/fit_forecast.go
+++ b/internal/controller/fit_forecast.go
@@ -17,9 +17,17 @@
 	free       types.Resources // what is free then, including what the reserved tasks will use
 }
 
+// endOrder tells attempts that ran when their worker was reserved from later ones.
+type endOrder int
+
+const (
+	startedBefore endOrder = iota
+	startedAfter
+)
+
 // attemptEnd is what is known of the end of an attempt on a reserved worker.
 type attemptEnd struct {
-	later      bool // it was started after the reservation was made
+	order      endOrder
 	expectedIn time.Duration
 	limitIn    time.Duration
 	freed      types.Resources
@@ -89,21 +97,19 @@
 			continue
 		}
 		elapsed := v.now.Sub(attempt.DispatchedAt)
+		order := startedBefore
+		if attempt.DispatchedAt >= since {
+			order = startedAfter
+		}
 		list = append(list, attemptEnd{
-			later:      attempt.DispatchedAt >= since,
+			order:      order,
 			expectedIn: max(0, expectedRuntime(v, attempt)-elapsed),
 			limitIn:    max(0, attempt.TimeLimit-elapsed),
 			freed:      attempt.Resources,
 		})
 	}
 	slices.SortFunc(list, func(a, b attemptEnd) int {
-		if a.later != b.later {
-			if a.later {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(a.expectedIn, b.expectedIn)
+		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.expectedIn, b.expectedIn))
 	})
 	return list
 }
--- a/internal/controller/job_ranking.go
+++ b/internal/controller/job_ranking.go
@@ -162,7 +162,7 @@
 }
 
 // latencyTarget returns the latency target of a queue's job, given the duration of its critical
-// path; at most state.MaxPathDuration, of which small multiples do not overflow.
+// path. It is at most state.MaxPathDuration, of which small multiples do not overflow.
 func latencyTarget(queue config.Queue, criticalPath time.Duration) time.Duration {
 	margin := float64(queue.TargetMarginMillis) * float64(time.Millisecond)
 	target := queue.TargetFactor*float64(criticalPath) + margin
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -28,8 +28,7 @@
 	ends          *endTracker
 	locality      locality
 	policy        policy.Policy
-	reservation   *placement.Reservation // workers held for a request that was passed over
-	hold          reservationHold
+	hold          reservationHold     // workers that are reserved for a request that was passed over
 	requests      []placement.Request // of the last round; the memory is reused
 	blockedReason string              // why the last round placed nothing beside one in flight, or empty
 	lastInput     placement.Input     // of the last round that was not blocked, as modified by Place; may be empty
@@ -63,7 +62,6 @@
 	p.rounds.reset()
 	p.waits.reset()
 	p.slots.reset()
-	p.reservation = nil
 	p.hold.reset()
 	p.lastInput = placement.Input{}
 	p.tenants = nil
@@ -112,21 +110,20 @@
 	}
 	in := p.readyWork(v)
 	if len(in.Requests) == 0 {
-		p.reservation = nil
 		p.waits.reset()
 		p.hold.reset()
 		return result
 	}
 	in.Slots, in.TotalCores = p.slots.list(v, p.ends, &p.rounds)
-	in.Reservation = p.hold.limit(v, p.ends, &p.slots, in, p.reservation)
+	in.Reservation = p.hold.limit(v, p.ends, &p.slots, in)
 	p.hold.markVain(v.now, in.Requests)
 	out := p.place(v, in)
-	p.reservation = out.Reservation
+	reservation := out.Reservation
 	result.assignments = p.assign(v.state, out.Assignments)
-	if result.empty() && p.reservation == nil && !p.policy.NoPreemption {
-		result.withdrawals, p.reservation = p.preemption.find(v, in)
+	if result.empty() && reservation == nil && !p.policy.NoPreemption {
+		result.withdrawals, reservation = p.preemption.find(v, in)
 	}
-	p.hold.update(p.reservation)
+	p.hold.update(reservation)
 	return result
 }
 
@@ -148,7 +145,7 @@
 		return "too many rounds in flight"
 	case v.scheduler.InInitialWait():
 		return "initial wait"
-	case p.reservation != nil:
+	case p.hold.reservation != nil:
 		return "a reservation is held while a round is in flight"
 	}
 	return ""
--- a/internal/controller/planner_test.go
+++ b/internal/controller/planner_test.go
@@ -82,9 +82,9 @@
 	is.Equal(usage["q"].RunningTasks, 2) // tasks in flight count as in use
 	is.Equal(usage["q"].CoresInUse, types.MilliCores(2000))
 
-	l.planner.reservation = &placement.Reservation{StageID: types.StageID{Job: "second"}}
+	l.planner.hold.reservation = &placement.Reservation{StageID: types.StageID{Job: "second"}}
 	is.True(l.plan(6).empty()) // while workers are reserved, only full rounds place tasks
-	l.planner.reservation = nil
+	l.planner.hold.reservation = nil
 	for i := range types.Index(maxRoundsInFlight) {
 		l.planner.proposed(8+i, nil)
 	}
@@ -115,7 +115,7 @@
 	r := l.plan(0)
 	is.Equal(len(r.assignments), 0)
 	is.Equal(len(r.withdrawals), 2)
-	is.Equal(l.planner.reservation.Job, types.JobID("new"))
+	is.Equal(l.planner.hold.reservation.Job, types.JobID("new"))
 }
 
 // A new leadership must not use the rounds and reservations of the previous one.
@@ -123,7 +123,7 @@
 	is := is.New(t)
 	l := newLeaderRig(rand.New(rand.NewSource(1)))
 	l.planner.proposed(7, []state.Assignment{{ID: attemptID("j", 0, 1), Shard: "k0"}})
-	l.planner.reservation = &placement.Reservation{}
+	l.planner.hold.reservation = &placement.Reservation{}
 	l.planner.waits.update(l.now, []placement.Request{{StageID: types.StageID{Job: "j"}}})
 	l.shapes.proposed = 9
 	l.ends.proposed(state.AttemptEnd{ID: attemptID("j", 0, 1), Outcome: state.OutcomeOK})
@@ -134,7 +134,7 @@
 	is.Equal(l.counters.LeadershipsLost, uint64(1))
 	is.True(!l.planner.rounds.inFlight(0))
 	is.True(l.planner.rounds.empty())
-	is.Equal(l.planner.reservation, nil)
+	is.Equal(l.planner.hold.reservation, nil)
 	is.Equal(len(l.planner.waits.since), 0)
 	is.Equal(l.shapes.proposed, types.Index(0))
 	is.Equal(len(l.ends.inFlight)+len(l.ends.released), 0)
--- a/internal/controller/reservation_hold.go
+++ b/internal/controller/reservation_hold.go
@@ -30,11 +30,11 @@
 // reserved only if the reserved tasks are expected to fit within maxReservationDelay, the slack stays, and
 // jobs that are older than that use reserved capacity.
 type reservationHold struct {
-	stage     types.StageID  // that holds the current reservation
-	since     types.MonoTime // its first round: tasks that were started earlier may have to end for it
-	until     types.MonoTime // when it ends at the latest; 0 before its first round
-	idleUntil types.MonoTime // when it ends at the latest while less than half of all cores is in use
-	vain      map[types.StageID]vainReservation
+	reservation *placement.Reservation // the current one, or nil
+	since       types.MonoTime         // its first round: tasks that were started earlier may have to end for it
+	until       types.MonoTime         // when it ends at the latest; 0 before its first round
+	idleUntil   types.MonoTime         // when it ends at the latest while less than half of all cores is in use
+	vain        map[types.StageID]vainReservation
 }
 
 // vainReservation is what is known of a stage whose reservation ended before it was placed.
@@ -46,43 +46,43 @@
 // reset drops the state of the previous leadership.
 func (h *reservationHold) reset() { *h = reservationHold{} }
 
-// limit returns the reservation of the previous round, or nil if it must not be held any longer. If it
-// is held, limit sets what the slots of the reserved workers say of it.
+// limit returns the reservation of the previous round, or nil if there is none or it must not be held
+// any longer. If it is held, limit sets what the slots of the reserved workers say of it.
 func (h *reservationHold) limit(
-	v *leaderView, ends *endTracker, sc *slotCache, in placement.Input, reservation *placement.Reservation,
+	v *leaderView, ends *endTracker, sc *slotCache, in placement.Input,
 ) *placement.Reservation {
-	if reservation == nil || reservation.StageID != h.stage {
-		return reservation
+	if h.reservation == nil {
+		return nil
 	}
 	if h.until == 0 {
 		h.since = v.now
 	}
-	forecast := forecastReservation(v, ends, sc, reservation, h.since)
-	expected := forecast.expectedIn()
+	forecast := forecastReservation(v, ends, sc, h.reservation, h.since)
+	expected, slack := forecast.expectedIn(), h.slackOf(h.reservation.StageID)
 	if h.until == 0 {
-		h.until = v.now.Add(expected + h.slackOf(h.stage))
+		h.until = v.now.Add(expected + slack)
 		h.idleUntil = v.now.Add(min(expected, maxReservationDelay) + reservationSlack)
 	}
-	idle := !halfInUse(in)
+	idle := !roundHalfInUse(in)
 	switch {
 	case v.now >= h.until || idle && v.now >= h.idleUntil:
-		h.pause(v.now, 2*h.slackOf(h.stage))
+		h.pause(v.now, 2*slack)
 		return nil
 	case idle && expected > maxReservationDelay:
-		h.pause(v.now, h.slackOf(h.stage))
+		h.pause(v.now, slack)
 		return nil
 	}
 	forecast.describe()
-	return reservation
+	return h.reservation
 }
 
-// pause pauses the reservations of the current stage for as long as the one that ends now was held.
-// slack is that of its next one.
+// pause pauses the reservations of the current one's stage for as long as this one was held. slack is
+// that of its next one.
 func (h *reservationHold) pause(now types.MonoTime, slack time.Duration) {
 	if h.vain == nil {
 		h.vain = map[types.StageID]vainReservation{}
 	}
-	h.vain[h.stage] = vainReservation{
+	h.vain[h.reservation.StageID] = vainReservation{
 		pausedUntil: now.Add(max(now.Sub(h.since), reservationSlack)),
 		slack:       min(slack, maxReservationSlack),
 	}
@@ -107,7 +107,7 @@
 
 // markOverdue marks the requests that may use reserved capacity.
 func markOverdue(v *leaderView, in placement.Input) {
-	if halfInUse(in) {
+	if roundHalfInUse(in) {
 		return
 	}
 	for i := range in.Requests {
@@ -123,12 +123,11 @@
 // update records the reservation that a round has made or kept. How long a new one is held is determined
 // in the next round, when the tasks that this one has started are known.
 func (h *reservationHold) update(reservation *placement.Reservation) {
-	switch {
-	case reservation == nil:
-		h.stage = types.StageID{}
-	case reservation.StageID != h.stage:
-		h.stage, h.until = reservation.StageID, 0
+	isKept := reservation != nil && h.reservation != nil && reservation.StageID == h.reservation.StageID
+	if !isKept {
+		h.until = 0
 	}
+	h.reservation = reservation
 }
 
 // slackOf returns the slack of the next reservation of a stage.
@@ -136,11 +135,14 @@
 	return max(reservationSlack, h.vain[stage].slack)
 }
 
-// halfInUse reports whether at least half of all cores is in use.
-func halfInUse(in placement.Input) bool {
+// roundHalfInUse reports whether at least half of all cores is in use, by the input of a round.
+func roundHalfInUse(in placement.Input) bool {
 	inUse := types.MilliCores(0)
 	for _, usage := range in.Usage {
 		inUse += usage.CoresInUse
 	}
-	return 2*inUse >= in.TotalCores
+	return halfInUse(inUse, in.TotalCores)
 }
+
+// halfInUse reports whether so many cores are in use that a job may wait although some are free.
+func halfInUse(inUse, total types.MilliCores) bool { return 2*inUse >= total }
--- a/internal/controller/reservation_hold_test.go
+++ b/internal/controller/reservation_hold_test.go
@@ -20,7 +20,7 @@
 	held := false
 	w.run(duration, func(elapsed time.Duration) {
 		w.add("small", workloadStep(1, 1), time.Second)
-		switch now := w.planner.reservation != nil; {
+		switch now := w.planner.hold.reservation != nil; {
 		case now && !held:
 			spans = append(spans, span{begin: elapsed})
 			held = true
@@ -59,9 +59,9 @@
 func TestVainReservationsAreForgotten(t *testing.T) {
 	is := is.New(t)
 	waiting, placed := types.StageID{Job: "waiting"}, types.StageID{Job: "placed"}
-	h := reservationHold{stage: waiting, since: 1}
+	h := reservationHold{reservation: &placement.Reservation{StageID: waiting}, since: 1}
 	h.pause(2, 4*maxReservationSlack)
-	h.stage = placed
+	h.reservation = &placement.Reservation{StageID: placed}
 	h.pause(2, reservationSlack)
 	is.Equal(h.slackOf(waiting), maxReservationSlack)
 	requests := []placement.Request{{StageID: waiting}, {StageID: types.StageID{Job: "new"}}}
--- a/internal/controller/stalled_jobs.go
+++ b/internal/controller/stalled_jobs.go
@@ -82,7 +82,7 @@
 	}
 	r.reviewedAt = v.now
 	waiting, coresInUse := r.updateIdle(v)
-	if 2*coresInUse >= healthyCores(v) {
+	if halfInUse(coresInUse, healthyCores(v)) {
 		return
 	}
 	r.found = nil
--- a/internal/placement/slot.go
+++ b/internal/placement/slot.go
@@ -15,7 +15,7 @@
 	Labels []string
 
 	Capacity     types.Resources       // total
-	Unavailable  types.Resources       // part of Capacity that no end of a task will free, see Obtainable
+	Unavailable  types.Resources       // part of Capacity that no end of a task will free, see obtainable
 	Free         types.Resources       // currently; negative if the worker is overcommitted
 	RunningTasks int                   // current number
 	TasksByStage map[types.StageID]int // RunningTasks by stage; shared between rounds and read-only
@@ -97,14 +97,14 @@
 	return s.Feasible(request) && (s.CurrentDurationFactor == 0 || s.ProbeDue)
 }
 
-// Obtainable returns the resources that are free once all tasks with a time limit have ended. Tasks
+// obtainable returns the resources that are free once all tasks with a time limit have ended. Tasks
 // without one run until their job is cancelled.
-func (s *Slot) Obtainable() types.Resources { return s.Capacity.Sub(s.Unavailable) }
+func (s *Slot) obtainable() types.Resources { return s.Capacity.Sub(s.Unavailable) }
 
 // maxTasks returns how many tasks of a request the worker could run at once if all tasks with a
 // time limit had ended.
 func (s *Slot) maxTasks(request *Request) int {
-	n := s.Obtainable().FitCount(request.Resources)
+	n := s.obtainable().FitCount(request.Resources)
 	if request.MaxPerWorker > 0 {
 		n = min(n, request.MaxPerWorker-s.TaskCount(request.StageID))
 	}
