--- a/review/standins3/case_gang_test.go
+++ b/review/standins3/case_gang_test.go
@@ -36,7 +36,7 @@
 	time.Sleep(4 * time.Second)
 	if r.trouble {
 		for _, w := range pair {
-			w.sick.Store(true)
+			w.fallSick()
 			r.note("trouble: worker %s fails all that it starts", w.machine.name)
 		}
 	}
--- a/review/standins3/worker_test.go
+++ b/review/standins3/worker_test.go
@@ -216,6 +216,16 @@
 	return used
 }
 
+// fallSick makes the worker fail all that runs on it, now and from now on.
+func (w *worker) fallSick() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sick.Store(true)
+	for _, r := range w.runs {
+		r.endsAt = w.clock()
+	}
+}
+
 // fail ends a run through its own fault, and reports whether it ran here.
 func (w *worker) fail(task string) bool {
 	w.mu.Lock()
